--- /dev/null
+++ b/duration/duration.go
@@ -0,0 +1,34 @@
+// Package duration provides a time.Duration that JSON documents write as a
+// string such as "30s".
+package duration
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration in JSON documents.
+type Duration time.Duration
+
+// Std returns the standard library's value.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalJSON writes the duration as a string.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON accepts a string with a unit, such as "250ms" or "2m".
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("a duration is a string with a unit, such as \"30s\": %s", data)
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
