--- /dev/null
+++ b/controller/catalogsync/controller.go
@@ -0,0 +1,243 @@
+package catalogsync
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/freshness"
+	"github.com/hibiscusyard/hibiscusyard/peer"
+	"github.com/hibiscusyard/hibiscusyard/platform"
+)
+
+// Peers is the part of the peer hub that the controller uses.
+type Peers interface {
+	Connected() []peer.Identity
+	Call(ctx context.Context, instance string, kind peer.Kind, request, answer any) error
+}
+
+// Push carries a catalogue to a peer.
+type Push struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Digest  string `cbor:"2,keyasint"`
+	Body    []byte `cbor:"3,keyasint"`
+}
+
+// Fetch asks a peer for the catalogue that it serves.
+type Fetch struct{}
+
+// Controller keeps the catalogue of one instance. Its methods are safe for
+// concurrent use.
+type Controller struct {
+	store      store
+	peers      Peers
+	members    func() int
+	staleAfter time.Duration
+	poll       time.Duration
+	log        log.Interface
+
+	mu      sync.Mutex
+	index   *catalog.Index
+	body    []byte
+	tracker freshness.Tracker
+	changed chan struct{}
+	onAdopt []func(*catalog.Index)
+	known   map[string]uint64 // latest version that each peer has confirmed
+}
+
+// Config holds what a controller needs.
+type Config struct {
+	Table   platform.Table
+	Objects platform.Objects
+	Peers   Peers
+	// Members returns the number of members, this instance included.
+	Members    func() int
+	StaleAfter time.Duration
+	Poll       time.Duration
+	Log        log.Interface
+}
+
+// New returns a controller that holds no version yet.
+func New(c Config) *Controller {
+	return &Controller{
+		store: store{table: c.Table, objects: c.Objects}, peers: c.Peers, members: c.Members,
+		staleAfter: c.StaleAfter, poll: c.Poll, log: c.Log,
+		changed: make(chan struct{}), known: map[string]uint64{},
+	}
+}
+
+// OnAdopt registers a callback for new versions. It must be called before Run.
+func (c *Controller) OnAdopt(callback func(*catalog.Index)) { c.onAdopt = append(c.onAdopt, callback) }
+
+// Current returns the index in force, nil before the first, and a channel
+// that is closed when a newer one is adopted.
+func (c *Controller) Current() (*catalog.Index, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.index, c.changed
+}
+
+// Fresh reports whether keyed requests may be served: a version is held and
+// its latest proof is young enough.
+func (c *Controller) Fresh(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	age, ok := c.tracker.Age(now)
+	return ok && age <= c.staleAfter
+}
+
+// Age returns the age of the latest proof.
+func (c *Controller) Age(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Age(now)
+}
+
+// Run polls until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	ticker := time.NewTicker(c.poll)
+	defer ticker.Stop()
+	for {
+		if err := c.readTable(ctx); err != nil {
+			c.log.WithError(err).Debug("catalogue row not read")
+			c.askPeers(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// readTable reads the row and adopts a newer version.
+func (c *Controller) readTable(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	sent := time.Now()
+	head, _, err := c.store.head(ctx)
+	if err != nil {
+		return err
+	}
+	if head.Version > c.version() {
+		body, err := c.fetchBody(ctx, head)
+		if err != nil {
+			return err
+		}
+		if err := c.adopt(head.Version, head.Digest, body); err != nil {
+			return err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.TableRead(sent, head.Version)
+	return nil
+}
+
+// fetchBody reads a body from the object store, or from a peer that holds it
+// if the store does not answer.
+func (c *Controller) fetchBody(ctx context.Context, head pointer) ([]byte, error) {
+	body, err := c.store.body(ctx, head.Digest)
+	if err == nil {
+		return body, nil
+	}
+	for _, id := range c.peers.Connected() {
+		var push Push
+		if c.peers.Call(ctx, id.Instance, peer.KindCatalogFetch, Fetch{}, &push) == nil && push.Digest == head.Digest {
+			return push.Body, nil
+		}
+	}
+	return nil, err
+}
+
+func (c *Controller) version() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.index.Version()
+}
+
+// adopt puts a newer version in force. Older and equal versions are ignored.
+func (c *Controller) adopt(version uint64, digest string, body []byte) error {
+	if version <= c.version() {
+		return nil
+	}
+	index, err := decode(digest, body)
+	if err != nil {
+		return err
+	}
+	if index.Version() != version {
+		return errors.New("catalogue body holds another version than its row")
+	}
+	c.mu.Lock()
+	if version <= c.index.Version() {
+		c.mu.Unlock()
+		return nil
+	}
+	c.index, c.body = index, body
+	c.tracker.Adopted(version)
+	close(c.changed)
+	c.changed = make(chan struct{})
+	c.mu.Unlock()
+	c.log.WithFields(log.Fields{"version": version, "digest": digest}).Info("catalogue in force")
+	for _, callback := range c.onAdopt {
+		callback(index)
+	}
+	return nil
+}
+
+// askPeers sends one round of freshness queries and fetches a newer version
+// from a peer that has one.
+func (c *Controller) askPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	sent := time.Now()
+	answers := c.collect(ctx)
+	list := make([]freshness.Answer, 0, len(answers))
+	var newest string
+	var highest uint64
+	for instance, a := range answers {
+		list = append(list, a)
+		if a.Version > highest {
+			newest, highest = instance, a.Version
+		}
+	}
+	if highest > c.version() {
+		c.fetchFrom(ctx, newest)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Answers(sent, c.members(), list)
+}
+
+func (c *Controller) collect(ctx context.Context) map[string]freshness.Answer {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	answers := map[string]freshness.Answer{}
+	for _, id := range c.peers.Connected() {
+		wg.Go(func() {
+			var a freshness.Answer
+			if c.peers.Call(ctx, id.Instance, peer.KindFreshness, Fetch{}, &a) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers[id.Instance] = a
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+func (c *Controller) fetchFrom(ctx context.Context, instance string) {
+	var push Push
+	if err := c.peers.Call(ctx, instance, peer.KindCatalogFetch, Fetch{}, &push); err != nil {
+		return
+	}
+	if err := c.adopt(push.Version, push.Digest, push.Body); err != nil {
+		c.log.WithError(err).WithField("peer", instance).Warn("catalogue from peer refused")
+	}
+}
--- /dev/null
+++ b/controller/catalogsync/edit.go
@@ -0,0 +1,186 @@
+package catalogsync
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/freshness"
+	"github.com/hibiscusyard/hibiscusyard/peer"
+	"github.com/hibiscusyard/hibiscusyard/platform"
+)
+
+// confirmTimeout bounds the wait for confirmations of an edit.
+const confirmTimeout = 2 * time.Second
+
+// ErrVersion means that the edit was based on another version than the
+// current one. Nothing changed.
+var ErrVersion = errors.New("the tables have changed since that version")
+
+// Result says how far an edit has come.
+type Result struct {
+	Version uint64 `json:"version"`
+	// Accepted is set once a majority plus one of the members has confirmed the
+	// version. An edit that is committed but not accepted still spreads.
+	Accepted bool `json:"accepted"`
+	// Confirmed and Missing name the instances that have and have not confirmed.
+	Confirmed []string `json:"confirmed"`
+	Missing   []string `json:"missing"`
+}
+
+// Edit applies change to the current catalogue if its version is base, and
+// waits for confirmations. Errors wrap ErrVersion, catalog.Errors,
+// platform.ErrNotApplied or platform.ErrUnknown.
+func (c *Controller) Edit(ctx context.Context, base uint64, change func(*catalog.Catalog)) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := c.readTable(ctx); err != nil {
+		return Result{}, errors.Join(platform.ErrNotApplied, err)
+	}
+	head, revision, err := c.store.head(ctx)
+	if err != nil {
+		return Result{}, errors.Join(platform.ErrNotApplied, err)
+	}
+	current, _ := c.Current()
+	if head.Version != base || current.Version() != base {
+		return Result{}, ErrVersion
+	}
+	next, body, err := derive(current, base, change)
+	if err != nil {
+		return Result{}, err
+	}
+	if err := c.store.commit(ctx, revision, next, body); err != nil {
+		if errors.Is(err, platform.ErrConflict) {
+			return Result{}, ErrVersion
+		}
+		return Result{}, err
+	}
+	if err := c.adopt(next.Version, next.Digest, body); err != nil {
+		return Result{}, err
+	}
+	return c.confirm(ctx, Push{Version: next.Version, Digest: next.Digest, Body: body}), nil
+}
+
+func derive(current *catalog.Index, base uint64, change func(*catalog.Catalog)) (pointer, []byte, error) {
+	edited := &catalog.Catalog{}
+	if current != nil {
+		edited.Routes = slices.Clone(current.Catalog.Routes)
+		edited.Pools = slices.Clone(current.Catalog.Pools)
+	}
+	change(edited)
+	edited.Version = base + 1
+	edited.ApplyDefaults()
+	if err := edited.Validate(); err != nil {
+		return pointer{}, nil, err
+	}
+	body, err := edited.Encode()
+	if err != nil {
+		return pointer{}, nil, err
+	}
+	return pointer{Version: edited.Version, Digest: catalog.Digest(body)}, body, nil
+}
+
+// confirm pushes a version to all peers and waits until a majority plus one
+// of the members, but not more than all, has confirmed it or the time is up.
+func (c *Controller) confirm(ctx context.Context, push Push) Result {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
+	needed := min(freshness.Majority(c.members())+1, c.members())
+	result := Result{Version: push.Version}
+	var mu sync.Mutex
+	votes := 0
+	if c.answer().Voter {
+		votes++
+	}
+	enough := make(chan struct{})
+	finished := make(chan struct{})
+	var wg sync.WaitGroup
+	for _, id := range c.peers.Connected() {
+		wg.Go(func() {
+			var a freshness.Answer
+			err := c.peers.Call(ctx, id.Instance, peer.KindCatalogPush, push, &a)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || a.Version < push.Version {
+				result.Missing = append(result.Missing, id.Instance)
+				return
+			}
+			result.Confirmed = append(result.Confirmed, id.Instance)
+			c.noteVersion(id.Instance, a.Version)
+			if a.Voter {
+				votes++
+			}
+			if votes == needed && a.Voter {
+				close(enough)
+			}
+		})
+	}
+	go func() {
+		wg.Wait()
+		cancel()
+		close(finished)
+	}()
+	select {
+	case <-enough:
+	case <-finished:
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	result.Accepted = votes >= needed
+	return Result{
+		Version: result.Version, Accepted: result.Accepted,
+		Confirmed: slices.Sorted(slices.Values(result.Confirmed)), Missing: slices.Sorted(slices.Values(result.Missing)),
+	}
+}
+
+func (c *Controller) noteVersion(instance string, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.known[instance] = max(c.known[instance], version)
+}
+
+func (c *Controller) answer() freshness.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Answer(time.Now())
+}
+
+// Versions asks every connected peer for the version that it serves.
+func (c *Controller) Versions(ctx context.Context) map[string]uint64 {
+	versions := map[string]uint64{}
+	for instance, a := range c.collect(ctx) {
+		versions[instance] = a.Version
+	}
+	return versions
+}
+
+// Register installs the handlers of the controller's messages.
+func (c *Controller) Register(hub *peer.Hub) {
+	hub.Handle(peer.KindCatalogPush, c.handlePush)
+	hub.Handle(peer.KindCatalogFetch, c.handleFetch)
+	hub.Handle(peer.KindFreshness, func(context.Context, peer.Identity, []byte) (any, error) { return c.answer(), nil })
+}
+
+func (c *Controller) handlePush(_ context.Context, _ peer.Identity, body []byte) (any, error) {
+	var push Push
+	if err := cbor.Unmarshal(body, &push); err != nil {
+		return nil, err
+	}
+	if err := c.adopt(push.Version, push.Digest, push.Body); err != nil {
+		return nil, err
+	}
+	return c.answer(), nil
+}
+
+func (c *Controller) handleFetch(context.Context, peer.Identity, []byte) (any, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.index == nil {
+		return nil, errors.New("no catalogue yet")
+	}
+	return Push{Version: c.index.Version(), Digest: c.index.Digest, Body: c.body}, nil
+}
--- /dev/null
+++ b/controller/catalogsync/store.go
@@ -0,0 +1,84 @@
+// Package catalogsync keeps an instance's catalogue current: it reads the
+// table, takes pushes from peers, proves freshness, and carries out edits.
+package catalogsync
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	"github.com/samber/oops"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/platform"
+)
+
+const (
+	rowKey      = "catalog/current"
+	objectsPath = "catalog/"
+)
+
+// pointer is the value of the catalogue row.
+type pointer struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Digest  string `cbor:"2,keyasint"`
+}
+
+// store reads and writes catalogues at the platform.
+type store struct {
+	table   platform.Table
+	objects platform.Objects
+}
+
+// head returns the current pointer and the revision of its row. A table
+// without a catalogue has version 0.
+func (s store) head(ctx context.Context) (pointer, uint64, error) {
+	row, err := s.table.Get(ctx, rowKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return pointer{}, 0, nil
+	}
+	if err != nil {
+		return pointer{}, 0, err
+	}
+	var p pointer
+	if err := cbor.Unmarshal(row.Value, &p); err != nil {
+		return pointer{}, 0, oops.In("catalogsync").Wrapf(err, "decode catalogue row")
+	}
+	return p, row.Revision, nil
+}
+
+func (s store) body(ctx context.Context, digest string) ([]byte, error) {
+	return s.objects.Get(ctx, objectsPath+digest)
+}
+
+// commit stores the body and moves the row from the given revision. The body
+// goes first, so that a version in the row can always be read.
+func (s store) commit(ctx context.Context, revision uint64, next pointer, body []byte) error {
+	if err := s.objects.Put(ctx, objectsPath+next.Digest, body); err != nil {
+		return errors.Join(platform.ErrNotApplied, err)
+	}
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		return oops.In("catalogsync").Wrap(err)
+	}
+	return platform.Commit(ctx, s.table, uuid.NewString(), platform.Write{Key: rowKey, Value: value, Revision: revision})
+}
+
+// decode checks a body against its digest and builds the index.
+func decode(digest string, body []byte) (*catalog.Index, error) {
+	if catalog.Digest(body) != digest {
+		return nil, oops.In("catalogsync").Errorf("catalogue body does not match digest %s", digest)
+	}
+	c, err := catalog.Load(body)
+	if err != nil {
+		return nil, oops.In("catalogsync").Wrapf(err, "stored catalogue")
+	}
+	return catalog.NewIndex(c, digest), nil
+}
+
+const (
+	readTimeout  = 1500 * time.Millisecond
+	writeTimeout = 5 * time.Second
+)
--- /dev/null
+++ b/filter/chat.go
@@ -0,0 +1,53 @@
+package filter
+
+import (
+	"encoding/json"
+	"errors"
+)
+
+// Chat is what the chain reads of a chat completion request; the body is
+// passed on as it came.
+type Chat struct {
+	Model               string          `json:"model"`
+	Messages            json.RawMessage `json:"messages"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           *int64          `json:"max_tokens"`
+	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
+}
+
+// bytesPerToken is a low estimate of the length of a token, so that a prompt
+// is rather charged too high at admission than too low.
+const bytesPerToken = 3
+
+// ParseChat reads a chat completion request.
+func ParseChat(body []byte) (*Chat, error) {
+	var c Chat
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, err
+	}
+	switch {
+	case c.Model == "":
+		return nil, errors.New("model must be set")
+	case len(c.Messages) == 0 || c.Messages[0] != '[':
+		return nil, errors.New("messages must be a list")
+	case c.output(1) < 1:
+		return nil, errors.New("max_tokens must be at least 1")
+	}
+	return &c, nil
+}
+
+func (c *Chat) output(otherwise int64) int64 {
+	switch {
+	case c.MaxCompletionTokens != nil:
+		return *c.MaxCompletionTokens
+	case c.MaxTokens != nil:
+		return *c.MaxTokens
+	default:
+		return otherwise
+	}
+}
+
+// Reserve returns the tokens to reserve: the prompt and the longest output.
+func (c *Chat) Reserve(defaultOutput int64) int64 {
+	return int64(len(c.Messages))/bytesPerToken + 1 + c.output(defaultOutput)
+}
--- /dev/null
+++ b/filter/handler.go
@@ -0,0 +1,129 @@
+package filter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/google/uuid"
+
+	"github.com/hibiscusyard/hibiscusyard/verdict"
+)
+
+// RequestIDHeader carries the ID that correlates a request with its answer.
+const RequestIDHeader = "X-Request-Id"
+
+// Handler runs the chain for each request and writes refusals.
+type Handler struct {
+	Chain   Next
+	Log     log.Interface
+	Metrics *metrics.Set
+}
+
+// refusalBody is the one JSON form of all refusals.
+type refusalBody struct {
+	Error refusalDetail `json:"error"`
+}
+
+type refusalDetail struct {
+	Message    string `json:"message"`
+	Type       string `json:"type"`
+	Code       string `json:"code"`
+	Verdict    string `json:"verdict"`
+	RetryAfter int64  `json:"retry_after_seconds,omitempty"`
+}
+
+// ServeHTTP answers one request: with the upstream's answer or a refusal.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	r := &Request{
+		ID: uuid.NewString(), Arrived: time.Now(), HTTP: hr,
+		Writer: &ResponseWriter{ResponseWriter: w},
+	}
+	r.Log = h.Log.WithField("request", r.ID)
+	w.Header().Set(RequestIDHeader, r.ID)
+	err := h.run(hr.Context(), r)
+	h.finish(r, err)
+}
+
+func (h *Handler) run(ctx context.Context, r *Request) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			if p == http.ErrAbortHandler {
+				panic(p)
+			}
+			r.Log.WithField("stack", string(debug.Stack())).Error("panic in the filter chain")
+			err = r.Attempt.Refuse(verdict.InternalError, "internal error")
+		}
+	}()
+	return h.Chain(ctx, r)
+}
+
+func (h *Handler) finish(r *Request, err error) {
+	outcome := "served"
+	if err != nil {
+		refusal := verdict.From(err)
+		outcome = string(refusal.Reason)
+		if !r.Writer.Begun() {
+			WriteRefusal(r.Writer, refusal)
+		}
+		entry := r.Log.WithFields(log.Fields{"code": refusal.Reason, "verdict": refusal.Verdict().String(), "detail": refusal.Message})
+		if refusal.Cause != nil {
+			entry = entry.WithField("cause", refusal.Cause.Error())
+		}
+		entry.Info("request refused")
+	}
+	name := fmt.Sprintf(`hibiscusyard_requests_total{outcome=%q}`, outcome)
+	h.Metrics.GetOrCreateCounter(name).Inc()
+	h.Metrics.GetOrCreateHistogram(`hibiscusyard_request_duration_seconds`).UpdateDuration(r.Arrived)
+}
+
+// WriteRefusal answers with the JSON form of a refusal.
+func WriteRefusal(w http.ResponseWriter, refusal *verdict.Refusal) {
+	body := describe(refusal)
+	if refusal.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt(body.Error.RetryAfter, 10))
+	}
+	if refusal.Status() == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(refusal.Status())
+	json.NewEncoder(w).Encode(body) //nolint:errcheck // the caller may have gone.
+}
+
+// WriteErrorEvent ends an event stream that can't be completed.
+func WriteErrorEvent(w http.ResponseWriter, refusal *verdict.Refusal) {
+	data, err := json.Marshal(describe(refusal))
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(w, "\n\nevent: error\ndata: %s\n\n", data) //nolint:errcheck // the caller may have gone.
+}
+
+func describe(refusal *verdict.Refusal) refusalBody {
+	return refusalBody{Error: refusalDetail{
+		Message: refusal.Message, Type: errorType(refusal.Status()),
+		Code: string(refusal.Reason), Verdict: refusal.Verdict().String(),
+		RetryAfter: int64(math.Ceil(refusal.RetryAfter.Seconds())),
+	}}
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status == http.StatusUnauthorized, status == http.StatusForbidden:
+		return "authentication_error"
+	case status >= http.StatusInternalServerError:
+		return "server_error"
+	default:
+		return "invalid_request_error"
+	}
+}
--- /dev/null
+++ b/filter/identify.go
@@ -0,0 +1,144 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/verdict"
+)
+
+// Paths of the model API.
+const (
+	ChatPath   = "/v1/chat/completions"
+	ModelsPath = "/v1/models"
+)
+
+// TimeoutHeader lets a caller shorten its deadline, in seconds.
+const TimeoutHeader = "X-Request-Timeout"
+
+// maxUnroutedBody bounds a chat body before its route is known.
+const maxUnroutedBody = 64 << 20
+
+// Catalog is the catalogue as the chain sees it.
+type Catalog interface {
+	Current() (*catalog.Index, <-chan struct{})
+	Fresh(now time.Time) bool
+}
+
+// Identify finds the route and the key of a request, reads the body and sets
+// the deadline.
+type Identify struct{ Catalog Catalog }
+
+// Serve implements Filter.
+func (f Identify) Serve(ctx context.Context, r *Request, next Next) error {
+	index, _ := f.Catalog.Current()
+	if index == nil {
+		return verdict.New(verdict.NotReady, "this instance holds no catalogue yet")
+	}
+	r.Index = index
+	key, err := bearerKey(r.HTTP.Header)
+	if err != nil {
+		return err
+	}
+	if key != "" {
+		r.KeyHash = catalog.HashKey(key)
+	}
+	if err := f.route(r); err != nil {
+		return err
+	}
+	r.Pool = index.Pool(r.Route.Pool)
+	if err := setDeadline(r); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	return next(ctx, r)
+}
+
+func (f Identify) route(r *Request) error {
+	path := r.HTTP.URL.Path
+	if path == ChatPath {
+		return routeChat(r)
+	}
+	route := r.Index.ServiceRoute(path)
+	if route == nil {
+		return verdict.New(verdict.UnknownRoute, "no route serves %s", path)
+	}
+	r.Route = route
+	body, err := readBody(r.HTTP, route.MaxBody)
+	r.Body = body
+	return err
+}
+
+func routeChat(r *Request) error {
+	if r.HTTP.Method != http.MethodPost {
+		return verdict.New(verdict.MethodNotAllowed, "%s takes POST", ChatPath)
+	}
+	if _, known := r.Index.KeyOwner(r.KeyHash); r.KeyHash != "" && !known {
+		// A wrong key is refused before its body is read.
+		return verdict.New(verdict.InvalidKey, "the key is not valid")
+	}
+	body, err := readBody(r.HTTP, maxUnroutedBody)
+	if err != nil {
+		return err
+	}
+	chat, err := ParseChat(body)
+	if err != nil {
+		return verdict.New(verdict.BadRequest, "malformed request: %v", err)
+	}
+	route := r.Index.ModelRoute(chat.Model)
+	if route == nil {
+		return verdict.New(verdict.UnknownModel, "no route serves model %q", chat.Model)
+	}
+	if int64(len(body)) > route.MaxBody {
+		return verdict.New(verdict.BodyTooLarge, "the body exceeds %d bytes", route.MaxBody)
+	}
+	r.Route, r.Chat, r.Body = route, chat, body
+	return nil
+}
+
+func readBody(hr *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, hr.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, verdict.New(verdict.BodyTooLarge, "the body exceeds %d bytes", limit)
+	}
+	if err != nil {
+		return nil, verdict.New(verdict.BadRequest, "the body ended early").Because(err)
+	}
+	return body, nil
+}
+
+// bearerKey returns the caller's key, or "" without one.
+func bearerKey(header http.Header) (string, error) {
+	values := header.Values("Authorization")
+	if len(values) == 0 {
+		return "", nil
+	}
+	scheme, key, ok := strings.Cut(values[0], " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") || strings.TrimSpace(key) == "" || len(values) > 1 {
+		return "", verdict.New(verdict.InvalidKey, "the Authorization header must hold one bearer key")
+	}
+	return strings.TrimSpace(key), nil
+}
+
+func setDeadline(r *Request) error {
+	limit := r.Route.Timeout.Std()
+	if text := r.HTTP.Header.Get(TimeoutHeader); text != "" {
+		seconds, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(seconds > 0) {
+			return verdict.New(verdict.BadRequest, "%s must be a positive number of seconds", TimeoutHeader)
+		}
+		if asked := seconds * float64(time.Second); asked < float64(limit) {
+			limit = time.Duration(asked)
+		}
+	}
+	r.Deadline = r.Arrived.Add(limit)
+	return nil
+}
--- /dev/null
+++ b/filter/models.go
@@ -0,0 +1,61 @@
+package filter
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/verdict"
+)
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// Models answers the list of models that the caller's key opens.
+type Models struct{ Catalog Catalog }
+
+// ServeHTTP implements http.Handler.
+func (m Models) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	list, err := m.list(hr)
+	if err != nil {
+		WriteRefusal(w, verdict.From(err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(list) //nolint:errcheck // the caller may have gone.
+}
+
+func (m Models) list(hr *http.Request) (*modelList, error) {
+	index, _ := m.Catalog.Current()
+	if index == nil {
+		return nil, verdict.New(verdict.NotReady, "this instance holds no catalogue yet")
+	}
+	key, err := bearerKey(hr.Header)
+	if err != nil {
+		return nil, err
+	}
+	var hash string
+	if key != "" {
+		hash = catalog.HashKey(key)
+		if _, known := index.KeyOwner(hash); !known {
+			return nil, verdict.New(verdict.InvalidKey, "the key is not valid")
+		}
+		if !m.Catalog.Fresh(time.Now()) {
+			return nil, verdict.New(verdict.ConfigurationStale, "this instance can't prove that its catalogue is current")
+		}
+	}
+	list := &modelList{Object: "list", Data: []modelEntry{}}
+	for _, name := range index.ModelsFor(hash) {
+		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "hibiscusyard"})
+	}
+	return list, nil
+}
