--- /dev/null
+++ b/standin/instances/instances.go
@@ -0,0 +1,212 @@
+// Package instances is a stand-in of an instance list behind the AWS Cloud Map
+// API (DiscoverInstances). Registrations are made over a control endpoint and
+// show after a lag.
+package instances
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/standin"
+)
+
+const (
+	contentType = "application/x-amz-json-1.1"
+	opDiscover  = "Route53AutoNaming_v20170314.DiscoverInstances"
+)
+
+// Registration is one registered instance.
+type Registration struct {
+	ID          string `json:"id"`
+	IP          string `json:"ip"`
+	Port        int    `json:"port"`
+	DataCentre  string `json:"data_centre"`
+	Incarnation string `json:"incarnation,omitempty"`
+	// State is "live" or "leaving". Default "live".
+	State string `json:"state,omitempty"`
+}
+
+// Config configures a list.
+type Config struct {
+	// Namespace and Service are the names that are known. Default "hibiscusyard" and "instances".
+	Namespace, Service string
+	// Now reads the clock. Default time.Now.
+	Now func() time.Time
+}
+
+// Instances is the stand-in.
+type Instances struct {
+	*standin.Gate
+	config Config
+
+	mu      sync.Mutex
+	current map[string]Registration
+	shown   *standin.Lagged[map[string]Registration]
+	reads   int64
+}
+
+// Counts are the counters of a list.
+type Counts struct {
+	standin.Counts
+	Reads      int64          `json:"reads"`
+	Registered []Registration `json:"registered"`
+}
+
+// New returns an empty list.
+func New(c Config) *Instances {
+	if c.Namespace == "" {
+		c.Namespace = "hibiscusyard"
+	}
+	if c.Service == "" {
+		c.Service = "instances"
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	l := &Instances{config: c, current: map[string]Registration{}}
+	l.shown = standin.NewLagged(map[string]Registration{})
+	l.Gate = standin.NewGate(standin.Protocol{
+		Throttled: func(w http.ResponseWriter, _ *http.Request) {
+			writeError(w, http.StatusBadRequest, "RequestLimitExceeded", "rate exceeded")
+		},
+		Failed: func(w http.ResponseWriter, _ *http.Request) {
+			writeError(w, http.StatusInternalServerError, "InternalFailure", "internal failure")
+		},
+		Effect: func(*http.Request) bool { return false },
+	}, http.HandlerFunc(l.serve), func() any { return l.State() })
+	l.Control("PUT /control/instances", l.putInstance)
+	l.Control("DELETE /control/instances/{id}", func(w http.ResponseWriter, r *http.Request) {
+		l.Deregister(r.PathValue("id"))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return l
+}
+
+// Register adds or replaces an instance.
+func (l *Instances) Register(r Registration) {
+	if r.State == "" {
+		r.State = "live"
+	}
+	l.change(func(m map[string]Registration) { m[r.ID] = r })
+}
+
+// Deregister removes an instance.
+func (l *Instances) Deregister(id string) {
+	l.change(func(m map[string]Registration) { delete(m, id) })
+}
+
+func (l *Instances) change(update func(map[string]Registration)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := maps.Clone(l.current)
+	update(next)
+	l.current = next
+	l.shown.Set(l.config.Now(), next)
+}
+
+// State returns the counters and what is registered, without the lag.
+func (l *Instances) State() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Counts{Counts: l.Gate.Counts(), Reads: l.reads, Registered: sorted(l.current)}
+}
+
+func sorted(m map[string]Registration) []Registration {
+	list := slices.Collect(maps.Values(m))
+	slices.SortFunc(list, func(a, b Registration) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+func (l *Instances) putInstance(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	var reg Registration
+	if err == nil {
+		err = catalog.Decode(data, &reg)
+	}
+	if err != nil || reg.ID == "" {
+		http.Error(w, "a registration with an id is required", http.StatusBadRequest)
+		return
+	}
+	l.Register(reg)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+type apiError struct {
+	Type    string `json:"__type"`
+	Message string `json:"message"`
+}
+
+func writeError(w http.ResponseWriter, status int, code, message string) {
+	standin.WriteJSON(w, contentType, status, apiError{code, message})
+}
+
+type discoverInput struct {
+	NamespaceName, ServiceName, HealthStatus string
+	MaxResults                               *int
+}
+
+type discoverOutput struct {
+	Instances         []summary
+	InstancesRevision int64
+}
+
+type summary struct {
+	InstanceId, NamespaceName, ServiceName, HealthStatus string
+	Attributes                                           map[string]string
+}
+
+// defaultMaxResults is the number of instances answered when a request does not say.
+const defaultMaxResults = 100
+
+func (l *Instances) serve(w http.ResponseWriter, r *http.Request) {
+	if op := r.Header.Get("X-Amz-Target"); op != opDiscover {
+		writeError(w, http.StatusBadRequest, "UnknownOperationException", op)
+		return
+	}
+	var in discoverInput
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		writeError(w, http.StatusBadRequest, "SerializationException", err.Error())
+		return
+	}
+	if in.NamespaceName != l.config.Namespace {
+		writeError(w, http.StatusBadRequest, "NamespaceNotFound", in.NamespaceName)
+		return
+	}
+	if in.ServiceName != l.config.Service {
+		writeError(w, http.StatusBadRequest, "ServiceNotFound", in.ServiceName)
+		return
+	}
+	standin.WriteJSON(w, contentType, http.StatusOK, l.discover(in))
+}
+
+func (l *Instances) discover(in discoverInput) discoverOutput {
+	l.mu.Lock()
+	l.reads++
+	l.mu.Unlock()
+	limit := defaultMaxResults
+	if in.MaxResults != nil {
+		limit = *in.MaxResults
+	}
+	out := discoverOutput{Instances: []summary{}}
+	for _, reg := range sorted(l.shown.Get(l.config.Now(), l.Faults().ListLag.Std())) {
+		if len(out.Instances) == limit {
+			break
+		}
+		out.Instances = append(out.Instances, summary{
+			InstanceId: reg.ID, NamespaceName: in.NamespaceName, ServiceName: in.ServiceName, HealthStatus: "HEALTHY",
+			Attributes: map[string]string{
+				"AWS_INSTANCE_IPV4": reg.IP, "AWS_INSTANCE_PORT": strconv.Itoa(reg.Port),
+				"data_centre": reg.DataCentre, "incarnation": reg.Incarnation, "state": reg.State,
+			},
+		})
+	}
+	return out
+}
