--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,190 @@
+// Package command implements the subcommands of the daemon's program.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	apexjson "github.com/apex/log/handlers/json"
+	"github.com/jessevdk/go-flags"
+	"github.com/samber/oops"
+
+	"github.com/hibiscusyard/hibiscusyard"
+	"github.com/hibiscusyard/hibiscusyard/admin"
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/settings"
+)
+
+// Exit codes.
+const (
+	ExitDone   = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// errUsage marks a wrong call that go-flags does not find by itself.
+var errUsage = errors.New("wrong usage")
+
+type streams struct{ out, err io.Writer }
+
+type options struct {
+	Serve    serveCommand    `command:"serve" description:"Run one instance until SIGTERM or SIGINT"`
+	Validate validateCommand `command:"validate" description:"Check settings, routes or pools files and report all errors"`
+	Routes   tableCommands   `command:"routes" description:"Read and edit the routes table"`
+	Pools    tableCommands   `command:"pools" description:"Read and edit the pools table"`
+	Status   statusCommand   `command:"status" description:"Show an instance, its members and the versions in force"`
+	Version  versionCommand  `command:"version" description:"Print the version of the build"`
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	io := streams{out: stdout, err: stderr}
+	opts := &options{}
+	opts.Serve.streams, opts.Validate.streams, opts.Status.streams, opts.Version.streams = io, io, io, io
+	opts.Routes.bind("routes", io)
+	opts.Pools.bind("pools", io)
+	parser := flags.NewNamedParser("hibiscusyard", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", opts); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	_, err := parser.ParseArgs(args)
+	return exitCode(err, io)
+}
+
+func exitCode(err error, io streams) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(io.out, usage.Message)
+		return ExitDone
+	case errors.As(err, &usage), errors.Is(err, errUsage):
+		fmt.Fprintln(io.err, err)
+		fmt.Fprintln(io.err, "run \"hibiscusyard --help\" for usage")
+		return ExitUsage
+	default:
+		fmt.Fprintln(io.err, err)
+		return ExitFailed
+	}
+}
+
+type versionCommand struct{ streams }
+
+func (c *versionCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.out, "hibiscusyard", hibiscusyard.Version)
+	return nil
+}
+
+func noArguments(args []string) error {
+	if len(args) > 0 {
+		return fmt.Errorf("%w: unexpected argument %q", errUsage, args[0])
+	}
+	return nil
+}
+
+type serveCommand struct {
+	streams
+	Settings string `short:"s" long:"settings" value-name:"FILE" required:"yes" description:"JSON settings of the instance"`
+}
+
+// Execute runs an instance. The first signal starts a graceful shutdown, the
+// second ends it at once.
+func (c *serveCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	s, err := settings.LoadFile(c.Settings)
+	if err != nil {
+		return err
+	}
+	logger := &log.Logger{Handler: apexjson.New(c.err), Level: log.MustParseLevel(s.LogLevel)}
+	instance, err := hibiscusyard.New(*s, logger)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	if err := instance.Start(); err != nil {
+		return err
+	}
+	<-signals
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		logger.WithField("requests", instance.Running()).Error("second signal: ending at once, these requests are cut")
+		cancel()
+	}()
+	return instance.Shutdown(ctx)
+}
+
+type validateCommand struct {
+	streams
+	Settings string `short:"s" long:"settings" value-name:"FILE" description:"settings to check"`
+	Routes   string `short:"r" long:"routes" value-name:"FILE" description:"routes table to check, together with --pools"`
+	Pools    string `short:"p" long:"pools" value-name:"FILE" description:"pools table to check"`
+}
+
+// Execute reports every error of every given file.
+func (c *validateCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	if c.Settings == "" && c.Routes == "" && c.Pools == "" {
+		return fmt.Errorf("%w: give at least one of --settings, --routes and --pools", errUsage)
+	}
+	if c.Routes != "" && c.Pools == "" {
+		return fmt.Errorf("%w: --routes needs --pools, because routes name pools", errUsage)
+	}
+	var failures []error
+	if c.Settings != "" {
+		if _, err := settings.LoadFile(c.Settings); err != nil {
+			failures = append(failures, err)
+		}
+	}
+	if c.Pools != "" {
+		failures = append(failures, c.tables())
+	}
+	if err := errors.Join(failures...); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.out, "valid")
+	return nil
+}
+
+func (c *validateCommand) tables() error {
+	var routes admin.RoutesDocument
+	var pools admin.PoolsDocument
+	if err := errors.Join(decodeFile(c.Routes, &routes), decodeFile(c.Pools, &pools)); err != nil {
+		return err
+	}
+	tables := &catalog.Catalog{Routes: routes.Routes, Pools: pools.Pools}
+	tables.ApplyDefaults()
+	return tables.Validate()
+}
+
+func decodeFile(path string, into any) error {
+	if path == "" {
+		return nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return oops.In("command").Wrap(err)
+	}
+	if err := catalog.Decode(data, into); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/controller/members/members.go
@@ -0,0 +1,151 @@
+// Package members keeps an instance linked to the other instances.
+package members
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/hibiscusyard/hibiscusyard/membership"
+	"github.com/hibiscusyard/hibiscusyard/peer"
+	"github.com/hibiscusyard/hibiscusyard/platform"
+)
+
+const (
+	listInterval = 2 * time.Second
+	listTimeout  = 1500 * time.Millisecond
+)
+
+// Config holds what a controller needs.
+type Config struct {
+	Self peer.Identity
+	// List is the platform's instance list. It may be nil if Static is set.
+	List platform.Instances
+	// Static lists peer addresses from the settings.
+	Static []string
+	// Lag is how far the list may lag.
+	Lag time.Duration
+	Hub *peer.Hub
+	Log log.Interface
+}
+
+// Controller keeps the members of one instance. Its methods are safe for
+// concurrent use.
+type Controller struct {
+	config   Config
+	mu       sync.Mutex
+	table    *membership.Table
+	listedAt time.Time
+	onChange []func([]membership.Member)
+}
+
+// New returns a controller that knows no other instance yet.
+func New(c Config) *Controller {
+	m := &Controller{config: c, table: membership.New(c.Lag)}
+	c.Hub.OnChange(m.linkChanged)
+	return m
+}
+
+// SetAddress sets the instance's own peer address. It must be called before Run.
+func (c *Controller) SetAddress(address string) { c.config.Self.Address = address }
+
+// OnChange registers a callback for changed members. It must be called before Run.
+func (c *Controller) OnChange(callback func([]membership.Member)) {
+	c.onChange = append(c.onChange, callback)
+}
+
+func (c *Controller) linkChanged(id peer.Identity, up bool) {
+	c.mu.Lock()
+	c.table.Link(time.Now(), id.Instance, id.Incarnation, id.Address, id.DataCentre, up)
+	c.mu.Unlock()
+	c.notify()
+}
+
+// Run reads the list until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		c.refresh(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *Controller) refresh(ctx context.Context) {
+	if c.config.List != nil {
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		listed, err := c.config.List.List(callCtx)
+		cancel()
+		if err != nil {
+			c.config.Log.WithError(err).Debug("instance list not read")
+		} else {
+			c.mu.Lock()
+			c.table.List(time.Now(), listed)
+			c.listedAt = time.Now()
+			c.mu.Unlock()
+			c.notify()
+		}
+	}
+	c.config.Hub.SetTargets(ctx, c.addresses())
+}
+
+func (c *Controller) addresses() []string {
+	addresses := append([]string(nil), c.config.Static...)
+	for _, m := range c.Members() {
+		if m.Listed && m.Instance != c.config.Self.Instance {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
+func (c *Controller) notify() {
+	members := c.Members()
+	for _, callback := range c.onChange {
+		callback(members)
+	}
+}
+
+// Members returns all members, this instance included.
+func (c *Controller) Members() []membership.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.table.Members()
+	self := c.config.Self
+	for i := range list {
+		if list[i].Instance == self.Instance {
+			list[i].Incarnation, list[i].Connected, list[i].Address = self.Incarnation, true, self.Address
+			return list
+		}
+	}
+	return append(list, membership.Member{
+		Instance: self.Instance, Incarnation: self.Incarnation, Address: self.Address,
+		DataCentre: self.DataCentre, Connected: true, LastSeen: time.Now(),
+	})
+}
+
+// Count returns the number of members, this instance included. Configured
+// peers that have never been linked count too.
+func (c *Controller) Count() int { return max(len(c.Members()), len(c.config.Static)+1) }
+
+// Names lists the members' names.
+func (c *Controller) Names() []string {
+	var names []string
+	for _, m := range c.Members() {
+		names = append(names, m.Instance)
+	}
+	return names
+}
+
+// ListAge returns the time since the list was last read.
+func (c *Controller) ListAge(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.listedAt)
+}
--- /dev/null
+++ b/instance.go
@@ -0,0 +1,233 @@
+// Package hibiscusyard is the library behind the daemon: an Instance serves
+// callers, talks to other instances and takes its turn as controller.
+package hibiscusyard
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/samber/oops"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hibiscusyard/hibiscusyard/admin"
+	"github.com/hibiscusyard/hibiscusyard/controller/catalogsync"
+	"github.com/hibiscusyard/hibiscusyard/controller/members"
+	"github.com/hibiscusyard/hibiscusyard/filter"
+	"github.com/hibiscusyard/hibiscusyard/peer"
+	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/session"
+	"github.com/hibiscusyard/hibiscusyard/settings"
+)
+
+// Version is the version of the build.
+const Version = "0.1.0-dev"
+
+// Instance is one running entry instance.
+type Instance struct {
+	settings    settings.Settings
+	log         log.Interface
+	metrics     *metrics.Set
+	incarnation string
+
+	table     platform.Table
+	objects   platform.Objects
+	instances platform.Instances
+
+	hub       *peer.Hub
+	session   *session.Session
+	members   *members.Controller
+	catalog   *catalogsync.Controller
+	placement *placementControl
+	quota     *quotaControl
+	forward   *filter.Forward
+
+	listeners listeners
+	servers   servers
+	draining  atomic.Bool
+	requests  requestCounter
+	state     context.Context
+	stop      context.CancelFunc
+	group     *errgroup.Group
+}
+
+type listeners struct{ caller, admin, peer net.Listener }
+
+type servers struct{ caller, admin, peer *http.Server }
+
+// New prepares an instance from validated settings. Nothing is started.
+func New(s settings.Settings, logger log.Interface) (*Instance, error) {
+	i := &Instance{
+		settings: s, metrics: metrics.NewSet(), incarnation: uuid.NewString(),
+		log: logger.WithFields(log.Fields{"instance": s.Instance, "data_centre": s.DataCentre}),
+	}
+	if err := i.connectPlatform(); err != nil {
+		return nil, err
+	}
+	self := peer.Identity{Instance: s.Instance, Incarnation: i.incarnation, DataCentre: s.DataCentre}
+	i.hub = peer.NewHub(self, s.PeerSecret, i.log)
+	i.session = session.New(i.table, s.Instance, i.incarnation, s.DataCentre)
+	i.members = members.New(members.Config{
+		Self: self, List: i.instances, Static: s.Peers, Lag: s.ListLag.Std(), Hub: i.hub, Log: i.log,
+	})
+	i.catalog = catalogsync.New(catalogsync.Config{
+		Table: i.table, Objects: i.objects, Peers: i.hub, Members: i.members.Count,
+		StaleAfter: s.StaleAfter.Std(), Poll: s.PollInterval.Std(), Log: i.log,
+	})
+	i.catalog.Register(i.hub)
+	i.quota = newQuotaControl(i)
+	i.placement = newPlacementControl(i)
+	i.forward = &filter.Forward{Client: filter.NewClient(), Session: i.session, Observe: i.placement.observe}
+	return i, nil
+}
+
+// connectPlatform builds the clients of the platform's services.
+func (i *Instance) connectPlatform() error {
+	p := i.settings.Platform
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+	endpoint := func(url string) platform.Endpoint {
+		return platform.Endpoint{URL: url, Region: p.Region, AccessKey: p.AccessKey, SecretKey: p.SecretKey, HTTP: client}
+	}
+	table, err := platform.NewDynamoTable(endpoint(p.Table), p.TableName)
+	if err != nil {
+		return oops.In("platform").Wrapf(err, "table client")
+	}
+	objects, err := platform.NewS3Bucket(endpoint(p.Objects), p.Bucket)
+	if err != nil {
+		return oops.In("platform").Wrapf(err, "object store client")
+	}
+	i.table, i.objects = table, objects
+	if p.Instances == "" {
+		return nil
+	}
+	list, err := platform.NewCloudMapInstances(endpoint(p.Instances), p.Namespace, p.Service)
+	if err != nil {
+		return oops.In("platform").Wrapf(err, "instance list client")
+	}
+	i.instances = list
+	return nil
+}
+
+// Start binds the listeners and starts all parts.
+func (i *Instance) Start() error {
+	if err := i.listen(); err != nil {
+		return err
+	}
+	address := i.settings.PeerAddress
+	if address == "" {
+		address = i.listeners.peer.Addr().String()
+	}
+	i.hub.SetAddress(address)
+	i.session.SetAddress(address)
+	i.members.SetAddress(address)
+	i.state, i.stop = context.WithCancel(context.Background())
+	i.group, _ = errgroup.WithContext(i.state)
+	i.serve()
+	for _, run := range []func(context.Context) error{
+		i.session.Run, i.members.Run, i.catalog.Run, i.quota.run, i.placement.run,
+	} {
+		i.group.Go(func() error { return run(i.state) })
+	}
+	i.log.WithFields(log.Fields{
+		"caller": i.CallerAddress(), "admin": i.AdminAddress(), "peer": i.PeerAddress(), "incarnation": i.incarnation,
+	}).Info("instance started")
+	return nil
+}
+
+// CallerAddress returns the bound address for callers.
+func (i *Instance) CallerAddress() string { return i.listeners.caller.Addr().String() }
+
+// AdminAddress returns the bound address of the administration API.
+func (i *Instance) AdminAddress() string { return i.listeners.admin.Addr().String() }
+
+// PeerAddress returns the bound address for peers.
+func (i *Instance) PeerAddress() string { return i.listeners.peer.Addr().String() }
+
+func (i *Instance) listen() error {
+	var err error
+	bind := func(address string) net.Listener {
+		if err != nil {
+			return nil
+		}
+		var l net.Listener
+		l, err = net.Listen("tcp", address)
+		return l
+	}
+	i.listeners.caller = bind(i.settings.CallerListen)
+	i.listeners.admin = bind(i.settings.AdminListen)
+	i.listeners.peer = bind(i.settings.PeerListen)
+	if err == nil {
+		return nil
+	}
+	for _, l := range []net.Listener{i.listeners.caller, i.listeners.admin, i.listeners.peer} {
+		if l != nil {
+			l.Close()
+		}
+	}
+	return oops.In("instance").Wrapf(err, "listen")
+}
+
+// notReady lists the reasons why the balancer should send no callers here.
+func (i *Instance) notReady() []string {
+	var reasons []string
+	if i.draining.Load() {
+		reasons = append(reasons, "shutting down")
+	}
+	index, _ := i.catalog.Current()
+	if index == nil {
+		reasons = append(reasons, "no catalogue version held: the table has not been read yet or holds none")
+	} else if !i.catalog.Fresh(time.Now()) {
+		reasons = append(reasons, "the catalogue can't be proved current")
+	}
+	if !i.session.Valid(time.Now()) {
+		reasons = append(reasons, "the session is not registered or has not been checked since a pause")
+	}
+	return reasons
+}
+
+func (i *Instance) serveOn(l net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: i.settings.MaxHeaderBytes,
+		ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
+	}
+	go func() {
+		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			i.log.WithError(err).Error("listener failed")
+		}
+	}()
+	return server
+}
+
+func (i *Instance) serve() {
+	i.servers.caller = i.serveOn(limitConnections(i.listeners.caller, i.settings.MaxConnections), i.callerHandler())
+	adminServer := &admin.Server{
+		Tables: i.catalog, TokenHash: i.settings.AdminTokenHash, Status: i.status,
+		Ready: i.notReady, Metrics: i.metrics, Log: i.log,
+	}
+	i.servers.admin = i.serveOn(i.listeners.admin, adminServer.Handler())
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, i.hub)
+	i.servers.peer = i.serveOn(i.listeners.peer, mux)
+}
+
+func (i *Instance) callerHandler() http.Handler {
+	chain := filter.Chain(
+		filter.Identify{Catalog: i.catalog},
+		filter.Authorise{Catalog: i.catalog},
+		filter.Admit{Limiter: i.quota},
+		&filter.Route{Directory: i.placement, Catalog: i.catalog, Forward: i.forward},
+	)
+	handler := &filter.Handler{Chain: chain, Log: i.log, Metrics: i.metrics}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", admin.ReadyHandler(i.notReady))
+	mux.Handle("GET "+filter.ModelsPath, filter.Models{Catalog: i.catalog})
+	mux.Handle("/", i.requests.count(handler))
+	return mux
+}
