--- /dev/null
+++ b/catalog_test.go
@@ -0,0 +1,165 @@
+package hibiscusyard
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/admin"
+	"github.com/hibiscusyard/hibiscusyard/standin"
+)
+
+func echoService(t *testing.T) (address string, keys *[]string) {
+	t.Helper()
+	var mu sync.Mutex
+	seen := &[]string{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if value := r.Header.Get("Authorization"); value != "" {
+			*seen = append(*seen, value)
+		}
+		w.Write([]byte("done")) //nolint:errcheck // the test reads the answer.
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), seen
+}
+
+func serveSignup(t *testing.T, n int) (*fleet, string) {
+	t.Helper()
+	f := startFleet(t, n)
+	address, keys := echoService(t)
+	t.Cleanup(func() {
+		if len(*keys) > 0 {
+			t.Errorf("an upstream saw callers' keys: %d", len(*keys))
+		}
+	})
+	f.linked()
+	routes, pools := serviceTables(address, callerKey)
+	f.put(0, "pools", pools)
+	f.put(0, "routes", routes)
+	f.ready()
+	return f, address
+}
+
+// Guards against an edit that reaches some instances late or not at all, and
+// against a withdrawn key that goes on working there.
+func TestEditAndWithdrawalInForceEverywhere(t *testing.T) {
+	f, address := serveSignup(t, 5)
+	for k := range f.instances {
+		eventually(t, inForce, "granted key works", func() bool { return f.call(k, "/signup/x", callerKey).status == http.StatusOK })
+	}
+	f.gates[4].cut.Store(true) // this one learns of the withdrawal from a peer only
+	routes, _ := serviceTables(address, "another-key")
+	version := f.put(1, "routes", routes)
+	for k, i := range f.instances {
+		eventually(t, inForce, "withdrawn key refused", func() bool {
+			a := f.call(k, "/signup/x", callerKey)
+			return a.code == "invalid_key" && a.verdict == "not_run" && a.status == http.StatusUnauthorized
+		})
+		if index, _ := i.catalog.Current(); index.Version() != version {
+			t.Errorf("instance %d serves version %d, want %d", k, index.Version(), version)
+		}
+	}
+}
+
+// Guards against a lost update when two operators edit the same version.
+func TestRacingOperators(t *testing.T) {
+	f, address := serveSignup(t, 3)
+	routes, _ := serviceTables(address, callerKey)
+	data, err := json.Marshal(routes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, base, err := f.admin(0).Get(context.Background(), "routes")
+	if err != nil {
+		t.Fatal(err)
+	}
+	results := make(chan error, len(f.instances))
+	for k := range f.instances {
+		go func() {
+			_, err := f.admin(k).Put(context.Background(), "routes", data, base)
+			results <- err
+		}()
+	}
+	won := 0
+	for range f.instances {
+		err := <-results
+		var problem *admin.ProblemError
+		switch {
+		case err == nil:
+			won++
+		case !errors.As(err, &problem) || problem.Status != http.StatusPreconditionFailed:
+			t.Errorf("the losing operator got %v, want a conflict", err)
+		}
+	}
+	if won != 1 {
+		t.Errorf("%d operators won, want 1", won)
+	}
+}
+
+// Guards against a false conflict when the table's answer to an edit is lost
+// after it took effect.
+func TestEditWithLostAnswer(t *testing.T) {
+	f, address := serveSignup(t, 2)
+	routes, _ := serviceTables(address, callerKey, "second-key")
+	before, _ := f.instances[0].catalog.Current()
+	f.table.SetFaults(standin.Faults{LoseAnswers: 1})
+	if version := f.put(0, "routes", routes); version != before.Version()+1 {
+		t.Errorf("version %d after the edit, want %d", version, before.Version()+1)
+	}
+	eventually(t, inForce, "granted key works", func() bool { return f.call(1, "/signup/x", "second-key").status == http.StatusOK })
+}
+
+// Guards against refusing all callers while nobody can reach the table, and
+// against serving on an instance that can't know of withdrawals.
+func TestTableOutage(t *testing.T) {
+	f, address := serveSignup(t, 3)
+	f.outage(true)
+	stale := f.instances[0].settings.StaleAfter.Std()
+	deadline := time.Now().Add(2 * stale)
+	for time.Now().Before(deadline) {
+		for k := range f.instances {
+			if a := f.call(k, "/signup/x", callerKey); a.status != http.StatusOK {
+				t.Fatalf("instance %d refused during the outage: %+v", k, a)
+			}
+		}
+	}
+	routes, _ := serviceTables(address, "another-key")
+	data, err := json.Marshal(routes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var problem *admin.ProblemError
+	if _, err := f.admin(0).Put(context.Background(), "routes", data, 2); !errors.As(err, &problem) {
+		t.Errorf("an edit during the outage gave %v, want a refusal", err)
+	}
+	for _, k := range []int{1, 2} {
+		ctx, cancel := context.WithTimeout(context.Background(), waitCap)
+		f.instances[k].Shutdown(ctx) //nolint:errcheck // the session can't be ended during the outage.
+		cancel()
+	}
+	eventually(t, inForce, "an instance without table and peers refuses", func() bool {
+		a := f.call(0, "/signup/x", callerKey)
+		return a.code == "configuration_stale" && a.verdict == "not_run"
+	})
+}
+
+// Guards against an instance that reports ready before it holds a catalogue.
+func TestStartDuringOutageIsNotReady(t *testing.T) {
+	f := startFleet(t, 1)
+	f.outage(true)
+	reasons := strings.Join(f.instances[0].notReady(), "; ")
+	if !strings.Contains(reasons, "no catalogue version held") {
+		t.Errorf("readiness says %q, want the missing catalogue", reasons)
+	}
+	if a := f.call(0, "/signup/x", callerKey); a.code != "not_ready" || a.verdict != "not_run" {
+		t.Errorf("a request got %+v, want not_ready", a)
+	}
+}
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -214,6 +215,17 @@
 	h.serveLink(r.Context(), conn, remote) //nolint:errcheck // the dialler connects again.
 }
 
+// Close ends all links. Hijacked connections outlive their HTTP server.
+func (h *Hub) Close() {
+	h.SetTargets(context.Background(), nil)
+	h.mu.Lock()
+	links := slices.Collect(maps.Values(h.links))
+	h.mu.Unlock()
+	for _, l := range links {
+		l.close()
+	}
+}
+
 func (h *Hub) handshake(ctx context.Context, conn *websocket.Conn, own, other string) (Identity, error) {
 	conn.SetReadLimit(maxMessageBytes)
 	nonce := newNonce()
--- a/shutdown.go
+++ b/shutdown.go
@@ -49,6 +49,7 @@
 	i.servers.caller.Close()
 	i.servers.admin.Close()
 	i.servers.peer.Close()
+	i.hub.Close()
 	i.group.Wait() //nolint:errcheck // the parts report their errors to the log.
 	if drainErr != nil {
 		return oops.In("instance").With("requests", cut).Wrapf(drainErr, "shutdown cut %d requests", cut)
