--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,14 @@
+// Command standin runs a stand-in of an outside system for tests and
+// development.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/hibiscusyard/hibiscusyard/standin/command"
+)
+
+func main() {
+	os.Exit(command.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -48,6 +48,8 @@
 	Refuse bool `json:"refuse,omitempty"`
 	// TruncateAfter breaks the connection of chats after that many tokens. Default 0, off.
 	TruncateAfter int `json:"truncate_after,omitempty"`
+	// HangAfter stalls chats after that many tokens until the caller gives up. Default 0, off.
+	HangAfter int `json:"hang_after,omitempty"`
 	// ForeignID makes chats answer with another request's ID. Default false.
 	ForeignID bool `json:"foreign_id,omitempty"`
 	// Garbage makes chats answer with bytes that are no JSON. Default false.
--- a/standin/gate.go
+++ b/standin/gate.go
@@ -1,10 +1,14 @@
 package standin
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -45,6 +49,7 @@
 	mu       sync.Mutex
 	limiter  *rate.Limiter
 	counts   Counts
+	secrets  []string
 }
 
 // NewGate returns a gate before next. State is what GET /control/state answers.
@@ -57,9 +62,28 @@
 	g.control.HandleFunc("GET /control/state", func(w http.ResponseWriter, _ *http.Request) {
 		WriteJSON(w, "application/json", http.StatusOK, state())
 	})
+	g.control.HandleFunc("POST /control/secrets", g.postSecrets)
 	return g
 }
 
+// WatchSecrets makes requests count as carrying a credential if they hold one
+// of the strings anywhere.
+func (g *Gate) WatchSecrets(secrets ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.secrets = secrets
+}
+
+func (g *Gate) postSecrets(w http.ResponseWriter, r *http.Request) {
+	var secrets []string
+	if err := json.NewDecoder(r.Body).Decode(&secrets); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	g.WatchSecrets(secrets...)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // Control adds a control endpoint.
 func (g *Gate) Control(pattern string, h http.HandlerFunc) { g.control.HandleFunc(pattern, h) }
 
@@ -98,9 +122,11 @@
 		g.control.ServeHTTP(w, r)
 		return
 	}
+	r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+	credential := g.carriesKey(r)
 	g.count(func(c *Counts) {
 		c.Requests++
-		if carriesKey(r) {
+		if credential {
 			c.Credential++
 		}
 	})
@@ -108,7 +134,6 @@
 	if !g.admit(w, r, f) {
 		return
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, maxBody)
 	effect := g.protocol.Effect(r)
 	if effect && g.Take(func(f *Faults) *int { return &f.LoseAnswers }) {
 		g.next.ServeHTTP(discard{http.Header{}}, r)
@@ -175,26 +200,52 @@
 	update(&g.counts)
 }
 
+// keyHeaders are the headers in which callers commonly send keys.
+var keyHeaders = []string{"X-Api-Key", "Api-Key", "Proxy-Authorization", "Cookie"}
+
 // carriesKey reports whether a request carries a credential of a caller. The
 // signatures of the platform's own services do not count.
-func carriesKey(r *http.Request) bool {
-	if auth := r.Header.Get("Authorization"); auth != "" {
-		return !strings.HasPrefix(auth, "AWS4-HMAC-SHA256 ")
+func (g *Gate) carriesKey(r *http.Request) bool {
+	if auth := r.Header.Get("Authorization"); auth != "" && !strings.HasPrefix(auth, "AWS4-HMAC-SHA256 ") {
+		return true
 	}
-	for name, values := range r.Header {
-		switch name {
-		case "X-Api-Key", "Api-Key", "Proxy-Authorization", "Cookie":
+	for _, name := range keyHeaders {
+		if r.Header.Get(name) != "" {
 			return true
 		}
+	}
+	for _, values := range r.Header {
 		for _, v := range values {
 			if strings.HasPrefix(v, "Bearer ") || strings.HasPrefix(v, "sk-") {
 				return true
 			}
 		}
 	}
-	return false
+	return g.holdsSecret(r)
+}
+
+// holdsSecret looks for the watched strings in the whole request.
+func (g *Gate) holdsSecret(r *http.Request) bool {
+	g.mu.Lock()
+	secrets := g.secrets
+	g.mu.Unlock()
+	if len(secrets) == 0 {
+		return false
+	}
+	body, err := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	if err != nil {
+		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), failedReader{err}))
+	}
+	text := fmt.Sprint(r.URL, r.Header, r.Trailer, string(body))
+	return slices.ContainsFunc(secrets, func(s string) bool { return strings.Contains(text, s) })
 }
 
+// failedReader is a reader that fails with the error that the body failed with.
+type failedReader struct{ err error }
+
+func (e failedReader) Read([]byte) (int, error) { return 0, e.err }
+
 // Wait waits for d or until ctx ends.
 func Wait(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
--- a/standin/table/table.go
+++ b/standin/table/table.go
@@ -188,7 +188,7 @@
 	case opQuery:
 		answer, failure = handle(body, t.query)
 	case opTransact:
-		answer, failure = handle(body, func(in transactInput) (any, *apiError) { return t.transact(in, string(body)) })
+		answer, failure = handle(body, t.transact)
 	default:
 		failure = &apiError{Type: "UnknownOperationException", Message: op}
 	}
--- a/standin/table/transact.go
+++ b/standin/table/transact.go
@@ -36,10 +36,14 @@
 	value  int64
 }
 
-func (t *Table) transact(in transactInput, body string) (any, *apiError) {
-	steps, err := t.steps(in.TransactItems)
+func (t *Table) transact(in transactInput) (any, *apiError) {
+	body, err := json.Marshal(in) // sorts the members, whose order differs between equal requests
 	if err != nil {
-		return nil, err
+		return nil, invalid("%v", err)
+	}
+	steps, failure := t.steps(in.TransactItems)
+	if failure != nil {
+		return nil, failure
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -47,7 +51,7 @@
 	t.forget()
 	t.counts.Transactions++
 	if earlier, ok := t.done[in.ClientRequestToken]; ok && in.ClientRequestToken != "" {
-		if earlier.body != body {
+		if earlier.body != string(body) {
 			return nil, &apiError{Type: "IdempotentParameterMismatchException", Message: "the token was used with other parameters"}
 		}
 		t.counts.Repeated++
@@ -64,7 +68,7 @@
 			delete(t.items, s.key)
 		}
 	}
-	t.done[in.ClientRequestToken] = outcome{t.config.Now(), body}
+	t.done[in.ClientRequestToken] = outcome{t.config.Now(), string(body)}
 	t.counts.Applied++
 	return struct{}{}, nil
 }
