--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -82,7 +82,7 @@
 type instancesCommand struct {
 	common
 	Namespace string   `long:"namespace" default:"hibiscusyard" description:"namespace name"`
-	Service   string   `long:"service" default:"instances" description:"service name"`
+	Service   string   `long:"service" default:"entry" description:"service name"`
 	Instance  []string `long:"instance" description:"id,ip:port,data_centre of a registered instance; repeatable"`
 }
 
--- a/standin/instances/instances.go
+++ b/standin/instances/instances.go
@@ -36,7 +36,7 @@
 
 // Config configures a list.
 type Config struct {
-	// Namespace and Service are the names that are known. Default "hibiscusyard" and "instances".
+	// Namespace and Service are the names that are known. Default "hibiscusyard" and "entry".
 	Namespace, Service string
 	// Now reads the clock. Default time.Now.
 	Now func() time.Time
@@ -66,7 +66,7 @@
 		c.Namespace = "hibiscusyard"
 	}
 	if c.Service == "" {
-		c.Service = "instances"
+		c.Service = "entry"
 	}
 	if c.Now == nil {
 		c.Now = time.Now
