--- /dev/null
+++ b/processtest/process.go
@@ -0,0 +1,161 @@
+package processtest
+
+import (
+	"bytes"
+	"fmt"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// WaitCap bounds waits on conditions. It is far above any expected time, since
+// the machine is shared and programs may carry the race detector.
+const WaitCap = 60 * time.Second
+
+const pollInterval = 10 * time.Millisecond
+
+// Eventually waits until the condition holds and fails the test after WaitCap.
+func Eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	Within(t, WaitCap, what, condition)
+}
+
+// Within waits until the condition holds, fails the test after limit, and
+// returns the time that it took.
+func Within(t testing.TB, limit time.Duration, what string, condition func() bool) time.Duration {
+	t.Helper()
+	start := time.Now()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !condition() {
+		if time.Since(start) > limit {
+			t.Fatalf("not within %s: %s", limit, what)
+		}
+		<-ticker.C
+	}
+	return time.Since(start)
+}
+
+// Process is a process that a test has started.
+type Process struct {
+	Name string
+
+	t      testing.TB
+	cmd    *exec.Cmd
+	stdout buffer
+	stderr buffer
+	done   chan struct{}
+}
+
+// buffer collects output for readers in other goroutines.
+type buffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.String()
+}
+
+// Start starts a program of this module. The process ends with the test at
+// the latest; its log is printed if the test has failed.
+func Start(t testing.TB, name, program string, args ...string) *Process {
+	t.Helper()
+	p := &Process{Name: name, t: t, done: make(chan struct{})}
+	p.cmd = exec.Command(Binary(t, program), args...)
+	p.cmd.Stdout, p.cmd.Stderr = &p.stdout, &p.stderr
+	if err := startProcess(p.cmd); err != nil {
+		t.Fatalf("start %s: %v", name, err)
+	}
+	go func() {
+		p.cmd.Wait() //nolint:errcheck // the exit code is read from the state.
+		close(p.done)
+	}()
+	t.Cleanup(p.cleanup)
+	return p
+}
+
+// maxPrintedLog bounds the part of a log that is printed for a failed test.
+const maxPrintedLog = 16 << 10
+
+func (p *Process) cleanup() {
+	p.Kill()
+	log := p.stderr.String()
+	if strings.Contains(log, "WARNING: DATA RACE") {
+		p.t.Errorf("%s: data race", p.Name)
+	}
+	if !p.t.Failed() {
+		return
+	}
+	if len(log) > maxPrintedLog {
+		log = "..." + log[len(log)-maxPrintedLog:]
+	}
+	p.t.Logf("log of %s:\n%s", p.Name, log)
+}
+
+// Log returns what the process has written to standard error.
+func (p *Process) Log() string { return p.stderr.String() }
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) {
+	if !p.Ended() {
+		p.cmd.Process.Signal(s) //nolint:errcheck // the process may have ended meanwhile.
+	}
+}
+
+// Freeze stops the process without ending it; Thaw lets it go on.
+func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() { p.Signal(syscall.SIGCONT) }
+
+// Terminate asks the process to shut down.
+func (p *Process) Terminate() { p.Signal(syscall.SIGTERM) }
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// ExitCode waits for the end of the process and returns its exit code.
+func (p *Process) ExitCode() int {
+	p.t.Helper()
+	Eventually(p.t, p.Name+" ends", p.Ended)
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// await waits for output that the process writes once it runs.
+func (p *Process) await(what string, found func() bool) {
+	p.t.Helper()
+	Eventually(p.t, fmt.Sprintf("%s: %s", p.Name, what), func() bool {
+		if found() {
+			return true
+		}
+		if p.Ended() {
+			p.t.Fatalf("%s ended early with code %d: %s", p.Name, p.cmd.ProcessState.ExitCode(), p.Log())
+		}
+		return false
+	})
+}
--- /dev/null
+++ b/processtest/proxy.go
@@ -0,0 +1,103 @@
+package processtest
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+)
+
+// Proxy is a TCP proxy that puts faults between a process and an address. It
+// runs in the test process.
+type Proxy struct {
+	// Address is where the proxy listens.
+	Address string
+
+	t      testing.TB
+	proxy  *toxiproxy.Proxy
+	toxics []string
+	cut    bool
+}
+
+// NewProxy starts a proxy without faults in front of an address.
+func NewProxy(t testing.TB, upstream string) *Proxy {
+	t.Helper()
+	// The server value only hands the logger and the metrics to the proxy; it
+	// is not started.
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	p := &Proxy{t: t, proxy: toxiproxy.NewProxy(server, upstream, "127.0.0.1:0", upstream)}
+	if err := p.proxy.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p.Address = p.proxy.Listen
+	t.Cleanup(p.proxy.Stop)
+	return p
+}
+
+// URL returns the base URL of the proxy.
+func (p *Proxy) URL() string { return "http://" + p.Address }
+
+// Cut closes all connections and refuses new ones.
+func (p *Proxy) Cut() {
+	p.proxy.Stop()
+	p.cut = true
+}
+
+// Blackhole lets connections stand but passes no data in either direction.
+func (p *Proxy) Blackhole() {
+	p.t.Helper()
+	p.add("timeout", "upstream", `{"timeout":0}`)
+	p.add("timeout", "downstream", `{"timeout":0}`)
+}
+
+// Delay delays the data of each direction.
+func (p *Proxy) Delay(d time.Duration) {
+	p.t.Helper()
+	attributes := fmt.Sprintf(`{"latency":%d}`, d.Milliseconds())
+	p.add("latency", "upstream", attributes)
+	p.add("latency", "downstream", attributes)
+}
+
+// Reset resets connections as soon as data arrives from the client.
+func (p *Proxy) Reset() {
+	p.t.Helper()
+	p.add("reset_peer", "upstream", `{"timeout":0}`)
+}
+
+// LoseAnswers passes requests on and closes the connection at the first byte
+// of an answer.
+func (p *Proxy) LoseAnswers() {
+	p.t.Helper()
+	p.add("limit_data", "downstream", `{"bytes":0}`)
+}
+
+// Heal ends all faults.
+func (p *Proxy) Heal() {
+	p.t.Helper()
+	for _, name := range p.toxics {
+		if err := p.proxy.Toxics.RemoveToxic(context.Background(), name); err != nil {
+			p.t.Fatalf("remove fault %s: %v", name, err)
+		}
+	}
+	p.toxics = nil
+	if p.cut {
+		p.cut = false
+		if err := p.proxy.Start(); err != nil {
+			p.t.Fatal(err)
+		}
+	}
+}
+
+func (p *Proxy) add(kind, direction, attributes string) {
+	p.t.Helper()
+	name := kind + "-" + direction
+	body := fmt.Sprintf(`{"name":%q,"type":%q,"stream":%q,"attributes":%s}`, name, kind, direction, attributes)
+	if _, err := p.proxy.Toxics.AddToxicJson(strings.NewReader(body)); err != nil {
+		p.t.Fatalf("add fault %s: %v", name, err)
+	}
+	p.toxics = append(p.toxics, name)
+}
--- /dev/null
+++ b/processtest/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package processtest
+
+const raceEnabled = true
