Add the quota ledger: buckets, share slots, grants, refunds

Grants are debited at the lender first, credited once by ID, and count against the cap until settled or expired.

--- /dev/null
+++ b/quota/ledger.go
@@ -0,0 +1,313 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// GrantLife is how long a grant may be spent, on the asker's clock from the time of the request.
+	GrantLife = 2 * time.Second
+	// DriftMargin is added to GrantLife on the lender's clock. 200 ms allow for clocks that differ by 10%.
+	DriftMargin = 200 * time.Millisecond
+	loanLife    = GrantLife + DriftMargin
+	// loanMemory bounds how long a lender accepts refunds of a grant whose asker has vanished.
+	loanMemory = 10 * time.Minute
+	// demandWindow is the time constant of the demand estimate. It equals the life of a
+	// grant, because that is how far ahead an asker may usefully borrow.
+	demandWindow = GrantLife
+)
+
+// Limits are a workspace's limits over all instances together.
+type Limits struct {
+	Rate  float64 // tokens per second
+	Burst float64 // tokens
+}
+
+// Start says what a newly gained slot begins with.
+type Start struct {
+	// Level is the level at release, or the slot's capacity if it was never held.
+	Level float64
+	// Lent counts the tokens in grants that were open at release.
+	Lent float64
+	// Empty marks a slot taken over without a release. It begins to fill when
+	// every grant of the former holder has certainly expired.
+	Empty bool
+}
+
+// Holder says which slots of a workspace another instance holds.
+type Holder struct {
+	Instance string
+	Slots    int
+	// Near marks holders in the same data centre; they are asked first.
+	Near bool
+}
+
+// Ledger is the quota state of one instance. It is not safe for concurrent use.
+type Ledger struct {
+	epoch      uint32
+	active     bool
+	workspaces map[string]*workspace
+	nextID     uint64
+	asks       map[uint64]*ask
+	askOrder   []*ask // ordered by time sent; answered ones included
+	borrowed   map[uint64]*borrowed
+	loans      map[loanKey]*loan
+	openLoans  []*loan // ordered by expiry
+	peers      map[string]*peer
+	resolved   []*Ticket
+	prunedAt   time.Duration
+	moved      bool
+	// Overrun counts used tokens that went beyond their reservation and could not be charged.
+	Overrun int64
+}
+
+type workspace struct {
+	name     string
+	limits   Limits
+	slots    [Slots]*slot
+	holders  []*holder
+	grants   []*borrowed // ordered by expiry
+	waiting  []*Ticket
+	demand   float64 // tokens per second
+	demandAt time.Duration
+	lending  int // open loans
+}
+
+type slot struct {
+	bucket *Bucket
+	gone   bool
+}
+
+// NewLedger returns a ledger without slots. Epoch must differ between
+// incarnations of the instance. The ledger spends nothing before SetActive(true).
+func NewLedger(epoch uint32) *Ledger {
+	return &Ledger{
+		epoch: epoch, workspaces: map[string]*workspace{}, asks: map[uint64]*ask{},
+		borrowed: map[uint64]*borrowed{}, loans: map[loanKey]*loan{}, peers: map[string]*peer{},
+	}
+}
+
+// SetActive allows or stops spending and lending. While inactive, requests are
+// refused and grant requests get nothing; settlements are still accepted.
+func (l *Ledger) SetActive(active bool, now time.Duration) {
+	if l.active == active {
+		return
+	}
+	l.active = active
+	for _, w := range l.workspaces {
+		l.proceed(w, now)
+	}
+}
+
+// SetLimits replaces the limits of all workspaces. Slots of a workspace that is
+// no longer listed lose their level.
+func (l *Ledger) SetLimits(limits map[string]Limits, now time.Duration) {
+	l.expire(now)
+	for name, limit := range limits {
+		if l.workspaces[name] == nil {
+			l.workspaces[name] = &workspace{name: name, demandAt: now}
+		}
+		l.setLimits(l.workspaces[name], limit, now)
+	}
+	for name, w := range l.workspaces {
+		if _, ok := limits[name]; !ok {
+			l.setLimits(w, Limits{}, now)
+		}
+	}
+}
+
+func (l *Ledger) setLimits(w *workspace, limits Limits, now time.Duration) {
+	if w.limits == limits {
+		return
+	}
+	w.limits = limits
+	for _, s := range w.slots {
+		if s != nil {
+			s.bucket.SetLimits(w.slotRate(), w.slotCapacity(), now)
+		}
+	}
+	l.proceed(w, now)
+}
+
+func (w *workspace) slotRate() float64     { return w.limits.Rate / Slots }
+func (w *workspace) slotCapacity() float64 { return w.limits.Burst / Slots }
+
+// Limits returns the limits of a workspace.
+func (l *Ledger) Limits(name string) (Limits, bool) {
+	w := l.workspaces[name]
+	if w == nil || w.limits == (Limits{}) {
+		return Limits{}, false
+	}
+	return w.limits, true
+}
+
+// Full returns the start of a slot that was never held.
+func (l *Ledger) Full(name string) Start {
+	limits, _ := l.Limits(name)
+	return Start{Level: limits.Burst / Slots}
+}
+
+// Gain adds a slot. The caller must be its only holder. It reports false if
+// the workspace has no limits or the slot is held already.
+func (l *Ledger) Gain(name string, index int, start Start, now time.Duration) bool {
+	l.expire(now)
+	w := l.workspaces[name]
+	if w == nil || w.limits == (Limits{}) || w.slots[index] != nil {
+		return false
+	}
+	if start.Empty {
+		// Grants of the former holder may still be spent. The bucket stays empty
+		// until they have expired, or they would come on top of a refilled bucket.
+		w.slots[index] = &slot{bucket: NewBucket(w.slotRate(), w.slotCapacity(), 0, now+loanLife)}
+		return true
+	}
+	s := &slot{bucket: NewBucket(w.slotRate(), w.slotCapacity(), start.Level, now)}
+	w.slots[index] = s
+	if start.Lent > 0 {
+		s.bucket.Hold(start.Lent, now)
+		inherited := &loan{workspace: w, parts: []loanPart{{slot: s, amount: start.Lent}}, expires: now + loanLife}
+		w.lending++
+		l.openLoans = append(l.openLoans, inherited)
+	}
+	l.proceed(w, now)
+	return true
+}
+
+// GiveUp removes a slot and returns what its next holder starts with. Refunds
+// to the slot that come later are lost.
+func (l *Ledger) GiveUp(name string, index int, now time.Duration) (Start, bool) {
+	l.expire(now)
+	w := l.workspaces[name]
+	if w == nil || w.slots[index] == nil {
+		return Start{}, false
+	}
+	s := w.slots[index]
+	w.slots[index], s.gone = nil, true
+	return Start{Level: s.bucket.Level(now), Lent: s.bucket.Lent()}, true
+}
+
+// Holds reports whether the ledger holds the slot.
+func (l *Ledger) Holds(name string, index int) bool {
+	w := l.workspaces[name]
+	return w != nil && w.slots[index] != nil
+}
+
+// SetHolders says which other instances hold slots of the workspace. What is
+// known about instances that were holders before is kept.
+func (l *Ledger) SetHolders(name string, holders []Holder) {
+	w := l.workspaces[name]
+	if w == nil {
+		return
+	}
+	var next []*holder
+	for _, h := range holders {
+		known := w.holder(h.Instance)
+		if known == nil {
+			known = &holder{instance: h.Instance}
+		}
+		known.slots, known.near = h.Slots, h.Near
+		next = append(next, known)
+	}
+	w.holders = next
+}
+
+func (w *workspace) holder(instance string) *holder {
+	for _, h := range w.holders {
+		if h.instance == instance {
+			return h
+		}
+	}
+	return nil
+}
+
+// TakeMoved reports whether an answer since the last call showed that a slot
+// has moved, so that the holders should be read again.
+func (l *Ledger) TakeMoved() bool {
+	moved := l.moved
+	l.moved = false
+	return moved
+}
+
+// own returns the level of all slots held.
+func (w *workspace) own(now time.Duration) float64 {
+	sum := 0.0
+	for _, s := range w.slots {
+		if s != nil {
+			sum += s.bucket.Level(now)
+		}
+	}
+	return sum
+}
+
+// fullest returns the held slot with the highest level, or nil.
+func (w *workspace) fullest(now time.Duration) *slot {
+	var best *slot
+	for _, s := range w.slots {
+		if s != nil && (best == nil || s.bucket.Level(now) > best.bucket.Level(now)) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (w *workspace) held() int {
+	n := 0
+	for _, s := range w.slots {
+		if s != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// addDemand moves the demand estimate, an exponentially weighted rate.
+func (w *workspace) addDemand(tokens float64, now time.Duration) {
+	w.demand = w.demandNow(now) + tokens/demandWindow.Seconds()
+	w.demandAt = now
+}
+
+func (w *workspace) demandNow(now time.Duration) float64 {
+	if now <= w.demandAt {
+		return w.demand
+	}
+	return w.demand * math.Exp(-float64(now-w.demandAt)/float64(demandWindow))
+}
+
+// Tick expires grants, loans, asks and waiting requests. It is due a few times
+// a second; between ticks, every operation checks the times that bind it.
+func (l *Ledger) Tick(now time.Duration) {
+	l.expire(now)
+	for _, w := range l.workspaces {
+		l.expireGrants(w, now)
+		l.expireWaiting(w, now)
+		l.proceed(w, now)
+	}
+	if now-l.prunedAt > loanMemory/10 {
+		l.prunedAt = now
+		for key, ln := range l.loans {
+			if now-ln.expires > loanMemory {
+				delete(l.loans, key)
+			}
+		}
+		for name, p := range l.peers {
+			if len(p.settles)+len(p.requests) == 0 && now-p.failedSince > settleRetry {
+				delete(l.peers, name)
+			}
+		}
+	}
+}
+
+// expire ends loans and asks whose time has passed.
+func (l *Ledger) expire(now time.Duration) {
+	for len(l.openLoans) > 0 && l.openLoans[0].expires <= now {
+		l.openLoans[0].close(0, now)
+		l.openLoans = l.openLoans[1:]
+	}
+	for len(l.askOrder) > 0 && now >= l.askOrder[0].sent+GrantLife {
+		if a := l.askOrder[0]; l.asks[a.id] == a {
+			l.cancelAsk(a, now)
+		}
+		l.askOrder = l.askOrder[1:]
+	}
+}
