--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -184,7 +184,7 @@
 	}
 	s := w.slots[index]
 	w.slots[index], s.gone = nil, true
-	return Start{Level: s.bucket.Level(now), Lent: s.bucket.Lent()}, true
+	return Start{Level: s.bucket.Level(now), Lent: s.bucket.Lent(), Empty: s.bucket.at > now}, true
 }
 
 // Holds reports whether the ledger holds the slot.
