Limit workspaces by share slots that are held across all instances

Readiness now waits until the slots have been read. TestTableOutage first failed because the outage began while the slots of the new workspace were being written: the log shows the TransactWriteItems cut by the outage, and a slot that nobody holds can't be taken during one.

--- a/admin/api.go
+++ b/admin/api.go
@@ -90,7 +90,7 @@
 	mux.HandleFunc("GET /readyz", ReadyHandler(s.Ready))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		s.Metrics.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
+		metrics.WritePrometheus(w, true)
 	})
 	mux.HandleFunc("GET /v1/status", s.authenticated(s.getStatus))
 	for _, table := range []string{"routes", "pools"} {
--- a/catalog_test.go
+++ b/catalog_test.go
@@ -121,6 +121,7 @@
 // against serving on an instance that can't know of withdrawals.
 func TestTableOutage(t *testing.T) {
 	f, address := serveSignup(t, 3)
+	f.sharesHeld()
 	f.outage(true)
 	stale := f.instances[0].settings.StaleAfter.Std()
 	deadline := time.Now().Add(2 * stale)
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscusyard/hibiscusyard/admin"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/quota"
 	"github.com/hibiscusyard/hibiscusyard/settings"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/instances"
@@ -170,6 +171,20 @@
 	})
 }
 
+// sharesHeld waits until all slots of the one workspace are held and each
+// instance serves a call. A slot that nobody holds when an outage begins can't
+// be taken before its end.
+func (f *fleet) sharesHeld() {
+	f.t.Helper()
+	eventually(f.t, waitCap, "all share slots held", func() bool {
+		rows, err := f.instances[0].table.List(context.Background(), "share")
+		return err == nil && len(rows) == quota.Slots
+	})
+	for k := range f.instances {
+		eventually(f.t, waitCap, "each instance serves", func() bool { return f.call(k, "/signup/x", callerKey).status == http.StatusOK })
+	}
+}
+
 // serviceTables returns tables with one plain service.
 func serviceTables(address string, keys ...string) (admin.RoutesDocument, admin.PoolsDocument) {
 	workspace := catalog.Workspace{Name: "w-1", Rate: 1000, Burst: 10000}
--- a/instance.go
+++ b/instance.go
@@ -187,6 +187,8 @@
 	}
 	if !i.session.Valid(time.Now()) {
 		reasons = append(reasons, "the session is not registered or has not been checked since a pause")
+	} else if !i.quota.sync.Ready() {
+		reasons = append(reasons, "the share slots have not been read since the start or a pause")
 	}
 	return reasons
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -21,7 +21,7 @@
 	KindCatalogFetch
 	KindFreshness
 	KindGrant
-	KindGrantSettle
+	KindSlotReleased
 	KindDemand
 	KindPlacementView
 	KindUpstreamEvent
