--- /dev/null
+++ b/lease/runner.go
@@ -0,0 +1,140 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/platform"
+)
+
+// Runner drives a Lease over a table. Its methods may be called from several
+// goroutines.
+type Runner struct {
+	table platform.Table
+	mu    sync.Mutex
+	lease *Lease
+	wake  chan struct{}
+	// changed is called without locks after each step.
+	changed func()
+}
+
+// NewRunner returns a runner; changed, if set, is called after every step.
+func NewRunner(table platform.Table, cfg Config, changed func()) *Runner {
+	return &Runner{table: table, lease: New(cfg), wake: make(chan struct{}, 1), changed: changed}
+}
+
+// Held reports whether the lease is certainly held now.
+func (r *Runner) Held() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease.Held(time.Now())
+}
+
+// Token returns the fencing token, 0 if the lease is not held now.
+func (r *Runner) Token() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.lease.Held(time.Now()) {
+		return 0
+	}
+	return r.lease.Token()
+}
+
+// Until returns the end of the certain validity.
+func (r *Runner) Until() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease.Until()
+}
+
+// Check returns the write that ties a transaction to the current holder, and
+// whether the lease is held.
+func (r *Runner) Check() (platform.Write, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease.Check(), r.lease.Held(time.Now())
+}
+
+// Record returns the lease row as last read.
+func (r *Runner) Record() Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease.Record()
+}
+
+// Run contends for the lease until ctx ends. It does not release the lease.
+func (r *Runner) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.step(ctx)
+		r.mu.Lock()
+		wait := time.Until(r.lease.Due())
+		r.mu.Unlock()
+		if r.changed != nil {
+			r.changed()
+		}
+		select {
+		case <-ctx.Done():
+		case <-r.wake:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// Release gives the lease up. It must not run at the same time as Run; the
+// caller has stopped everything that relies on the lease.
+func (r *Runner) Release(ctx context.Context) error {
+	r.mu.Lock()
+	r.lease.Release(time.Now())
+	r.mu.Unlock()
+	for {
+		r.mu.Lock()
+		done, wait := r.lease.Done(), time.Until(r.lease.Due())
+		r.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+		r.step(ctx)
+	}
+}
+
+func (r *Runner) step(ctx context.Context) {
+	r.mu.Lock()
+	step := r.lease.Next(time.Now())
+	limit := r.lease.cfg.Duration / 2
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if !step.Read {
+		err := r.table.Transact(ctx, step.Token, step.Writes...)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.lease.WriteDone(time.Now(), err)
+		return
+	}
+	leaseKey, fenceKey := Keys(r.lease.cfg.Name)
+	// The fence is read first: a change of holder between the two reads then
+	// shows as differing fencing tokens, which ReadDone refuses.
+	fence, err := r.get(ctx, fenceKey)
+	var lease platform.Row
+	if err == nil {
+		lease, err = r.get(ctx, leaseKey)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease.ReadDone(time.Now(), lease, fence, err)
+}
+
+func (r *Runner) get(ctx context.Context, key string) (platform.Row, error) {
+	row, err := r.table.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Row{}, nil
+	}
+	return row, err
+}
