Add placement planner

Which model runs on which upstream is decided by a state machine over events and time, so that histories of faults can be replayed. Rows are written before orders are sent and deleted only after the life of the last order, so the ledger is an upper bound of what is loaded.

--- /dev/null
+++ b/placement/event.go
@@ -0,0 +1,212 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+)
+
+// Event is an input of the planner.
+type Event interface{ event() }
+
+// Elected tells that this process holds the lease with a fencing token that
+// it did not hold before. The planner answers with ListRows.
+type Elected struct{ Token uint64 }
+
+// Deposed tells that the lease is not held any more.
+type Deposed struct{}
+
+// RowsRead is the answer to ListRows; all rows of kind "replica".
+type RowsRead struct{ Rows []StoredRow }
+
+// StoredRow is a replica row with its key parts and revision.
+type StoredRow struct {
+	Pool, ID string
+	Revision uint64
+	Row      Row
+}
+
+// CatalogChanged brings a new catalogue.
+type CatalogChanged struct{ Index *catalog.Index }
+
+// DemandReported replaces the report of one instance.
+type DemandReported struct {
+	Instance string
+	Demands  []Demand
+}
+
+// InstanceGone removes the report of an instance.
+type InstanceGone struct{ Instance string }
+
+// PreviousView hands over the view that this instance received last from
+// another placer, so that ramps under way continue after a change of holder.
+type PreviousView struct{ View View }
+
+// WriteResult says whether a row write is in effect.
+type WriteResult uint8
+
+// Results of a row write. After WriteUnknown the planner repeats the write
+// with the same transaction token.
+const (
+	WriteUnknown WriteResult = iota
+	WriteApplied
+	WriteConflict
+	WriteNotApplied
+)
+
+// RowWritten is the result of a WriteRow action.
+type RowWritten struct {
+	Pool, ID string
+	Txn      string
+	Result   WriteResult
+}
+
+// Outcome is the result of an order.
+type Outcome uint8
+
+// Outcomes of an order.
+const (
+	OrderUnknown Outcome = iota
+	OrderDone
+	OrderRefused
+)
+
+// OrderAnswered is the result of a SendLoad or SendUnload action.
+type OrderAnswered struct {
+	Pool, ID string
+	Unload   bool
+	// Attempt is the attempt of the action, so that late answers are told apart.
+	Attempt int
+	Outcome Outcome
+	// Retryable tells that a refusal is expected to be short.
+	Retryable   bool
+	Reason      string
+	Incarnation string // of the engine that answered, if any
+}
+
+// Tier is where an upstream keeps a model's checkpoint.
+type Tier uint8
+
+// Tiers, slowest first.
+const (
+	Remote Tier = iota
+	Disk
+	Memory
+	tiers
+)
+
+func (t Tier) String() string { return [...]string{"remote", "disk", "memory"}[t] }
+
+// IndexEntry is one replica or checkpoint of an engine's index.
+type IndexEntry struct {
+	Model     string
+	ReplicaID string // empty if the model is not loaded
+	Ready     bool
+	// Present tells that a copy is loaded, loading or unloading.
+	Present  bool
+	MemoryMB int64
+	Tier     Tier
+}
+
+// IndexRead is an answer to an index read.
+type IndexRead struct {
+	Pool, Upstream string
+	// Sent is when the read was sent: the answer shows all effects before it.
+	Sent        time.Time
+	Incarnation string
+	Entries     []IndexEntry
+	Utilization float64
+	MemoryTotal int64 // MiB, 0 if unknown
+}
+
+// UpstreamDown tells that an upstream could not be reached.
+type UpstreamDown struct{ Pool, Upstream string }
+
+// UpstreamSuspect tells that a connection to an upstream broke or that an
+// answer showed another incarnation; the planner asks for its index.
+type UpstreamSuspect struct{ Pool, Upstream, Incarnation string }
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Elected) event()         {}
+func (Deposed) event()         {}
+func (RowsRead) event()        {}
+func (CatalogChanged) event()  {}
+func (DemandReported) event()  {}
+func (InstanceGone) event()    {}
+func (PreviousView) event()    {}
+func (RowWritten) event()      {}
+func (OrderAnswered) event()   {}
+func (IndexRead) event()       {}
+func (UpstreamDown) event()    {}
+func (UpstreamSuspect) event() {}
+func (Tick) event()            {}
+
+// Action is an output of the planner.
+type Action interface{ action() }
+
+// ListRows asks for all replica rows, answered by RowsRead.
+type ListRows struct{}
+
+// WriteRow asks for a conditional write that includes the lease check. A zero
+// Revision creates the row; Delete removes it.
+type WriteRow struct {
+	Pool, ID string
+	Txn      string
+	Revision uint64
+	Row      Row
+	Delete   bool
+}
+
+// SendLoad asks to send a load order. The lease must be checked at the last
+// moment before sending.
+type SendLoad struct {
+	Pool, ID string
+	Attempt  int
+	Address  string
+	Model    string
+	Base     string
+	Token    uint64
+	MemoryMB int64
+	// Patience is how long to wait for the answer.
+	Patience time.Duration
+}
+
+// SendUnload asks to send an unload order, under the same rule.
+type SendUnload struct {
+	Pool, ID string
+	Attempt  int
+	Address  string
+	Model    string
+	Token    uint64
+}
+
+// ReadIndex asks to read an upstream's index soon.
+type ReadIndex struct{ Pool, Upstream, Address string }
+
+// Publish asks to publish a view.
+type Publish struct{ View View }
+
+// Decision is logged, one line each.
+type Decision struct {
+	Kind         string // load, unload, drain, withdraw, void
+	Pool, Model  string
+	Upstream, ID string
+	Reason       string
+	Alternatives []Alternative // refused, at most maxAlternatives
+}
+
+// Alternative is an upstream that was not chosen.
+type Alternative struct {
+	Upstream string `json:"upstream"`
+	Reason   string `json:"reason"`
+}
+
+func (ListRows) action()   {}
+func (WriteRow) action()   {}
+func (SendLoad) action()   {}
+func (SendUnload) action() {}
+func (ReadIndex) action()  {}
+func (Publish) action()    {}
+func (Decision) action()   {}
--- /dev/null
+++ b/placement/message.go
@@ -0,0 +1,144 @@
+package placement
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Demand is what one instance reports about one model and workspace. A report
+// of an instance replaces its earlier report; an instance with any demand
+// repeats its report at least every Config.ReportEvery.
+type Demand struct {
+	Pool      string `cbor:"p"`
+	Model     string `cbor:"m"`
+	Workspace string `cbor:"w"`
+	// Waiting is the number of requests that wait for a replica.
+	Waiting int `cbor:"n,omitempty"`
+	// Deadline is the time left to the earliest deadline of the waiting requests.
+	Deadline time.Duration `cbor:"d,omitempty"`
+	// Arrivals is the number of requests that arrived since the last report,
+	// served or not. It feeds the arrival history of the unload rule.
+	Arrivals int `cbor:"a,omitempty"`
+	// Running lists the requests in flight by upstream.
+	Running []Use `cbor:"r,omitempty"`
+}
+
+// Use is the number of requests in flight at one upstream.
+type Use struct {
+	Upstream string `cbor:"u"`
+	Count    int    `cbor:"n"`
+}
+
+// View is what the placer tells all instances. Durations are relative to when
+// the view was built.
+type View struct {
+	// Token is the fencing token of the placer and Seq counts its views.
+	Token     uint64         `cbor:"t"`
+	Seq       uint64         `cbor:"s"`
+	Models    []ModelView    `cbor:"m,omitempty"`
+	Upstreams []UpstreamView `cbor:"u,omitempty"`
+}
+
+// ModelView says where a model can be used. Models that are neither loaded
+// nor asked for are left out.
+type ModelView struct {
+	Pool  string `cbor:"p"`
+	Model string `cbor:"m"`
+	// Ready lists the replicas that take new work.
+	Ready []ReadyReplica `cbor:"r,omitempty"`
+	// Loading lists the loads under way.
+	Loading []LoadingReplica `cbor:"l,omitempty"`
+	// Expected is the time until the first replica is expected to be ready, set
+	// while there is none; 0 means unknown.
+	Expected time.Duration `cbor:"e,omitempty"`
+	// RetryAfter is set if no load can be complete before the earliest reported
+	// deadline: a request whose deadline is earlier is refused with this time
+	// to come back.
+	RetryAfter time.Duration `cbor:"a,omitempty"`
+}
+
+// ReadyReplica is a loaded replica.
+type ReadyReplica struct {
+	Upstream    string `cbor:"u"`
+	Incarnation string `cbor:"i"`
+}
+
+// LoadingReplica is a load under way.
+type LoadingReplica struct {
+	Upstream string `cbor:"u"`
+	// Expected is the time until the load is expected to be complete.
+	Expected time.Duration `cbor:"e"`
+}
+
+// UpstreamView is the state of one upstream that takes work.
+type UpstreamView struct {
+	Pool        string `cbor:"p"`
+	Upstream    string `cbor:"u"`
+	Incarnation string `cbor:"i"`
+	// Limit is the number of requests in flight over all instances together.
+	Limit int `cbor:"l"`
+	// RampLeft is the time until Limit reaches the upstream's concurrency.
+	RampLeft time.Duration `cbor:"f,omitempty"`
+	// Limited says that only the allotments below may be used. It is set while
+	// the upstream ramps up and while the backlog exceeds Limit.
+	Limited bool `cbor:"b,omitempty"`
+	// Allotments is each instance's part of Limit.
+	Allotments map[string]int `cbor:"a,omitempty"`
+}
+
+// Newer reports whether v replaces old.
+func (v View) Newer(old View) bool {
+	return v.Token > old.Token || v.Token == old.Token && v.Seq > old.Seq
+}
+
+// For returns the view with only the instance's own allotments.
+func (v View) For(instance string) View {
+	upstreams := make([]UpstreamView, len(v.Upstreams))
+	for i, u := range v.Upstreams {
+		if u.Limited {
+			own, ok := u.Allotments[instance]
+			u.Allotments = nil
+			if ok {
+				u.Allotments = map[string]int{instance: own}
+			}
+		}
+		upstreams[i] = u
+	}
+	v.Upstreams = upstreams
+	return v
+}
+
+// Row is the value of a table row "replica/<pool>/<id>".
+type Row struct {
+	Model       string   `json:"model"`
+	Base        string   `json:"base,omitempty"`
+	Upstream    string   `json:"upstream"`
+	Address     string   `json:"address"`
+	Incarnation string   `json:"upstream_incarnation"`
+	State       RowState `json:"state"`
+	Token       uint64   `json:"fencing_token"`
+	MemoryMB    int64    `json:"memory_mb"` // weights and cache reservation
+}
+
+// RowState is the state of a replica in the table.
+type RowState string
+
+// States of a row. A row exists before the first order is sent and until no
+// copy can be loaded any more.
+const (
+	RowDecided   RowState = "decided"
+	RowLoaded    RowState = "loaded"
+	RowUnloading RowState = "unloading"
+)
+
+// Key returns the table key of a replica.
+func Key(pool, id string) string { return "replica/" + pool + "/" + id }
+
+// Encode returns the stored form of the row.
+func (r Row) Encode() []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // the row consists of plain fields
+	}
+	return data
+}
--- /dev/null
+++ b/placement/schedule.go
@@ -0,0 +1,381 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// job is the demand of one workspace for one load.
+type job struct {
+	m         *model
+	workspace string
+	deadline  time.Time
+	load      time.Duration
+	start     time.Time // planned start of the load
+	feasible  bool
+}
+
+// schedule orders loads for the models that are wanted and have no replica
+// that is ready or on its way.
+func (p *Planner) schedule() {
+	p.cool()
+	clear(p.full)
+	var jobs []job
+	var adapters []*model
+	for _, m := range p.hot {
+		m.expected, m.infeas = time.Time{}, false
+		if m.base != nil {
+			adapters = append(adapters, m)
+			continue
+		}
+		jobs = p.addJobs(jobs, m)
+	}
+	for _, m := range adapters {
+		// An adapter without a base waits for a load of the base.
+		if !m.base.hot {
+			m.base.expected, m.base.infeas = time.Time{}, false
+			jobs = p.addJobs(jobs, m.base)
+		}
+	}
+	p.placeModels(jobs)
+	p.placeAdapters(adapters)
+}
+
+// cool takes models off the hot list that are no longer wanted.
+func (p *Planner) cool() {
+	p.hot = slices.DeleteFunc(p.hot, func(m *model) bool {
+		if !m.gone && (m.waiting > 0 || p.now.Before(m.interest)) {
+			return false
+		}
+		m.hot, m.expected, m.infeas = false, time.Time{}, false
+		p.touch()
+		return true
+	})
+}
+
+// stuckAfter is how many expected load times a load may take before it is
+// not waited for.
+const stuckAfter = 4
+
+// supply counts the replicas that serve now and those on their way.
+func (p *Planner) supply(m *model) (serving, coming int) {
+	for _, r := range m.replicas {
+		u := r.up
+		if u.gone || u.disabled || u.cfg.Leaving || u.down && p.now.Sub(u.downSince) > p.cfg.DownAfter {
+			continue
+		}
+		if r.state == uncertain && p.now.Sub(r.loadSent) > stuckAfter*max(p.estimate(m, r.tier), minPatience) {
+			continue // does not come to an end; another upstream may serve meanwhile
+		}
+		switch {
+		case r.state == ready && u.reachable():
+			serving++
+		case r.state <= ready:
+			coming++
+		}
+	}
+	return serving, coming
+}
+
+// missing reports whether a load is to be ordered. A burst makes one load:
+// while one is on its way no other is ordered for the same model.
+func (p *Planner) missing(m *model) bool {
+	serving, coming := p.supply(m)
+	return !m.gone && coming == 0 && serving < min(max(m.target, 1), m.cfg.MaxReplicas)
+}
+
+func (p *Planner) addJobs(jobs []job, m *model) []job {
+	if !p.missing(m) {
+		p.expectComing(m)
+		return jobs
+	}
+	load := p.bestEstimate(m)
+	before := len(jobs)
+	add := func(e entry, extra time.Duration) {
+		if e.waiting == 0 {
+			return
+		}
+		for i := before; i < len(jobs); i++ {
+			if jobs[i].workspace == e.workspace {
+				if d := e.deadline.Add(-extra); d.Before(jobs[i].deadline) {
+					jobs[i].deadline = d
+				}
+				return
+			}
+		}
+		jobs = append(jobs, job{m: m, workspace: e.workspace, deadline: e.deadline.Add(-extra), load: load})
+	}
+	for _, e := range m.entries {
+		add(e, 0)
+	}
+	for _, a := range m.adapters {
+		extra := p.bestEstimate(a)
+		for _, e := range a.entries {
+			add(e, extra)
+		}
+	}
+	if len(jobs) == before {
+		// Nothing waits at the moment: a promised or a replacing load, or one
+		// that the load of the ready replicas asks for.
+		jobs = append(jobs, job{m: m, load: load, deadline: p.now.Add(p.cfg.ReplaceWindow)})
+	}
+	return jobs
+}
+
+// expectComing sets when a model's first load under way is expected.
+func (p *Planner) expectComing(m *model) {
+	serving, _ := p.supply(m)
+	if serving > 0 {
+		return
+	}
+	for _, r := range m.replicas {
+		if r.state <= uncertain && (m.expected.IsZero() || r.expected.Before(m.expected)) {
+			m.expected = later(r.expected, p.now)
+		}
+	}
+	p.promise(m)
+}
+
+// promise finds out whether the earliest deadline can be met, and keeps a
+// model wanted until callers that were told to come back had time to do so.
+func (p *Planner) promise(m *model) {
+	m.infeas = false
+	if m.expected.IsZero() {
+		return
+	}
+	for _, e := range m.entries {
+		if e.waiting > 0 && e.deadline.Before(m.expected) {
+			m.infeas = true
+		}
+	}
+	if m.infeas {
+		m.interest = later(m.interest, m.expected.Add(p.cfg.ReportEvery))
+	}
+}
+
+// placeModels walks the queue: the workspace that has had the least load time
+// by weight goes first, within it the earliest deadline that can be met.
+// Deadlines that cannot be met come last; their loads serve those who come back.
+func (p *Planner) placeModels(jobs []job) {
+	if len(jobs) == 0 {
+		return
+	}
+	room := p.cfg.MaxLoads
+	for _, r := range p.transit {
+		if r.row.Base == "" && (r.state <= loading || r.state == uncertain && p.now.Before(r.slotUntil)) {
+			room--
+		}
+	}
+	for _, j := range p.queue(jobs) {
+		m := j.m
+		if m.expected.IsZero() {
+			m.expected = j.start.Add(j.load)
+		}
+		if room <= 0 || !p.missing(m) {
+			p.promise(m)
+			continue
+		}
+		if p.place(m, j.workspace) {
+			room--
+			p.charge(j)
+			m.expected = time.Time{}
+			p.expectComing(m)
+			continue
+		}
+		if p.settling() {
+			m.expected = time.Time{}
+			continue
+		}
+		m.expected = later(m.expected, p.nextRoom(m).Add(j.load))
+		p.promise(m)
+	}
+}
+
+// queue simulates the load slots and returns the jobs in the order of their
+// starts, one per model.
+func (p *Planner) queue(jobs []job) []job {
+	slots := p.slots()
+	next := later(p.now, p.lastLoad.Add(p.cfg.LoadInterval))
+	virtual := map[string]float64{}
+	lanes := p.lanes(jobs, virtual)
+	var late, order []job
+	taken := map[*model]bool{}
+	start := func() (time.Time, int) {
+		first := 0
+		for i := range slots {
+			if slots[i].Before(slots[first]) {
+				first = i
+			}
+		}
+		return later(next, slots[first]), first
+	}
+	book := func(j job, at time.Time, slot int) {
+		taken[j.m] = true
+		j.start = at
+		slots[slot] = at.Add(j.load)
+		next = at.Add(p.cfg.LoadInterval)
+		virtual[j.workspace] += j.load.Seconds() / p.weight(j.workspace)
+		order = append(order, j)
+	}
+	for {
+		lane := pickLane(lanes, virtual)
+		if lane == nil {
+			break
+		}
+		j := lane.jobs[0]
+		lane.jobs = lane.jobs[1:]
+		if taken[j.m] {
+			continue
+		}
+		at, slot := start()
+		if j.deadline.Before(at.Add(j.load)) && p.cfg.Order != OrderFirstCome {
+			late = append(late, j)
+			continue
+		}
+		j.feasible = true
+		book(j, at, slot)
+	}
+	for _, j := range late {
+		if !taken[j.m] {
+			at, slot := start()
+			book(j, at, slot)
+		}
+	}
+	return order
+}
+
+// slots returns when each load slot becomes free.
+func (p *Planner) slots() []time.Time {
+	slots := make([]time.Time, p.cfg.MaxLoads)
+	for i := range slots {
+		slots[i] = p.now
+	}
+	i := 0
+	for _, r := range p.transit {
+		if r.row.Base == "" && r.state <= uncertain && i < len(slots) {
+			slots[i] = later(r.expected, p.now)
+			i++
+		}
+	}
+	return slots
+}
+
+type lane struct {
+	workspace string
+	jobs      []job
+}
+
+// lanes sorts the jobs of each workspace; with OrderFirstCome there is one lane.
+func (p *Planner) lanes(jobs []job, virtual map[string]float64) []*lane {
+	var lanes []*lane
+	byName := map[string]*lane{}
+	for _, j := range jobs {
+		name := j.workspace
+		if p.cfg.Order == OrderFirstCome {
+			name = ""
+		}
+		l := byName[name]
+		if l == nil {
+			l = &lane{workspace: name}
+			byName[name] = l
+			lanes = append(lanes, l)
+			virtual[name] = max(p.virtual[name], p.floor)
+		}
+		l.jobs = append(l.jobs, j)
+	}
+	slices.SortFunc(lanes, func(a, b *lane) int { return cmpString(a.workspace, b.workspace) })
+	for _, l := range lanes {
+		slices.SortStableFunc(l.jobs, func(a, b job) int {
+			if p.cfg.Order == OrderFirstCome {
+				return a.m.since.Compare(b.m.since)
+			}
+			return a.deadline.Compare(b.deadline)
+		})
+	}
+	return lanes
+}
+
+func pickLane(lanes []*lane, virtual map[string]float64) *lane {
+	var best *lane
+	for _, l := range lanes {
+		if len(l.jobs) > 0 && (best == nil || virtual[l.workspace] < virtual[best.workspace]) {
+			best = l
+		}
+	}
+	return best
+}
+
+// charge books a load on the workspace that it was ordered for.
+func (p *Planner) charge(j job) {
+	if j.workspace == "" {
+		return
+	}
+	begin := max(p.virtual[j.workspace], p.floor)
+	p.floor = begin
+	p.virtual[j.workspace] = begin + j.load.Seconds()/p.weight(j.workspace)
+}
+
+func (p *Planner) weight(workspace string) float64 {
+	if w, ok := p.index.Workspaces()[workspace]; ok && w.Weight > 0 {
+		return w.Weight
+	}
+	return 1
+}
+
+// placeAdapters orders adapters beside their bases, earliest deadline first.
+func (p *Planner) placeAdapters(adapters []*model) {
+	slices.SortStableFunc(adapters, func(a, b *model) int { return a.earliest().Compare(b.earliest()) })
+	room := p.cfg.MaxAdapterLoads
+	for _, r := range p.transit {
+		if r.row.Base != "" && (r.state <= loading || r.state == uncertain && p.now.Before(r.slotUntil)) {
+			room--
+		}
+	}
+	for _, m := range adapters {
+		if !p.missing(m) {
+			p.expectComing(m)
+			continue
+		}
+		load := p.bestEstimate(m)
+		if serving, _ := p.supply(m.base); serving == 0 {
+			if !m.base.expected.IsZero() {
+				m.expected = m.base.expected.Add(load)
+			}
+		} else if room > 0 && p.place(m, m.workspace()) {
+			room--
+			p.expectComing(m)
+			continue
+		} else if !p.settling() {
+			m.expected = p.nextRoom(m).Add(load)
+		}
+		p.promise(m)
+	}
+}
+
+// settling reports whether the first index reads of this reign may be under
+// way: until then nothing is said about when a model can be placed.
+func (p *Planner) settling() bool { return p.now.Sub(p.electedAt) < settleTime }
+
+const settleTime = 2 * time.Second
+
+// earliest is the earliest deadline of the waiting requests.
+func (m *model) earliest() time.Time {
+	var first time.Time
+	for _, e := range m.entries {
+		if e.waiting > 0 && (first.IsZero() || e.deadline.Before(first)) {
+			first = e.deadline
+		}
+	}
+	return first
+}
+
+// workspace is the workspace with the earliest deadline.
+func (m *model) workspace() string {
+	first := m.earliest()
+	for _, e := range m.entries {
+		if e.waiting > 0 && e.deadline.Equal(first) {
+			return e.workspace
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/placement/view.go
@@ -0,0 +1,270 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// grantLife is how long an instance may still act on an allotment that a
+// newer view has lowered: views travel in milliseconds, and one that is lost
+// is followed by a heartbeat.
+const grantLife = 2 * time.Second
+
+// minRampStep bounds the views that a growing allowance causes.
+const minRampStep = 200 * time.Millisecond
+
+// publish emits a view if it has changed or the last one is old.
+func (p *Planner) publish() {
+	age := p.now.Sub(p.lastPublish)
+	grows := !p.nextRamp.IsZero() && !p.now.Before(p.nextRamp)
+	if !p.dirty && !grows && age < p.cfg.HeartbeatEvery || age < p.cfg.PublishEvery {
+		return
+	}
+	p.dirty, p.nextRamp = false, time.Time{}
+	p.lastPublish = p.now
+	p.viewSeq++
+	p.emit(Publish{View: p.view()})
+}
+
+func (p *Planner) view() View {
+	v := View{Token: p.token, Seq: p.viewSeq}
+	for _, pl := range p.order {
+		for _, m := range pl.list {
+			if mv, ok := p.modelView(m); ok {
+				v.Models = append(v.Models, mv)
+			}
+		}
+		for _, u := range pl.members {
+			if u.usable() && u.reachable() {
+				v.Upstreams = append(v.Upstreams, p.upstreamView(u))
+			}
+		}
+	}
+	return v
+}
+
+func (p *Planner) modelView(m *model) (ModelView, bool) {
+	mv := ModelView{Pool: m.pool.name, Model: m.cfg.Name}
+	if m.gone || m.service || len(m.replicas) == 0 && !m.hot {
+		return mv, false
+	}
+	for _, r := range m.replicas {
+		u := r.up
+		if !u.usable() || !u.reachable() {
+			continue
+		}
+		if r.state == ready && r.row.Incarnation == u.incarnation {
+			mv.Ready = append(mv.Ready, ReadyReplica{Upstream: r.row.Upstream, Incarnation: r.row.Incarnation})
+		} else if r.state < ready {
+			mv.Loading = append(mv.Loading, LoadingReplica{Upstream: r.row.Upstream, Expected: later(r.expected, p.now).Sub(p.now)})
+		}
+	}
+	if len(mv.Ready) == 0 && !m.expected.IsZero() {
+		mv.Expected = max(m.expected.Sub(p.now), time.Millisecond)
+		if m.infeas {
+			mv.RetryAfter = mv.Expected
+		}
+	}
+	return mv, len(mv.Ready)+len(mv.Loading) > 0 || m.hot
+}
+
+// limit is the number of requests that an upstream may have in flight over
+// all instances, and the rest of its ramp.
+func (p *Planner) limit(u *upstream) (int, time.Duration) {
+	full := max(u.cfg.Concurrency, 1)
+	age := p.now.Sub(u.rampStart)
+	if age >= rampTime {
+		return full, 0
+	}
+	return 1 + int(float64(full-1)*age.Seconds()/rampTime.Seconds()), rampTime - age
+}
+
+func (p *Planner) upstreamView(u *upstream) UpstreamView {
+	limit, left := p.limit(u)
+	uv := UpstreamView{Pool: u.pool.name, Upstream: u.cfg.Name, Incarnation: u.incarnation, Limit: limit, RampLeft: left}
+	claims := p.claims(u)
+	total := 0
+	for _, c := range claims {
+		total += c.need
+	}
+	if left == 0 && total <= limit {
+		u.granted = nil
+		return uv
+	}
+	uv.Limited = true
+	if left > 0 {
+		step := max(rampTime/time.Duration(max(u.cfg.Concurrency, 1)), minRampStep)
+		if next := p.now.Add(step); p.nextRamp.IsZero() || next.Before(p.nextRamp) {
+			p.nextRamp = next
+		}
+	}
+	uv.Allotments = p.allot(u, limit, claims)
+	return uv
+}
+
+// claim is what the requests of one instance and workspace could use of one
+// upstream.
+type claim struct {
+	instance, workspace string
+	need, got           int
+	running             int
+}
+
+// claims collects the backlog that could go to an upstream, sorted. Requests
+// that wait for a model with several replicas count in equal parts at each.
+func (p *Planner) claims(u *upstream) []claim {
+	var list []claim
+	add := func(m *model, share int) {
+		for _, e := range m.entries {
+			c := claim{instance: e.instance, workspace: e.workspace, need: (e.waiting + share - 1) / share}
+			for _, use := range e.running {
+				if use.Upstream == u.cfg.Name {
+					c.running += use.Count
+				}
+			}
+			c.need += c.running
+			if c.need > 0 {
+				list = append(list, c)
+			}
+		}
+	}
+	if m := u.pool.models[""]; m != nil && m.service {
+		add(m, len(u.pool.members))
+	}
+	for _, r := range u.replicas {
+		if r.state == ready || r.state == draining {
+			serving, _ := p.supply(r.model)
+			add(r.model, max(serving, 1))
+		}
+	}
+	slices.SortFunc(list, func(a, b claim) int {
+		if c := cmpString(a.workspace, b.workspace); c != 0 {
+			return c
+		}
+		return cmpString(a.instance, b.instance)
+	})
+	return list
+}
+
+// allot divides a limit by weighted max-min over workspaces and evenly over
+// the instances of each. Allotments that instances may still act on, and
+// requests that run, are not given out a second time.
+func (p *Planner) allot(u *upstream, limit int, claims []claim) map[string]int {
+	want := p.fairUnits(u, limit, claims)
+	holds := map[string]int{}
+	for instance, g := range u.granted {
+		holds[instance] = g.hold(p.now)
+	}
+	for _, c := range claims {
+		holds[c.instance] = max(holds[c.instance], c.running)
+	}
+	left := limit
+	for _, n := range holds {
+		left -= n
+	}
+	names := make([]string, 0, len(want))
+	for instance := range want {
+		names = append(names, instance)
+	}
+	slices.Sort(names)
+	out := map[string]int{}
+	for _, instance := range names {
+		n := min(want[instance], holds[instance])
+		if grow := min(want[instance]-holds[instance], left); grow > 0 {
+			n += grow
+			left -= grow
+		}
+		if n > 0 {
+			out[instance] = n
+		}
+	}
+	p.remember(u, out)
+	return out
+}
+
+// remember keeps what instances may act on after this view.
+func (p *Planner) remember(u *upstream, out map[string]int) {
+	granted := map[string]grant{}
+	for instance, g := range u.granted {
+		if n := out[instance]; n < g.hold(p.now) {
+			if !p.now.Before(g.until) {
+				g.count, g.until = g.last, p.now.Add(grantLife)
+			}
+			g.last = n
+			granted[instance] = g
+		}
+	}
+	for instance, n := range out {
+		if _, lowered := granted[instance]; !lowered {
+			granted[instance] = grant{count: n, last: n, until: p.now.Add(grantLife)}
+		}
+	}
+	u.granted = granted
+}
+
+// hold is the most that the instance may act on now.
+func (g grant) hold(now time.Time) int {
+	if now.Before(g.until) {
+		return g.count
+	}
+	return g.last
+}
+
+// fairUnits hands out the limit one by one: to the workspace with the least
+// by weight, within it to the instance with the least. What no claim needs
+// goes to all known instances in turn, so that a first request finds an allotment.
+func (p *Planner) fairUnits(u *upstream, limit int, claims []claim) map[string]int {
+	want := map[string]int{}
+	got := map[string]int{}
+	for ; limit > 0; limit-- {
+		best := -1
+		for i := range claims {
+			c := &claims[i]
+			if c.got >= c.need {
+				continue
+			}
+			if best < 0 {
+				best = i
+				continue
+			}
+			b := &claims[best]
+			cw := float64(got[c.workspace]) / p.weight(c.workspace)
+			bw := float64(got[b.workspace]) / p.weight(b.workspace)
+			if cw < bw || c.workspace == b.workspace && c.got < b.got {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		claims[best].got++
+		got[claims[best].workspace]++
+		want[claims[best].instance]++
+	}
+	if limit > 0 && len(p.reports) > 0 {
+		names := make([]string, 0, len(p.reports))
+		for instance := range p.reports {
+			names = append(names, instance)
+		}
+		slices.SortFunc(names, func(a, b string) int {
+			ha, hb := rank(a, u.incarnation), rank(b, u.incarnation)
+			switch {
+			case ha < hb:
+				return -1
+			case ha > hb:
+				return 1
+			}
+			return cmpString(a, b)
+		})
+		for i := 0; limit > 0; i, limit = i+1, limit-1 {
+			want[names[i%len(names)]]++
+		}
+	}
+	return want
+}
+
+func rank(instance, incarnation string) uint64 {
+	return xxhash.Sum64String(instance + "\x00" + incarnation)
+}
