--- a/engine/engine.go
+++ b/engine/engine.go
@@ -15,6 +15,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -94,6 +95,16 @@
 	FencingToken uint64
 	Base         string // model of an adapter
 	MemoryMB     int64  // weights and cache reservation
+	// SendBy is when the order must have left; zero sets no limit.
+	SendBy time.Time
+}
+
+// UnloadOrder tells an engine to unload a replica.
+type UnloadOrder struct {
+	Model        string
+	ReplicaID    string
+	FencingToken uint64
+	SendBy       time.Time
 }
 
 // Entry is one line of an engine's index.
@@ -159,13 +170,14 @@
 // Load orders a load and waits until it is complete.
 func (c *Client) Load(ctx context.Context, address string, order LoadOrder) Result {
 	return c.order(ctx, address, order.Model, "load", parameters{ReplicaID: order.ReplicaID,
-		FencingToken: order.FencingToken, Base: order.Base, MemoryMB: order.MemoryMB})
+		FencingToken: order.FencingToken, Base: order.Base, MemoryMB: order.MemoryMB}, order.SendBy)
 }
 
 // Unload orders an unload. An engine that does not know the replica answers
 // 404, which leaves nothing to unload.
-func (c *Client) Unload(ctx context.Context, address, model, replicaID string, token uint64) Result {
-	result := c.order(ctx, address, model, "unload", parameters{ReplicaID: replicaID, FencingToken: token})
+func (c *Client) Unload(ctx context.Context, address string, order UnloadOrder) Result {
+	result := c.order(ctx, address, order.Model, "unload",
+		parameters{ReplicaID: order.ReplicaID, FencingToken: order.FencingToken}, order.SendBy)
 	if result.Reason == ReasonNotFound {
 		result.Outcome, result.Reason, result.Err = Done, "", nil
 	}
@@ -174,7 +186,7 @@
 
 // Index asks for all models that the engine knows.
 func (c *Client) Index(ctx context.Context, address string) ([]Entry, Answer, error) {
-	resp, _, err := c.do(ctx, http.MethodPost, address, "/v2/repository/index", []byte("{}"))
+	resp, _, err := c.do(ctx, http.MethodPost, address, "/v2/repository/index", []byte("{}"), time.Time{})
 	if err != nil {
 		return nil, Answer{}, err
 	}
@@ -200,7 +212,7 @@
 
 // Healthy asks whether the engine is ready.
 func (c *Client) Healthy(ctx context.Context, address string) (bool, Answer, error) {
-	resp, _, err := c.do(ctx, http.MethodGet, address, "/v2/health/ready", nil)
+	resp, _, err := c.do(ctx, http.MethodGet, address, "/v2/health/ready", nil, time.Time{})
 	if err != nil {
 		return false, Answer{}, err
 	}
@@ -208,13 +220,13 @@
 	return resp.StatusCode == http.StatusOK, readAnswer(resp), nil
 }
 
-func (c *Client) order(ctx context.Context, address, model, verb string, p parameters) Result {
+func (c *Client) order(ctx context.Context, address, model, verb string, p parameters, sendBy time.Time) Result {
 	body, err := json.Marshal(orderBody{Parameters: p})
 	if err != nil {
 		return Result{Outcome: Refused, Reason: ReasonInvalid, Err: err}
 	}
 	path := "/v2/repository/models/" + url.PathEscape(model) + "/" + verb
-	resp, sent, err := c.do(ctx, http.MethodPost, address, path, body)
+	resp, sent, err := c.do(ctx, http.MethodPost, address, path, body, sendBy)
 	if err != nil {
 		outcome := Refused
 		if sent {
@@ -248,14 +260,22 @@
 }
 
 // do sends one request. Sent reports whether a byte of it may have left.
-func (c *Client) do(ctx context.Context, method, address, path string, body []byte) (*http.Response, bool, error) {
+func (c *Client) do(ctx context.Context, method, address, path string, body []byte, sendBy time.Time) (*http.Response, bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	connected := false
 	// The request must leave soon or not at all: the life of an order, after
 	// which no new effect is expected, is counted from when it was sent.
-	guard := time.AfterFunc(writeTimeout, func() { cancel(errWriteTimeout) })
+	limit := time.Now().Add(writeTimeout)
+	if !sendBy.IsZero() && sendBy.Before(limit) {
+		limit = sendBy
+	}
+	var connected atomic.Bool
+	guard := time.AfterFunc(time.Until(limit), func() { cancel(errWriteTimeout) })
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			// A process that was frozen here finds the deadline passed.
+			_ = info.Conn.SetWriteDeadline(limit)
+		},
 		WroteRequest: func(httptrace.WroteRequestInfo) { guard.Stop() },
 	})
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
@@ -275,7 +295,7 @@
 			err = cause
 		}
 		cancel(nil)
-		return nil, connected, err
+		return nil, connected.Load(), err
 	}
 	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
 	return resp, true, nil
--- a/placement/event.go
+++ b/placement/event.go
@@ -78,6 +78,8 @@
 	// Attempt is the attempt of the action, so that late answers are told apart.
 	Attempt int
 	Outcome Outcome
+	// NotSent tells that a refused order has not left this process.
+	NotSent bool
 	// Retryable tells that a refusal is expected to be short.
 	Retryable   bool
 	Reason      string
--- a/placement/order.go
+++ b/placement/order.go
@@ -60,11 +60,9 @@
 
 // loadRefused handles an order that the engine did not apply.
 func (p *Planner) loadRefused(r *replica, e OrderAnswered) {
-	if e.Incarnation == "" {
-		// No connection was made, so this order is not on its way.
+	if e.NotSent {
 		r.loadSent = r.prevLoadSent
 		r.sends--
-		p.suspectDown(r.up)
 	}
 	if r.openLoad {
 		p.doubt(r) // an earlier order may still take effect
@@ -106,7 +104,13 @@
 	}
 }
 
+// suspectDown asks again after the first failure, so that one lost answer
+// does not take an upstream out of service.
 func (p *Planner) suspectDown(u *upstream) {
+	if u.misses++; u.misses < missesDown {
+		p.askIndex(u)
+		return
+	}
 	if !u.down {
 		u.down, u.downSince = true, p.now
 		p.touch()
@@ -149,7 +153,7 @@
 	if u.down || u.suspect {
 		p.touch()
 	}
-	u.indexSent, u.down, u.suspect = e.Sent, false, false
+	u.indexSent, u.down, u.suspect, u.misses = e.Sent, false, false, 0
 	u.utilization, u.memoryTotal = e.Utilization, e.MemoryTotal
 	if u.incarnation != e.Incarnation {
 		u.incarnation, u.rampStart, u.granted = e.Incarnation, p.now, nil
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -36,8 +36,8 @@
 	floor                       float64
 	lastTick, lastPublish       time.Time
 	nextRamp                    time.Time // when an allowance has grown
-	dirty                       bool // the view has changed
-	changed                     bool // the schedule may have changed
+	dirty                       bool      // the view has changed
+	changed                     bool      // the schedule may have changed
 	full                        map[*pool]fullness
 	previous                    View
 }
--- a/placement/state.go
+++ b/placement/state.go
@@ -121,6 +121,7 @@
 	indexSent   time.Time // of the newest index read
 	indexAsked  time.Time
 	down        bool
+	misses      int // index reads that failed in a row
 	suspect     bool
 	downSince   time.Time
 	rampStart   time.Time
--- a/placement/step.go
+++ b/placement/step.go
@@ -17,6 +17,7 @@
 	loadPatience    = 3                // an answer is awaited this many expected load times
 	minPatience     = 10 * time.Second
 	indexGap        = 300 * time.Millisecond
+	missesDown      = 2 // failed index reads in a row after which an upstream counts as down
 )
 
 // create adds a replica that has no row yet.
