Test lease and planner with histories of faults on virtual time

A fake engine counts copies and memory itself; every history requires that each copy has a row, that no memory is overcommitted and that placement goes on after the last fault. 100 histories each with and without fencing, and six faults at every step of a short history, pass.

--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,183 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20260101")
+	}
+	os.Exit(m.Run())
+}
+
+// contender is a process with its own clock.
+type contender struct {
+	*Lease
+	rate   float64       // of its clock
+	frozen time.Duration // until then, in true time
+	stage  int           // 0 idle, 1 sent, 2 applied
+	step   Step
+	next   time.Duration // when the stage ends, in true time
+	lose   bool
+	err    error
+	rows   [2]platform.Row
+}
+
+func (c *contender) clock(now time.Duration) time.Time {
+	return time.Unix(0, 0).Add(time.Duration(float64(now) * c.rate))
+}
+
+func (c *contender) advance(r *rand.Rand, table *platformtest.Table, now time.Duration) {
+	delay := func() time.Duration {
+		if r.IntN(10) == 0 {
+			return time.Duration(r.IntN(9000)) * time.Millisecond
+		}
+		return 20 * time.Millisecond
+	}
+	switch {
+	case c.stage == 0 && now >= c.frozen && !c.clock(now).Before(c.Due()):
+		c.step = c.Next(c.clock(now))
+		c.stage, c.next, c.lose = 1, now+delay(), r.IntN(10) == 0
+	case c.stage == 1 && now >= c.next:
+		c.apply(table)
+		c.stage, c.next = 2, now+delay()
+	case c.stage == 2 && now >= c.next && now >= c.frozen:
+		c.stage = 0
+		if c.lose {
+			c.err = platform.ErrUnknown
+		}
+		if c.step.Read {
+			c.ReadDone(c.clock(now), c.rows[0], c.rows[1], c.err)
+		} else {
+			c.WriteDone(c.clock(now), c.err)
+		}
+	}
+}
+
+func (c *contender) apply(table *platformtest.Table) {
+	ctx := context.Background()
+	if !c.step.Read {
+		c.err = table.Transact(ctx, c.step.Token, c.step.Writes...)
+		return
+	}
+	c.err = nil
+	leaseKey, fenceKey := Keys("x")
+	for i, key := range []string{leaseKey, fenceKey} {
+		row, err := table.Get(ctx, key)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			c.err = err
+		}
+		c.rows[i] = row
+	}
+}
+
+// Guards against two holders at the same time, against a holder whose
+// transactions outlive its reign, and against a fencing token that does not
+// grow, with drifting clocks, freezes, late and lost answers.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := platformtest.NewTable()
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		var all []*contender
+		for i := range 3 {
+			rate := 1 + float64(rapid.IntRange(-20, 20).Draw(t, "drift"))/1000
+			name := fmt.Sprintf("c%d", i)
+			all = append(all, &contender{rate: rate, Lease: New(Config{Name: "x", Holder: name, Incarnation: name})})
+		}
+		var token uint64
+		reigns := 0
+		for now := time.Duration(0); now < 60*time.Second; now += 20 * time.Millisecond {
+			holders := 0
+			for _, c := range all {
+				if now >= c.frozen && r.IntN(400) == 0 {
+					c.frozen = now + time.Duration(r.IntN(12))*time.Second
+				}
+				c.advance(r, table, now)
+				if !c.Held(c.clock(now)) {
+					continue
+				}
+				holders++
+				if c.Token() < token {
+					t.Fatalf("token %d after %d", c.Token(), token)
+				}
+				if c.Token() > token {
+					token = c.Token()
+					reigns++
+				}
+				if err := table.Transact(context.Background(), fmt.Sprint(now), c.Check()); err != nil {
+					t.Fatalf("%s: the holder's own transaction failed: %v", now, err)
+				}
+			}
+			if holders > 1 {
+				t.Fatalf("%s: %d holders", now, holders)
+			}
+			for _, c := range all {
+				if c.fence.Token < token && table.Transact(context.Background(), fmt.Sprint(c.cfg.Holder, now), c.Check()) == nil {
+					t.Fatalf("%s: a former holder's transaction succeeded", now)
+				}
+			}
+		}
+		if reigns == 0 {
+			t.Fatal("nobody ever held the lease")
+		}
+	})
+}
+
+// Guards the hand-over: a released lease passes on at once, and one that was
+// not released after the lease time.
+func TestHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := platformtest.NewTable()
+		start := func(name string) (*Runner, context.CancelFunc, chan struct{}) {
+			r := NewRunner(table, Config{Name: "x", Holder: name, Incarnation: name}, nil)
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { r.Run(ctx); close(done) }()
+			return r, cancel, done
+		}
+		a, stopA, doneA := start("a")
+		time.Sleep(time.Second)
+		b, stopB, doneB := start("b")
+		time.Sleep(10 * time.Second)
+		if !a.Held() || b.Held() || a.Token() != 1 {
+			t.Fatal("a must hold the lease")
+		}
+		stopA()
+		<-doneA
+		if err := a.Release(t.Context()); err != nil || a.Held() {
+			t.Fatal(err)
+		}
+		time.Sleep(1100 * time.Millisecond)
+		if !b.Held() || b.Token() != 2 {
+			t.Fatal("b must hold the released lease")
+		}
+		stopB()
+		<-doneB
+		c, stopC, doneC := start("c")
+		time.Sleep(4 * time.Second)
+		if c.Held() {
+			t.Fatal("c took over within the lease time")
+		}
+		time.Sleep(1500 * time.Millisecond)
+		if !c.Held() || c.Token() != 3 {
+			t.Fatal("c must have taken over")
+		}
+		stopC()
+		<-doneC
+	})
+}
--- /dev/null
+++ b/placement/history_test.go
@@ -0,0 +1,235 @@
+package placement_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hibiscusyard/hibiscusyard/placement"
+	"github.com/hibiscusyard/hibiscusyard/placement/placementtest"
+	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20260101")
+	}
+	os.Exit(m.Run())
+}
+
+// history is a world with callers that ask for models until they get them.
+type history struct {
+	*placementtest.World
+	fail  func(format string, args ...any)
+	wants map[string]int // requests that wait, by model
+	calm  bool           // no more faults
+}
+
+func newHistory(fencing bool, seed uint64, fail func(string, ...any)) *history {
+	h := &history{World: placementtest.New(smallCatalog(3, 6, fencing), seed), fail: fail, wants: map[string]int{}}
+	h.Check = func() {
+		if broken := h.Verify(); broken != nil {
+			h.fail("at %s: %s", h.Now.Sub(time.Unix(0, 0)), strings.Join(broken, "; "))
+		}
+	}
+	h.Published = func(v placement.View) {
+		for model := range h.wants {
+			if len(readyIn(v, model)) > 0 {
+				delete(h.wants, model)
+			}
+		}
+	}
+	h.Start(placement.Config{IdleTimeout: 8 * time.Second, Unload: placement.UnloadFixed})
+	h.Start(placement.Config{IdleTimeout: 8 * time.Second, Unload: placement.UnloadFixed})
+	h.callers()
+	return h
+}
+
+// callers repeat the demand of three instances every half second.
+func (h *history) callers() {
+	for i := range 3 {
+		var demands []placement.Demand
+		for model, n := range h.wants {
+			demands = append(demands, waiting(model, []string{"large", "small"}[i%2], n, 30*time.Second))
+		}
+		h.Report(fmt.Sprintf("i%d", i), demands)
+	}
+	h.After(500*time.Millisecond, h.callers)
+}
+
+// keepTwo starts controllers in place of dead ones.
+func (h *history) keepTwo() {
+	alive := 0
+	for _, c := range h.Controllers {
+		if !c.Dead {
+			alive++
+		}
+	}
+	for ; alive < 2; alive++ {
+		h.Start(placement.Config{IdleTimeout: 8 * time.Second, Unload: placement.UnloadFixed})
+	}
+}
+
+// script asks for more models than fit, in bursts that evict and unload.
+func (h *history) script() {
+	for i, model := range []string{"m0", "m1", "a0", "m2", "m3", "m4", "m5", "m0", "a0", "m2"} {
+		h.After(time.Duration(i)*6*time.Second, func() { h.wants[model] = 20 })
+	}
+}
+
+// settle ends all faults and requires that a model can still be had.
+func (h *history) settle() {
+	h.calm = true
+	h.Table.Hook = nil
+	for _, e := range h.Engines {
+		e.Down = false
+	}
+	h.keepTwo()
+	clear(h.wants)
+	h.wants["a0"] = 1
+	h.Run(100 * time.Second)
+	if h.wants["a0"] != 0 {
+		h.fail("a0 was not placed within 100s after the last fault; rows %v", h.Rows())
+	}
+}
+
+// Guards the promises of section 11, numbers 1 and 2: whatever happens between
+// any two steps, no copy is loaded without a row and no memory is
+// overcommitted; and placement goes on afterwards.
+func TestHistories(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fencing=%t", fencing), rapid.MakeCheck(func(t *rapid.T) { runHistory(t, fencing) }))
+	}
+}
+
+func runHistory(t *rapid.T, fencing bool) {
+	h := newHistory(fencing, rapid.Uint64().Draw(t, "seed"), t.Fatalf)
+	h.Table.Hook = nil
+	ops := []string{"load", "load", "unload", "write.decided", "write.decided", "write.loaded", "write.unloading", "write.",
+		"lease.write", "list", "index"}
+	fates := map[string][]placementtest.Fate{}
+	for range rapid.IntRange(1, 8).Draw(t, "faults") {
+		op := rapid.SampledFrom(ops).Draw(t, "op")
+		fates[op] = append(fates[op], drawFate(t, op))
+	}
+	skip := rapid.IntRange(0, 3).Draw(t, "skip")
+	seen := map[string]int{}
+	h.Faults = func(_ *placementtest.Controller, op string) placementtest.Fate {
+		seen[op]++
+		list := fates[op]
+		if h.calm || len(list) == 0 || seen[op] <= skip {
+			return placementtest.Fate{}
+		}
+		fates[op] = list[1:]
+		if list[0].Kill {
+			h.After(time.Second, h.keepTwo)
+		}
+		return list[0]
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "upheavals") {
+		h.upheaval(t)
+	}
+	h.script()
+	h.Run(75 * time.Second)
+	h.settle()
+}
+
+// drawFate draws what happens to one operation. Orders arrive within the
+// order life; an engine that checks tokens bears any freeze.
+func drawFate(t *rapid.T, op string) placementtest.Fate {
+	late := time.Duration(rapid.IntRange(1, 11_000).Draw(t, "late")) * time.Millisecond
+	kind := rapid.SampledFrom([]string{"kill", "freeze", "refuse", "lose", "repeat", "delay", "repeat and lose"}).Draw(t, op)
+	switch kind {
+	case "kill":
+		return placementtest.Fate{Kill: true}
+	case "freeze":
+		return placementtest.Fate{Freeze: 3 * late}
+	case "refuse":
+		return placementtest.Fate{Refuse: true}
+	case "lose":
+		return placementtest.Fate{Lose: true}
+	case "repeat":
+		return placementtest.Fate{Repeat: late}
+	case "delay":
+		return placementtest.Fate{Delay: late}
+	}
+	return placementtest.Fate{Lose: true, Repeat: late}
+}
+
+// upheaval draws a fault that is not tied to one operation.
+func (h *history) upheaval(t *rapid.T) {
+	at := time.Duration(rapid.IntRange(0, 60_000).Draw(t, "at")) * time.Millisecond
+	last := time.Duration(rapid.IntRange(100, 12_000).Draw(t, "last")) * time.Millisecond
+	e := h.Engines[rapid.IntRange(0, len(h.Engines)-1).Draw(t, "engine")]
+	switch rapid.SampledFrom([]string{"outage", "lost answers", "slow", "restart", "cut"}).Draw(t, "upheaval") {
+	case "outage":
+		h.hook(at, last, platformtest.Refuse)
+	case "lost answers":
+		h.hook(at, last, platformtest.LoseAnswer)
+	case "slow":
+		h.After(at, func() { h.TableDelay = 700 * time.Millisecond })
+		h.After(at+last, func() { h.TableDelay = 3 * time.Millisecond })
+	case "restart":
+		h.After(at, func() { h.Restart(e) })
+	case "cut":
+		h.After(at, func() { e.Down = !h.calm })
+		h.After(at+last, func() { e.Down = false })
+	}
+}
+
+func (h *history) hook(at, last time.Duration, fault platformtest.Fault) {
+	h.After(at, func() { h.Table.Hook = func(string, string) platformtest.Fault { return fault } })
+	h.After(at+last, func() { h.Table.Hook = nil })
+}
+
+// Guards the recovery of every single step: the holder is killed, frozen past
+// its lease, or loses an answer at each operation of a load and an unload.
+func TestFaultAtEveryStep(t *testing.T) {
+	fates := map[string]placementtest.Fate{
+		"kill": {Kill: true}, "freeze": {Freeze: 20 * time.Second}, "refuse": {Refuse: true},
+		"lose": {Lose: true}, "repeat": {Repeat: 9 * time.Second}, "lose, late": {Lose: true, Delay: 9 * time.Second},
+	}
+	for _, fencing := range []bool{true, false} {
+		for name, fate := range fates {
+			t.Run(fmt.Sprintf("fencing=%t/%s", fencing, name), func(t *testing.T) {
+				for step, total := 0, 1; step < total; step++ {
+					total = runStep(t, fencing, fate, step)
+				}
+			})
+		}
+	}
+}
+
+// runStep plays a short history with one fault at the given operation of the
+// holder and returns how many operations there are.
+func runStep(t *testing.T, fencing bool, fate placementtest.Fate, step int) int {
+	h := newHistory(fencing, 7, func(format string, args ...any) {
+		t.Fatalf("step %d: %s", step, fmt.Sprintf(format, args...))
+	})
+	h.Run(2 * time.Second)
+	count := 0
+	h.Faults = func(c *placementtest.Controller, op string) placementtest.Fate {
+		if c != h.Controllers[0] || op == "index" || strings.HasPrefix(op, "lease.") {
+			return placementtest.Fate{}
+		}
+		if count++; count-1 == step {
+			h.After(time.Second, h.keepTwo)
+			return fate
+		}
+		return placementtest.Fate{}
+	}
+	for i, model := range []string{"m0", "a0", "m1"} {
+		h.After(time.Duration(i)*2*time.Second, func() { h.wants[model] = 5 })
+	}
+	h.Run(60 * time.Second)
+	if len(h.wants) > 0 {
+		t.Fatalf("step %d: still waiting for %v", step, h.wants)
+	}
+	return count
+}
--- /dev/null
+++ b/placement/placementtest/engine.go
@@ -0,0 +1,158 @@
+// Package placementtest runs planners against fake engines and a fake table
+// on virtual time, with faults. The planner's tests and the placement
+// experiment share it.
+package placementtest
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/placement"
+)
+
+// Engine is a fake model engine. It does not refuse loads for lack of memory:
+// it counts, so that a planner that overcommits is found out.
+type Engine struct {
+	Pool, Name, Address string
+	Fencing             bool
+	MemoryMB            int64
+	Incarnation         string
+	Down                bool
+	// Cached maps models to where their checkpoints are.
+	Cached map[string]placement.Tier
+	// MaxToken is the highest fencing token seen. It survives a restart: an
+	// engine that checks tokens is assumed to keep it.
+	MaxToken uint64
+	Copies   map[string]*Copy
+	// Loads counts the copies that began to load, by model.
+	Loads    map[string]int
+	restarts int
+}
+
+// Copy is a loaded or loading replica.
+type Copy struct {
+	ID, Model string
+	MemoryMB  int64
+	Ready     bool
+	Began     time.Time
+	attempt   int
+	waiters   []func(placement.OrderAnswered)
+}
+
+// Used is the memory that copies take.
+func (e *Engine) Used() int64 {
+	var sum int64
+	for _, c := range e.Copies {
+		sum += c.MemoryMB
+	}
+	return sum
+}
+
+// Restart makes the engine a new process with nothing loaded; answers that
+// are waited for are lost.
+func (w *World) Restart(e *Engine) {
+	for _, c := range e.Copies {
+		for _, f := range c.waiters {
+			f(placement.OrderAnswered{Pool: e.Pool, ID: c.ID, Attempt: c.attempt})
+		}
+	}
+	e.restart()
+}
+
+func (e *Engine) restart() {
+	e.restarts++
+	e.Incarnation = fmt.Sprintf("%s#%d", e.Name, e.restarts)
+	e.Copies = map[string]*Copy{}
+}
+
+func (e *Engine) stale(token uint64) bool {
+	if e.Fencing && token < e.MaxToken {
+		return true
+	}
+	e.MaxToken = max(e.MaxToken, token)
+	return false
+}
+
+// load applies a load order when it arrives and answers when it is complete.
+func (w *World) load(e *Engine, o placement.SendLoad, answer func(placement.OrderAnswered)) {
+	out := placement.OrderAnswered{Pool: o.Pool, ID: o.ID, Attempt: o.Attempt, Incarnation: e.Incarnation}
+	if e.stale(o.Token) {
+		out.Outcome, out.Reason = placement.OrderRefused, "stale_fencing_token"
+		answer(out)
+		return
+	}
+	out.Outcome = placement.OrderDone
+	if c := e.Copies[o.ID]; c != nil {
+		if c.Ready {
+			answer(out)
+		} else {
+			c.waiters = append(c.waiters, answer)
+		}
+		return
+	}
+	w.touched = true
+	c := &Copy{ID: o.ID, Model: o.Model, MemoryMB: o.MemoryMB, Began: w.Now, attempt: o.Attempt, waiters: []func(placement.OrderAnswered){answer}}
+	e.Copies[o.ID] = c
+	e.Loads[o.Model]++
+	w.LoadsBegun++
+	tier := e.Cached[o.Model]
+	took := w.LoadTime(e, o.Model, tier)
+	if o.Base == "" && tier == placement.Remote {
+		w.storeLoads++
+		w.MaxStoreLoads = max(w.MaxStoreLoads, w.storeLoads)
+	}
+	incarnation := e.Incarnation
+	w.After(took, func() {
+		if o.Base == "" && tier == placement.Remote {
+			w.storeLoads--
+		}
+		if e.Incarnation != incarnation || e.Copies[o.ID] != c {
+			return
+		}
+		c.Ready = true
+		e.Cached[o.Model] = placement.Memory
+		for _, f := range c.waiters {
+			f(out)
+		}
+		c.waiters = nil
+	})
+}
+
+func (w *World) unload(e *Engine, o placement.SendUnload, answer func(placement.OrderAnswered)) {
+	out := placement.OrderAnswered{Pool: o.Pool, ID: o.ID, Attempt: o.Attempt, Unload: true, Incarnation: e.Incarnation}
+	if e.stale(o.Token) {
+		out.Outcome, out.Reason = placement.OrderRefused, "stale_fencing_token"
+	} else {
+		out.Outcome = placement.OrderDone
+		if c := e.Copies[o.ID]; c != nil && w.Unloaded != nil {
+			w.Unloaded(e, c)
+		}
+		delete(e.Copies, o.ID)
+	}
+	answer(out)
+}
+
+// index returns the engine's own account.
+func (e *Engine) index(sent time.Time, load float64) placement.IndexRead {
+	ev := placement.IndexRead{Pool: e.Pool, Upstream: e.Name, Sent: sent, Incarnation: e.Incarnation,
+		Utilization: load, MemoryTotal: e.MemoryMB}
+	loaded := map[string]bool{}
+	for _, c := range e.Copies {
+		loaded[c.Model] = true
+		ev.Entries = append(ev.Entries, placement.IndexEntry{Model: c.Model, ReplicaID: c.ID, Ready: c.Ready,
+			Present: true, MemoryMB: c.MemoryMB, Tier: e.Cached[c.Model]})
+	}
+	for model, tier := range e.Cached {
+		if !loaded[model] && tier != placement.Remote {
+			ev.Entries = append(ev.Entries, placement.IndexEntry{Model: model, Tier: tier})
+		}
+	}
+	slices.SortFunc(ev.Entries, func(a, b placement.IndexEntry) int {
+		if a.Model+a.ReplicaID < b.Model+b.ReplicaID {
+			return -1
+		}
+		return 1
+	})
+	return ev
+}
--- /dev/null
+++ b/placement/placementtest/world.go
@@ -0,0 +1,206 @@
+package placementtest
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/placement"
+	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+)
+
+// World is a table, engines and controllers on virtual time.
+type World struct {
+	Now     time.Time
+	Rand    *rand.Rand
+	Table   *platformtest.Table
+	Index   *catalog.Index
+	Engines []*Engine
+	// Controllers are all that were ever started, dead ones included.
+	Controllers []*Controller
+	// NetDelay and TableDelay are one-way delays.
+	NetDelay, TableDelay time.Duration
+	PollEvery            time.Duration
+	LoadTime             func(e *Engine, model string, tier placement.Tier) time.Duration
+	// Faults, if set, decides the fate of each operation.
+	Faults func(c *Controller, op string) Fate
+	// Published receives every view that reaches the instances.
+	Published func(placement.View)
+	// Decided receives every decision.
+	Decided func(placement.Decision)
+	// Unloaded is called before a copy is dropped by an order.
+	Unloaded func(*Engine, *Copy)
+	// Check, if set, runs after every event that changed a copy or a row.
+	Check func()
+
+	LoadsBegun, MaxStoreLoads int
+	// Sends holds the times at which load orders of models left.
+	Sends      []time.Time
+	Views      int
+	View       placement.View
+	storeLoads int
+	touched    bool
+	events     eventHeap
+	seq        int
+	steps      int
+}
+
+// Fate is what happens to one operation of a controller.
+type Fate struct {
+	Kill   bool          // the controller dies before the operation
+	Freeze time.Duration // the controller is frozen before the operation
+	Refuse bool          // the operation fails without effect
+	Lose   bool          // the operation takes effect, its answer is lost
+	Repeat time.Duration // the operation arrives a second time so much later
+	Delay  time.Duration // the operation arrives so much later
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// New returns a world with one fake engine for each engine upstream of the
+// catalogue, and no controller.
+func New(index *catalog.Index, seed uint64) *World {
+	w := &World{Now: time.Unix(0, 0), Rand: rand.New(rand.NewPCG(seed, 1)), Table: platformtest.NewTable(), Index: index,
+		NetDelay: time.Millisecond, TableDelay: 3 * time.Millisecond, PollEvery: 2 * time.Second}
+	w.LoadTime = func(_ *Engine, model string, tier placement.Tier) time.Duration { return w.nominal(model, tier) }
+	for _, p := range index.Catalog.Pools {
+		for _, u := range p.Upstreams {
+			e := &Engine{Pool: p.Name, Name: u.Name, Address: u.Address, Fencing: u.Fencing, MemoryMB: u.MemoryMB,
+				Cached: map[string]placement.Tier{}, Loads: map[string]int{}}
+			e.restart()
+			w.Engines = append(w.Engines, e)
+		}
+	}
+	return w
+}
+
+// nominal is the catalogue's load time, shorter for cached checkpoints.
+func (w *World) nominal(name string, tier placement.Tier) time.Duration {
+	for i := range w.Index.Catalog.Pools {
+		if m := w.Index.Catalog.Pools[i].Model(name); m != nil {
+			return time.Duration(float64(m.LoadTime) * [...]float64{1, 0.4, 0.1}[tier])
+		}
+	}
+	return time.Second
+}
+
+// After runs f after a delay.
+func (w *World) After(d time.Duration, f func()) { w.At(w.Now.Add(d), f) }
+
+// At runs f at a time.
+func (w *World) At(t time.Time, f func()) {
+	if t.Before(w.Now) {
+		t = w.Now
+	}
+	w.seq++
+	heap.Push(&w.events, event{at: t, seq: w.seq, run: f})
+}
+
+// Run lets a duration pass.
+func (w *World) Run(d time.Duration) {
+	end := w.Now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		ev := heap.Pop(&w.events).(event)
+		w.Now = ev.at
+		ev.run()
+		if w.Check != nil && w.touched {
+			w.touched = false
+			w.Check()
+		}
+	}
+	w.Now = end
+}
+
+// Steps is the number of controller operations so far.
+func (w *World) Steps() int { return w.steps }
+
+// Engine returns the engine of that address.
+func (w *World) Engine(address string) *Engine {
+	for _, e := range w.Engines {
+		if e.Address == address {
+			return e
+		}
+	}
+	return nil
+}
+
+// Rows returns all replica rows by key.
+func (w *World) Rows() map[string]placement.Row {
+	hook := w.Table.Hook
+	w.Table.Hook = nil
+	defer func() { w.Table.Hook = hook }()
+	list, err := w.Table.List(background, "replica")
+	if err != nil {
+		panic(err)
+	}
+	rows := map[string]placement.Row{}
+	for _, r := range list {
+		var row placement.Row
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			panic(err)
+		}
+		rows[r.Key] = row
+	}
+	return rows
+}
+
+// Verify returns every broken promise: a copy without a row, memory above
+// the limit.
+func (w *World) Verify() []string {
+	var broken []string
+	var rows map[string]placement.Row
+	for _, e := range w.Engines {
+		if e.Used() > e.MemoryMB {
+			broken = append(broken, fmt.Sprintf("%s: %d MiB of %d in use", e.Name, e.Used(), e.MemoryMB))
+		}
+		for id := range e.Copies {
+			if rows == nil {
+				rows = w.Rows()
+			}
+			if row, ok := rows[placement.Key(e.Pool, id)]; !ok || row.Upstream != e.Name {
+				broken = append(broken, fmt.Sprintf("%s: copy %s (%s) has no row", e.Name, id, e.Copies[id].Model))
+			}
+		}
+	}
+	slices.Sort(broken)
+	return broken
+}
+
+// stored turns table rows into the planner's form.
+func stored(rows []platform.Row) []placement.StoredRow {
+	var list []placement.StoredRow
+	for _, r := range rows {
+		parts := strings.Split(r.Key, "/")
+		s := placement.StoredRow{Pool: parts[1], ID: parts[2], Revision: r.Revision}
+		if err := json.Unmarshal(r.Value, &s.Row); err != nil {
+			panic(err)
+		}
+		list = append(list, s)
+	}
+	return list
+}
