Count pacing and evictions in expected load times; bound moving allotments

An allotment that a newer view has lowered still counts for 2 s, each of the earlier ones, not only the last: a test with a moving backlog saw 10 requests allotted of 8. A vacant lease is taken at once instead of after one period.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -249,7 +249,7 @@
 	l.due = now.Add(l.cfg.Renew)
 	expiry := l.seenAt.Add(l.cfg.Duration + l.cfg.Drift)
 	switch {
-	case l.held && !l.Held(now), !l.held && l.record.Released:
+	case l.held && !l.Held(now), !l.held && l.vacant(now):
 		l.due = now
 	case !l.held && expiry.After(now) && expiry.Before(l.due):
 		l.due = expiry
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -13,6 +13,7 @@
 	evictHorizon  = 300.0            // seconds in which a reuse of an evicted replica counts
 	pendingRoom   = 1.5              // seconds that memory takes to be freed by an unload under way
 	minLoadTime   = time.Millisecond // estimates never fall below
+	roomTime      = time.Second      // from the end of a drain until the memory is free
 	unknownReturn = 5 * time.Second  // time to come back when nothing tells when memory becomes free
 )
 
@@ -22,6 +23,7 @@
 	tier    Tier
 	cost    float64 // seconds
 	victims []*replica
+	pending bool // room is yet to be made
 }
 
 // fullness remembers within one run of the schedule that a pool has no room.
@@ -32,7 +34,7 @@
 
 // place decides on which upstream a model is loaded. It returns false if no
 // upstream can take it now.
-func (p *Planner) place(m *model, workspace string) bool {
+func (p *Planner) place(m *model, workspace string, start time.Time) bool {
 	if f, ok := p.full[m.pool]; ok && m.base == nil && m.need() >= f.need {
 		return false // a smaller model has found no room in this run
 	}
@@ -45,6 +47,10 @@
 	}
 	m.burst += learnRate * (float64(max(m.waiting, 1)) - m.burst)
 	r := p.create(m, best.u, best.tier)
+	if best.pending {
+		start = later(start, p.now.Add(p.cfg.DrainDelay+roomTime))
+	}
+	r.expected = start.Add(p.estimate(m, best.tier))
 	reason := fmt.Sprintf("tier %s, cost %.3fs, for workspace %q", best.tier, best.cost, workspace)
 	p.emit(Decision{Kind: "load", Pool: m.pool.name, Model: m.cfg.Name, Upstream: best.u.cfg.Name, ID: r.id,
 		Reason: reason, Alternatives: refused})
@@ -137,6 +143,7 @@
 		c.cost = p.estimate(m, c.tier).Seconds()*(1+u.utilization) + float64(p.hash(m, u)>>11)*1e-18
 	}
 	lack := m.need() - u.free()
+	c.pending = lack > 0
 	if lack <= 0 {
 		if want := p.adapterNeed(m); p.cfg.Place != PlaceRandom && u.free() < m.need()+want {
 			c.cost += pendingRoom // its adapters would have to evict something
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -175,7 +175,7 @@
 			p.promise(m)
 			continue
 		}
-		if p.place(m, j.workspace) {
+		if p.place(m, j.workspace, j.start) {
 			room--
 			p.charge(j)
 			m.expected = time.Time{}
@@ -341,7 +341,7 @@
 			if !m.base.expected.IsZero() {
 				m.expected = m.base.expected.Add(load)
 			}
-		} else if room > 0 && p.place(m, m.workspace()) {
+		} else if room > 0 && p.place(m, m.workspace(), p.now) {
 			room--
 			p.expectComing(m)
 			continue
--- a/placement/state.go
+++ b/placement/state.go
@@ -132,7 +132,7 @@
 	claimed     int64 // memory of all replicas, planned ones included
 	orphans     map[string]*orphan
 	forgotten   time.Time // when a replica was last forgotten
-	granted     map[string]grant
+	granted     map[string][]grant // the last of each list is the current one
 }
 
 // orphan is a copy at an engine that no row stands for.
@@ -142,12 +142,11 @@
 	retryAt time.Time
 }
 
-// grant is an allotment that an instance may still use: count until a time,
-// the last published number afterwards.
+// grant is an allotment that an instance may act on. The current one has no
+// end; earlier ones end when no instance can still hold the view.
 type grant struct {
 	count int
 	until time.Time
-	last  int
 }
 
 // countTiers adds the upstream's checkpoints to the models' counts.
--- a/placement/view.go
+++ b/placement/view.go
@@ -12,6 +12,10 @@
 // is followed by a heartbeat.
 const grantLife = 2 * time.Second
 
+// returnMargin is added to the time to come back: row writes and messages are
+// not part of the load estimates.
+const returnMargin = 250 * time.Millisecond
+
 // minRampStep bounds the views that a growing allowance causes.
 const minRampStep = 200 * time.Millisecond
 
@@ -64,7 +68,7 @@
 	if len(mv.Ready) == 0 && !m.expected.IsZero() {
 		mv.Expected = max(m.expected.Sub(p.now), time.Millisecond)
 		if m.infeas {
-			mv.RetryAfter = mv.Expected
+			mv.RetryAfter = mv.Expected + returnMargin
 		}
 	}
 	return mv, len(mv.Ready)+len(mv.Loading) > 0 || m.hot
@@ -154,8 +158,8 @@
 func (p *Planner) allot(u *upstream, limit int, claims []claim) map[string]int {
 	want := p.fairUnits(u, limit, claims)
 	holds := map[string]int{}
-	for instance, g := range u.granted {
-		holds[instance] = g.hold(p.now)
+	for instance, list := range u.granted {
+		holds[instance] = hold(list, p.now)
 	}
 	for _, c := range claims {
 		holds[c.instance] = max(holds[c.instance], c.running)
@@ -186,30 +190,38 @@
 
 // remember keeps what instances may act on after this view.
 func (p *Planner) remember(u *upstream, out map[string]int) {
-	granted := map[string]grant{}
-	for instance, g := range u.granted {
-		if n := out[instance]; n < g.hold(p.now) {
-			if !p.now.Before(g.until) {
-				g.count, g.until = g.last, p.now.Add(grantLife)
-			}
-			g.last = n
-			granted[instance] = g
+	granted := map[string][]grant{}
+	for instance, list := range u.granted {
+		list = slices.DeleteFunc(list, func(g grant) bool { return !g.until.IsZero() && !p.now.Before(g.until) })
+		if last := len(list) - 1; list[last].count != out[instance] {
+			list[last].until = p.now.Add(grantLife)
+		} else {
+			list = list[:last]
+		}
+		if len(list) > 0 || out[instance] > 0 {
+			granted[instance] = list
 		}
 	}
 	for instance, n := range out {
-		if _, lowered := granted[instance]; !lowered {
-			granted[instance] = grant{count: n, last: n, until: p.now.Add(grantLife)}
+		granted[instance] = append(granted[instance], grant{count: n})
+	}
+	for instance, list := range granted {
+		if out[instance] == 0 {
+			granted[instance] = append(list, grant{})
 		}
 	}
 	u.granted = granted
 }
 
-// hold is the most that the instance may act on now.
-func (g grant) hold(now time.Time) int {
-	if now.Before(g.until) {
-		return g.count
+// hold is the most that an instance may act on now.
+func hold(list []grant, now time.Time) int {
+	most := 0
+	for _, g := range list {
+		if g.until.IsZero() || now.Before(g.until) {
+			most = max(most, g.count)
+		}
 	}
-	return g.last
+	return most
 }
 
 // fairUnits hands out the limit one by one: to the workspace with the least
