--- /dev/null
+++ b/engine/engine_test.go
@@ -0,0 +1,122 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func serve(t *testing.T, handler http.HandlerFunc) (*Client, string) {
+	server := httptest.NewServer(handler)
+	client := NewClient()
+	t.Cleanup(func() { client.Close(); server.Close() })
+	return client, strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards the mapping from answers to what is known about the effect: a wrong
+// "refused" would let the planner forget a copy that is loaded.
+func TestOutcomes(t *testing.T) {
+	for status, want := range map[int]struct {
+		outcome Outcome
+		reason  string
+	}{
+		200: {Done, ""}, 409: {Refused, ReasonStaleToken}, 507: {Refused, ReasonMemory}, 404: {Refused, ReasonNotFound},
+		503: {Refused, ReasonUnavailable}, 500: {Unknown, ReasonInvalid}, 302: {Unknown, ReasonInvalid}, 204: {Unknown, ReasonInvalid},
+	} {
+		var path, body string
+		client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			data, _ := io.ReadAll(r.Body)
+			path, body = r.URL.EscapedPath(), string(data)
+			w.Header().Set(IncarnationHeader, "x1")
+			w.Header().Set(LoadHeader, `JSON {"application_utilization":0.3,"named_metrics":{"requests_in_flight":3,"memory_used_mb":800,"memory_total_mb":16000}}`)
+			w.Header().Set("Location", "/elsewhere")
+			w.WriteHeader(status)
+		})
+		got := client.Load(t.Context(), address, LoadOrder{Model: "a/b", ReplicaID: "3-1", FencingToken: 12, Base: "c", MemoryMB: 800})
+		load := Load{Known: true, Utilization: 0.3, InFlight: 3, MemoryUsedMB: 800, MemoryTotalMB: 16000}
+		if got.Outcome != want.outcome || got.Reason != want.reason || got.Incarnation != "x1" || got.Load != load {
+			t.Errorf("status %d: %+v", status, got)
+		}
+		if path != "/v2/repository/models/a%2Fb/load" || body != `{"parameters":{"replica_id":"3-1","fencing_token":12,"base":"c","memory_mb":800}}` {
+			t.Errorf("sent %s %s", path, body)
+		}
+		if status == 404 {
+			if got := client.Unload(t.Context(), address, UnloadOrder{Model: "m", ReplicaID: "3-1"}); got.Outcome != Done {
+				t.Errorf("unload of an unknown replica: %+v", got)
+			}
+		}
+	}
+}
+
+// Guards against calling an order refused when it may have reached the engine.
+func TestLostAnswers(t *testing.T) {
+	var calls atomic.Int32
+	client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if calls.Add(1) == 1 {
+			<-r.Context().Done() // the client gives up
+			return
+		}
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_ = conn.Close()
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if got := client.Load(ctx, address, LoadOrder{Model: "m"}); got.Outcome != Unknown {
+		t.Errorf("no answer in time: %+v", got)
+	}
+	if got := client.Load(t.Context(), address, LoadOrder{Model: "m"}); got.Outcome != Unknown {
+		t.Errorf("connection closed after the request: %+v", got)
+	}
+	if calls.Load() != 2 {
+		t.Errorf("%d calls: the client must not repeat by itself", calls.Load())
+	}
+	if got := client.Load(t.Context(), address, LoadOrder{Model: "m", SendBy: time.Now().Add(-time.Second)}); got.Outcome == Done || calls.Load() != 2 {
+		t.Errorf("an order past its time was sent: %+v, %d calls", got, calls.Load())
+	}
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	if got := client.Load(t.Context(), closed.Addr().String(), LoadOrder{Model: "m"}); got.Outcome != Refused || got.Reason != ReasonUnreachable {
+		t.Errorf("nobody listens: %+v", got)
+	}
+}
+
+// Guards the reading of the index, and that an answer without an incarnation
+// or with nonsense is not taken for an empty engine.
+func TestIndex(t *testing.T) {
+	body, incarnation := "", "x1"
+	client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(IncarnationHeader, incarnation)
+		_, _ = io.WriteString(w, body)
+	})
+	entry := map[string]any{"name": "m", "state": "READY", "reason": "",
+		"parameters": map[string]any{"replica_id": "3-1", "memory_mb": 800, "checkpoint": "disk"}}
+	data, _ := json.Marshal([]any{entry})
+	body = string(data)
+	list, answer, err := client.Index(t.Context(), address)
+	want := Entry{Name: "m", State: Ready, ReplicaID: "3-1", MemoryMB: 800, Checkpoint: "disk"}
+	if err != nil || len(list) != 1 || list[0] != want || answer.Incarnation != "x1" || answer.Load.Known {
+		t.Fatalf("%v %+v %v", list, answer, err)
+	}
+	body = `{"not":"a list"}`
+	if _, _, err := client.Index(t.Context(), address); err == nil {
+		t.Error("nonsense must be an error")
+	}
+	body, incarnation = "[]", ""
+	if _, _, err := client.Index(t.Context(), address); err == nil {
+		t.Error("a missing incarnation must be an error")
+	}
+	if ready, _, err := client.Healthy(t.Context(), address); err != nil || !ready {
+		t.Error(ready, err)
+	}
+}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -138,6 +138,9 @@
 	})
 }
 
+// elapse lets virtual time pass inside a synctest bubble.
+func elapse(d time.Duration) { <-time.After(d) }
+
 // Guards the hand-over: a released lease passes on at once, and one that was
 // not released after the lease time.
 func TestHandOver(t *testing.T) {
@@ -151,9 +154,9 @@
 			return r, cancel, done
 		}
 		a, stopA, doneA := start("a")
-		time.Sleep(time.Second)
+		elapse(time.Second)
 		b, stopB, doneB := start("b")
-		time.Sleep(10 * time.Second)
+		elapse(10 * time.Second)
 		if !a.Held() || b.Held() || a.Token() != 1 {
 			t.Fatal("a must hold the lease")
 		}
@@ -162,18 +165,18 @@
 		if err := a.Release(t.Context()); err != nil || a.Held() {
 			t.Fatal(err)
 		}
-		time.Sleep(1100 * time.Millisecond)
+		elapse(1100 * time.Millisecond)
 		if !b.Held() || b.Token() != 2 {
 			t.Fatal("b must hold the released lease")
 		}
 		stopB()
 		<-doneB
 		c, stopC, doneC := start("c")
-		time.Sleep(4 * time.Second)
+		elapse(4 * time.Second)
 		if c.Held() {
 			t.Fatal("c took over within the lease time")
 		}
-		time.Sleep(1500 * time.Millisecond)
+		elapse(1500 * time.Millisecond)
 		if !c.Held() || c.Token() != 3 {
 			t.Fatal("c must have taken over")
 		}
--- a/placement/state.go
+++ b/placement/state.go
@@ -131,7 +131,7 @@
 	replicas    []*replica
 	claimed     int64 // memory of all replicas, planned ones included
 	orphans     map[string]*orphan
-	forgotten   time.Time // when a replica was last forgotten
+	forgotten   time.Time          // when a replica was last forgotten
 	granted     map[string][]grant // the last of each list is the current one
 }
 
