Test edits, refusals and service calls with two instances as processes

Edits through one instance are in force at the other within 8 s, refusals cost no upstream work and carry their verdict, plain calls arrive exactly once, and no key or secret reaches an upstream or a log. Run with the race detector.

--- /dev/null
+++ b/e2e/catalogue_test.go
@@ -0,0 +1,115 @@
+package e2e
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/processtest"
+)
+
+// Guards against an accepted edit that other instances do not put in force in
+// time, or put in force and drop again.
+func TestEditIsInForceAtOtherInstance(t *testing.T) {
+	s := newScene(t)
+	extra := s.routes.Routes[1]
+	extra.Name, extra.Prefix = "extra", "/extra/"
+	request := call{method: http.MethodGet, path: "/extra/hello", key: salesKey}
+	request.do(s.two).wantRefusal(t, "before the edit", http.StatusNotFound, "unknown_route", "not_run")
+	s.routes.Routes = append(s.routes.Routes, extra)
+	s.one.MustPut("routes", s.routes)
+	took := processtest.Within(t, inForce, "the route is in force at the other instance", func() bool {
+		return request.do(s.two).status == http.StatusOK
+	})
+	t.Logf("route in force after %.3f of the bound", took.Seconds()/inForce.Seconds())
+	for range 20 {
+		if a := request.do(s.two); a.status != http.StatusOK {
+			t.Fatalf("the edit was dropped again: status %d: %s", a.status, a.body)
+		}
+	}
+	s.routes.Routes = s.routes.Routes[:2]
+	s.two.MustPut("routes", s.routes)
+	processtest.Within(t, inForce, "the route is gone at the other instance", func() bool {
+		return request.do(s.one).status == http.StatusNotFound
+	})
+}
+
+// Guards against requests that run without the right key, and against refusals
+// that cost upstream work or carry the wrong verdict.
+func TestRefusedBeforeForwarding(t *testing.T) {
+	s := newScene(t)
+	cases := map[string]struct {
+		call   call
+		status int
+		code   string
+	}{
+		"no key for a service":       {call{method: "POST", path: "/signup/new"}, http.StatusUnauthorized, "missing_key"},
+		"wrong key for a service":    {call{method: "POST", path: "/signup/new", key: "wrong"}, http.StatusUnauthorized, "invalid_key"},
+		"no key for a model":         {chat("small", "", 1, true), http.StatusUnauthorized, "missing_key"},
+		"wrong key for a model":      {chat("small", "wrong", 1, true), http.StatusUnauthorized, "invalid_key"},
+		"hash in place of the key":   {chat("small", catalog.HashKey(lawKey), 1, true), http.StatusUnauthorized, "invalid_key"},
+		"admin token in place of it": {chat("small", processtest.AdminToken, 1, true), http.StatusUnauthorized, "invalid_key"},
+		"key of another workspace":   {chat("small", salesKey, 1, true), http.StatusForbidden, "forbidden"},
+		"unknown route":              {call{method: "GET", path: "/nowhere/x", key: lawKey}, http.StatusNotFound, "unknown_route"},
+		"unknown model":              {chat("absent", lawKey, 1, true), http.StatusNotFound, "unknown_model"},
+		"malformed JSON":             {call{method: "POST", path: "/v1/chat/completions", key: lawKey, body: "{"}, http.StatusBadRequest, "bad_request"},
+	}
+	for name, c := range cases {
+		for _, i := range []*processtest.Instance{s.one, s.two} {
+			c.call.do(i).wantRefusal(t, name+" at "+i.Name, c.status, c.code, "not_run")
+		}
+	}
+	if n := s.service.Service().Requests; n != 0 {
+		t.Errorf("refused requests cost the service %d requests", n)
+	}
+	if n := s.engine.Engine(); n.Chats != 0 || len(n.Loads) != 0 {
+		t.Errorf("refused requests cost the engine %d chats and the loads %v", n.Chats, n.Loads)
+	}
+	s.checkAdminAndPeerAreClosed()
+}
+
+// checkAdminAndPeerAreClosed guards against a caller's key that opens the
+// administration API or the peer port.
+func (s *scene) checkAdminAndPeerAreClosed() {
+	s.t.Helper()
+	for _, address := range []string{s.one.Admin + "/v1/routes", s.one.Admin + "/v1/status", s.one.Peer + "/"} {
+		req, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+lawKey)
+		resp, err := callers.Do(req)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode < http.StatusBadRequest {
+			s.t.Errorf("a caller's key opens %s: status %d", address, resp.StatusCode)
+		}
+	}
+}
+
+// Guards against a key that still works at another instance after its
+// withdrawal was accepted.
+func TestWithdrawnKeyIsRefusedEverywhere(t *testing.T) {
+	s := newScene(t)
+	request := call{method: http.MethodPost, path: "/signup/new", key: salesKey}
+	if a := request.do(s.two); a.status != http.StatusOK {
+		t.Fatalf("before the withdrawal: status %d: %s", a.status, a.body)
+	}
+	s.routes.Routes[1].Workspaces = slices.DeleteFunc(s.routes.Routes[1].Workspaces,
+		func(w catalog.Workspace) bool { return w.Name == "sales" })
+	s.one.MustPut("routes", s.routes)
+	took := processtest.Within(t, inForce, "the key is refused at the other instance", func() bool {
+		return request.do(s.two).status == http.StatusUnauthorized
+	})
+	t.Logf("key withdrawn after %.3f of the bound", took.Seconds()/inForce.Seconds())
+	before := s.service.Service().Effects
+	for _, i := range []*processtest.Instance{s.one, s.two} {
+		request.do(i).wantRefusal(t, "withdrawn key at "+i.Name, http.StatusUnauthorized, "invalid_key", "not_run")
+	}
+	if n := s.service.Service().Effects; n != before {
+		t.Errorf("a withdrawn key had %d effects", n-before)
+	}
+}
--- /dev/null
+++ b/e2e/scene_test.go
@@ -0,0 +1,218 @@
+// Package e2e holds tests that run instances, upstreams and the platform's
+// stand-ins as processes.
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/admin"
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/standin/engine"
+)
+
+func TestMain(m *testing.M) { processtest.Main(m) }
+
+// Keys of callers.
+const (
+	lawKey   = "key-of-the-law-workspace"
+	salesKey = "key-of-the-sales-workspace"
+)
+
+// inForce is the bound for an edit to be in force everywhere.
+const inForce = 8 * time.Second
+
+// loadTime is long against everything else in a request, so that a test can
+// tell a cold request from a warm one.
+const loadTime = 1500 * time.Millisecond
+
+// scene is two instances in front of an engine and a plain service.
+type scene struct {
+	t               *testing.T
+	fleet           *processtest.Fleet
+	one, two        *processtest.Instance
+	engine, service *processtest.Standin
+	routes          admin.RoutesDocument
+	pools           admin.PoolsDocument
+}
+
+func newScene(t *testing.T) *scene {
+	t.Helper()
+	s := &scene{t: t, fleet: processtest.NewFleet(t)}
+	s.engine = processtest.StartStandin(t, "engine", "engine", "--fencing", "--load-remote", loadTime.String())
+	s.service = processtest.StartStandin(t, "service", "service")
+	for _, upstream := range []*processtest.Standin{s.engine, s.service} {
+		upstream.WatchSecrets(lawKey, salesKey, processtest.AdminToken, processtest.PeerSecret)
+	}
+	s.one, s.two = s.fleet.StartInstance("entry-1", "east"), s.fleet.StartInstance("entry-2", "west")
+	processtest.AwaitMembers(t, 2, s.one, s.two)
+	s.tables()
+	s.one.MustPut("pools", s.pools)
+	s.one.MustPut("routes", s.routes)
+	for _, i := range []*processtest.Instance{s.one, s.two} {
+		processtest.Eventually(t, i.Name+" is ready", i.Ready)
+	}
+	t.Cleanup(s.checkSecrets)
+	return s
+}
+
+func (s *scene) tables() {
+	s.pools.Pools = []catalog.Pool{
+		{
+			Name: "drafting", Kind: catalog.Engine,
+			Upstreams: []catalog.Upstream{{Name: "worker-1", Address: s.engine.Address, DataCentre: "east", MemoryMB: 16000, Fencing: true}},
+			Models:    []catalog.Model{{Name: "small", MemoryMB: 800}, {Name: "large", MemoryMB: 8000}},
+		},
+		{
+			Name: "signup", Kind: catalog.Service,
+			Upstreams: []catalog.Upstream{{Name: "signup-1", Address: s.service.Address, DataCentre: "east"}},
+		},
+	}
+	law := catalog.Workspace{Name: "law", Keys: []string{catalog.HashKey(lawKey)}, Rate: 10000, Burst: 100000}
+	sales := catalog.Workspace{Name: "sales", Keys: []string{catalog.HashKey(salesKey)}, Rate: 10000, Burst: 100000}
+	s.routes.Routes = []catalog.Route{
+		{Name: "drafting", Pool: "drafting", Models: []string{"small", "large"}, Workspaces: []catalog.Workspace{law}},
+		{Name: "signup", Pool: "signup", Prefix: "/signup/", Workspaces: []catalog.Workspace{law, sales}},
+	}
+}
+
+// checkSecrets guards against keys and secrets that reach an upstream or a log.
+func (s *scene) checkSecrets() {
+	if s.t.Failed() {
+		return // upstreams may have ended
+	}
+	for _, i := range []*processtest.Instance{s.one, s.two} {
+		for _, secret := range []string{lawKey, salesKey, processtest.AdminToken, processtest.PeerSecret} {
+			if strings.Contains(i.Log(), secret) {
+				s.t.Errorf("the log of %s holds a key or secret", i.Name)
+			}
+		}
+	}
+	if !s.engine.Ended() && s.engine.Engine().Credential > 0 {
+		s.t.Error("a key reached the engine")
+	}
+	if !s.service.Ended() && s.service.Service().Credential > 0 {
+		s.t.Error("a key reached the service")
+	}
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status  int
+	header  http.Header
+	body    string
+	elapsed time.Duration
+	err     error // the answer broke off
+}
+
+type refusal struct {
+	Error struct{ Message, Type, Code, Verdict string }
+}
+
+// call is one request of a caller.
+type call struct {
+	method, path, key, body string
+	header                  map[string]string
+}
+
+var callers = &http.Client{Timeout: processtest.WaitCap}
+
+func (c call) do(i *processtest.Instance) answer {
+	req, err := http.NewRequest(c.method, "http://"+i.Caller+c.path, strings.NewReader(c.body))
+	if err != nil {
+		return answer{err: err}
+	}
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	for name, value := range c.header {
+		req.Header.Set(name, value)
+	}
+	start := time.Now()
+	resp, err := callers.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	var body bytes.Buffer
+	_, err = io.Copy(&body, resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: body.String(), elapsed: time.Since(start), err: err}
+}
+
+// wantRefusal checks that an answer is a refusal with its verdict.
+func (a answer) wantRefusal(t *testing.T, what string, status int, code, verdict string) {
+	t.Helper()
+	var r refusal
+	if err := json.Unmarshal([]byte(a.body), &r); err != nil {
+		t.Errorf("%s: status %d, %v, not a refusal: %q", what, a.status, a.err, a.body)
+		return
+	}
+	if a.status != status || r.Error.Code != code || r.Error.Verdict != verdict {
+		t.Errorf("%s: status %d, code %q, verdict %q, want %d, %q, %q", what, a.status, r.Error.Code, r.Error.Verdict, status, code, verdict)
+	}
+	if a.header.Get("X-Request-Id") == "" {
+		t.Errorf("%s: no request ID", what)
+	}
+}
+
+// chat returns a chat request for a number of tokens.
+func chat(model, key string, tokens int, stream bool) call {
+	return call{
+		method: http.MethodPost, path: "/v1/chat/completions", key: key,
+		body: fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, model, stream, tokens),
+	}
+}
+
+type chunk struct {
+	ID      string
+	Choices []struct {
+		Delta        struct{ Content string }
+		FinishReason *string `json:"finish_reason"`
+	}
+	Usage *struct {
+		CompletionTokens int `json:"completion_tokens"`
+	}
+}
+
+// wantStream checks that an answer is a whole event stream of the caller's own request.
+func (a answer) wantStream(t *testing.T, what string, tokens int) {
+	t.Helper()
+	var text, want strings.Builder
+	var last chunk
+	done := false
+	lines := bufio.NewScanner(strings.NewReader(a.body))
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if done = data == "[DONE]"; done {
+			break
+		}
+		var c chunk
+		if err := json.Unmarshal([]byte(data), &c); err != nil || len(c.Choices) != 1 || c.ID != a.header.Get("X-Request-Id") {
+			t.Errorf("%s: chunk %s of request %s: %v", what, data, a.header.Get("X-Request-Id"), err)
+			return
+		}
+		text.WriteString(c.Choices[0].Delta.Content)
+		last = c
+	}
+	for i := range tokens {
+		want.WriteString(engine.Token(i))
+	}
+	if a.status != http.StatusOK || a.err != nil || !done || text.String() != want.String() {
+		t.Errorf("%s: status %d, %v, done %t, text %q, want %q\n%s", what, a.status, a.err, done, text.String(), want.String(), a.body)
+		return
+	}
+	if last.Usage == nil || last.Usage.CompletionTokens != tokens || last.Choices[0].FinishReason == nil {
+		t.Errorf("%s: last chunk lacks usage or finish_reason: %s", what, a.body)
+	}
+}
--- /dev/null
+++ b/e2e/service_test.go
@@ -0,0 +1,92 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/standin"
+	"github.com/hibiscusyard/hibiscusyard/standin/service"
+)
+
+// Guards against calls that run twice, run for another request, or lose their
+// method, body or headers on the way.
+func TestServiceCallArrivesExactlyOnce(t *testing.T) {
+	s := newScene(t)
+	const calls = 40
+	answers := make([]answer, calls)
+	var wg sync.WaitGroup
+	for n := range calls {
+		instance := []*processtest.Instance{s.one, s.two}[n%2]
+		wg.Go(func() {
+			c := call{method: http.MethodPut, path: fmt.Sprintf("/signup/users/%d?full=1", n), key: lawKey, body: fmt.Sprintf("body %d", n)}
+			c.header = map[string]string{"X-Custom": "kept", "Connection": "X-Hop", "X-Hop": "dropped"}
+			answers[n] = c.do(instance)
+		})
+	}
+	wg.Wait()
+	state := s.service.Service()
+	for n, a := range answers {
+		var got service.Answer
+		if err := json.Unmarshal([]byte(a.body), &got); err != nil {
+			t.Fatalf("call %d: status %d, %v: %q", n, a.status, a.err, a.body)
+		}
+		id := a.header.Get("X-Request-Id")
+		want := service.Answer{
+			Method: http.MethodPut, Path: fmt.Sprintf("/signup/users/%d", n), Query: "full=1",
+			RequestID: id, Body: fmt.Sprintf("body %d", n), Effects: 1,
+		}
+		if got != want {
+			t.Errorf("call %d: answer %+v, want %+v", n, got, want)
+		}
+		if state.ByRequest[id] != 1 {
+			t.Errorf("call %d had %d effects", n, state.ByRequest[id])
+		}
+	}
+	if state.Effects != calls || state.MaxPerRequest != 1 {
+		t.Errorf("%d calls had %d effects", calls, state.Effects)
+	}
+	if h := state.LastHeaders; h.Get("X-Custom") != "kept" || h.Get("X-Hop") != "" || h.Get("Authorization") != "" {
+		t.Errorf("headers at the service: %v", h)
+	}
+}
+
+// Guards against a call that is repeated although it may have run, and
+// against a verdict that claims too much.
+func TestServiceFailureVerdicts(t *testing.T) {
+	s := newScene(t)
+	cases := []struct {
+		name    string
+		faults  standin.Faults
+		effects int
+		status  int
+		code    string
+	}{
+		{"answer lost after effect", standin.Faults{LoseAnswers: 1}, 1, http.StatusBadGateway, "upstream_failed"},
+		{"reset before effect", standin.Faults{ResetBefore: 1}, 0, http.StatusBadGateway, "upstream_failed"},
+		{"no answer in time", standin.Faults{Hang: true}, 0, http.StatusGatewayTimeout, "deadline_exceeded"},
+	}
+	request := call{method: http.MethodPost, path: "/signup/new", key: lawKey, body: "x", header: map[string]string{"X-Request-Timeout": "2"}}
+	for _, c := range cases {
+		before := s.service.Service()
+		s.service.Faults(c.faults)
+		request.do(s.one).wantRefusal(t, c.name, c.status, c.code, "may_have_run")
+		s.service.Faults(standin.Faults{})
+		after := s.service.Service()
+		if n := after.Effects - before.Effects; n != c.effects {
+			t.Errorf("%s: %d effects, want %d", c.name, n, c.effects)
+		}
+		if n := after.Requests - before.Requests; n != 1 {
+			t.Errorf("%s: %d requests reached the service", c.name, n)
+		}
+	}
+	s.service.Kill()
+	var r refusal
+	a := request.do(s.one)
+	if err := json.Unmarshal([]byte(a.body), &r); err != nil || a.status < http.StatusInternalServerError || r.Error.Verdict != "not_run" {
+		t.Errorf("service that does not listen: status %d, %+v, %v", a.status, r, err)
+	}
+}
