--- a/standin/faults.go
+++ b/standin/faults.go
@@ -86,11 +86,14 @@
 }
 
 // patch decodes data over the faults in force, so that fields that it does not
-// name stay as they are.
-func (s *store) patch(data []byte) (Faults, error) {
+// name stay as they are, or end if replace is set. An error changes nothing.
+func (s *store) patch(data []byte, replace bool) (Faults, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := s.faults
+	if replace {
+		changed = Faults{}
+	}
 	if err := catalog.Decode(data, &changed); err != nil {
 		return s.faults, err
 	}
--- a/standin/gate.go
+++ b/standin/gate.go
@@ -107,11 +107,8 @@
 func (g *Gate) postFaults(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err == nil {
-		if r.URL.Query().Get("replace") == "true" {
-			g.SetFaults(Faults{})
-		}
 		var f Faults
-		if f, err = g.patch(data); err == nil {
+		if f, err = g.patch(data, r.URL.Query().Get("replace") == "true"); err == nil {
 			WriteJSON(w, "application/json", http.StatusOK, f)
 			return
 		}
