fairqueue: add weighted fair queue by workspace

Requests that wait for capacity need an order that gives each workspace its weighted share, bounds, and an early answer when a deadline cannot be met. Start-time fair queueing with token costs; FIFO is kept as the baseline.

--- /dev/null
+++ b/fairqueue/rate.go
@@ -0,0 +1,54 @@
+package fairqueue
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// meterDecay is the time constant of the rate of service. Model loads and
+	// ramps change capacity within tens of seconds.
+	meterDecay = 10 * time.Second
+	// minMeasured is the time of waiting that must be seen before the rate is
+	// used to refuse a request. A shorter sample is a single answer at times.
+	minMeasured = time.Second
+	// minQueued separates entries that waited from those passed straight on,
+	// which say nothing about the rate under load.
+	minQueued = time.Millisecond
+)
+
+// meter measures tokens served per second while entries wait.
+type meter struct {
+	mark   time.Time // start of the interval not yet counted
+	tokens float64
+	busy   float64 // seconds
+}
+
+// begin starts a period in which entries wait.
+func (m *meter) begin(now time.Time) { m.mark = now }
+
+// served counts an entry that was taken out for service.
+func (m *meter) served(now, queued time.Time, cost int64) {
+	if now.Sub(queued) < minQueued {
+		return
+	}
+	elapsed := max(now.Sub(m.mark).Seconds(), 0)
+	keep := math.Exp(-elapsed / meterDecay.Seconds())
+	m.tokens = m.tokens*keep + float64(cost)
+	m.busy = m.busy*keep + elapsed
+	m.mark = now
+}
+
+// wait returns the expected time until the tokens ahead have been served, 0
+// while too little has been measured. A stall since the last service counts.
+func (m *meter) wait(now time.Time, ahead int64) time.Duration {
+	if ahead == 0 || m.tokens == 0 {
+		return 0
+	}
+	busy := m.busy + max(now.Sub(m.mark).Seconds(), 0)
+	if busy < minMeasured.Seconds() {
+		return 0
+	}
+	seconds := float64(ahead) * busy / m.tokens
+	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
+}
--- /dev/null
+++ b/fairqueue/shed.go
@@ -0,0 +1,131 @@
+package fairqueue
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/verdict"
+)
+
+// Expire removes and returns the entries whose deadline has passed or can no
+// longer be met at the current rate of service.
+func (q *Queue[T]) Expire(now time.Time) []Shed[T] {
+	var shed []Shed[T]
+	ahead := int64(0)
+	for _, item := range q.schedule() {
+		start := q.startAfter(now, item, ahead)
+		if !item.missed(start) {
+			ahead += item.Cost
+			continue
+		}
+		shed = append(shed, q.giveUp(now, item, start))
+	}
+	return shed
+}
+
+// schedule lists the waiting entries in the order in which they would be
+// served if none were added.
+func (q *Queue[T]) schedule() []*Item[T] {
+	type tagged struct {
+		item *Item[T]
+		tag  float64
+	}
+	list := make([]tagged, 0, q.length)
+	for _, f := range q.active {
+		tag := f.start
+		for item := f.head; item != nil; item = item.next {
+			list = append(list, tagged{item, tag})
+			if q.config.Policy == Fair {
+				tag += float64(item.Cost) / f.weight
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b tagged) int {
+		return cmp.Or(cmp.Compare(a.tag, b.tag), cmp.Compare(a.item.seq, b.item.seq))
+	})
+	items := make([]*Item[T], len(list))
+	for i := range list {
+		items[i] = list[i].item
+	}
+	return items
+}
+
+// estimate returns the expected start of service of a waiting item.
+func (q *Queue[T]) estimate(now time.Time, item *Item[T]) time.Time {
+	f := item.flow
+	if q.config.Policy == FIFO {
+		return q.startAfter(now, item, q.arrivedBefore(item))
+	}
+	own := f.cost - item.Cost
+	if item != f.tail {
+		own = 0
+		for other := item.prev; other != nil; other = other.prev {
+			own += other.Cost
+		}
+	}
+	tag := f.start + float64(own)/f.weight
+	ahead := float64(own)
+	for _, g := range q.active {
+		if g != f && tag > g.start {
+			ahead += min(float64(g.cost), (tag-g.start)*g.weight)
+		}
+	}
+	return q.startAfter(now, item, int64(ahead))
+}
+
+func (q *Queue[T]) arrivedBefore(item *Item[T]) int64 {
+	ahead := int64(0)
+	q.Each(func(other *Item[T]) {
+		if other.seq < item.seq {
+			ahead += other.Cost
+		}
+	})
+	return ahead
+}
+
+func (q *Queue[T]) startAfter(now time.Time, item *Item[T], ahead int64) time.Time {
+	start := now.Add(q.rate.wait(now, ahead))
+	if start.Before(item.NotBefore) {
+		return item.NotBefore
+	}
+	return start
+}
+
+func (e *Entry[T]) missed(start time.Time) bool {
+	return !e.Deadline.IsZero() && start.After(e.Deadline)
+}
+
+// giveUp removes an item whose deadline lies before its expected start. A
+// repeat with the same patience succeeds once the wait has shrunk by what is
+// missing now.
+func (q *Queue[T]) giveUp(now time.Time, item *Item[T], start time.Time) Shed[T] {
+	reason := verdict.DeadlineTooShort
+	if now.After(item.Deadline) {
+		reason = verdict.DeadlineExceeded
+	}
+	patience := max(item.Deadline.Sub(item.queued), 0)
+	q.remove(item)
+	return Shed[T]{Item: item, Reason: reason, RetryAfter: max(start.Sub(now)-patience, 0)}
+}
+
+// overBound returns the entry to shed after an insertion into f, or nil.
+func (q *Queue[T]) overBound(f *flow[T]) *Item[T] {
+	if f.length > q.config.MaxPerWorkspace {
+		return f.tail
+	}
+	if q.length <= q.config.MaxEntries {
+		return nil
+	}
+	if q.config.Policy == FIFO {
+		return f.tail
+	}
+	// The bound is on entries, so shares are compared in entries. The newest
+	// entry of the workspace has waited least.
+	return slices.MaxFunc(q.active, func(a, b *flow[T]) int {
+		return cmp.Or(
+			cmp.Compare(float64(a.length)/a.weight, float64(b.length)/b.weight),
+			cmp.Compare(float64(a.cost)/a.weight, float64(b.cost)/b.weight),
+			cmp.Compare(a.tail.seq, b.tail.seq))
+	}).tail
+}
