balance: add upstream choice, ramp, ejection and retry budget

The request path needs one place that says which upstream gets a request and why, and that keeps fresh and failing upstreams from more than they can bear. Failures after sending count per route, so that one bad route cannot eject an upstream for others; requests that end with one broken connection count once.

--- /dev/null
+++ b/balance/pick.go
@@ -0,0 +1,201 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// Reason says why an upstream was chosen or refused.
+type Reason string
+
+// Reasons of a choice.
+const (
+	LeastLoad    Reason = "least_load"    // less loaded than the first by affinity
+	BestAffinity Reason = "best_affinity" // first by affinity and not more loaded than the second
+	OnlyEligible Reason = "only_eligible"
+)
+
+// Reasons against an upstream.
+const (
+	DataCentreDisabled Reason = "data_centre_disabled"
+	Leaving            Reason = "leaving"
+	Ejected            Reason = "ejected"
+	ProbeInFlight      Reason = "probe_in_flight"
+	ReplicaNotReady    Reason = "replica_not_ready"
+	AlreadyTried       Reason = "already_tried"
+	AtConcurrency      Reason = "at_concurrency"
+	OverAllotment      Reason = "over_allotment"
+	Ramping            Reason = "ramping"
+	HigherLoad         Reason = "higher_load"
+	LowerAffinity      Reason = "lower_affinity"
+	EmptyPool          Reason = "empty_pool"
+)
+
+// Request is what the choice depends on.
+type Request struct {
+	// Digest is the prefix digest; for plain services any value that spreads requests.
+	Digest uint64
+	// Models says that only the upstreams in Ready have a replica.
+	Models bool
+	Ready  []string
+	// Tried lists the upstreams that this request has been sent to before.
+	Tried []string
+}
+
+// Alternative is an upstream that was not chosen.
+type Alternative struct {
+	Upstream string `json:"upstream"`
+	Reason   Reason `json:"reason"`
+}
+
+// Decision is the outcome of a Pick.
+type Decision struct {
+	// Upstream and Address are empty if none is eligible.
+	Upstream string
+	Address  string
+	// Reason is why the upstream was chosen or, if none is eligible, the
+	// reason of the alternative that is nearest to being eligible.
+	Reason Reason
+	// RetryAfter is the time until an upstream becomes eligible, 0 if unknown.
+	RetryAfter time.Duration
+	// Wait says that waiting can make an upstream eligible.
+	Wait bool
+	// Refused lists the alternatives, at most Config.MaxRefused of them.
+	Refused []Alternative
+	// Omitted counts the refused alternatives that are not listed.
+	Omitted int
+}
+
+// OK reports whether an upstream was chosen.
+func (d *Decision) OK() bool { return d.Upstream != "" }
+
+// nearness orders the reasons for which waiting helps.
+var nearness = map[Reason]int{
+	DataCentreDisabled: 1, Leaving: 2, AlreadyTried: 3, ReplicaNotReady: 4,
+	Ejected: 5, ProbeInFlight: 6, Ramping: 7, OverAllotment: 8, AtConcurrency: 9,
+}
+
+// Pick chooses an upstream without changing the state.
+func (p *Picker) Pick(now time.Time, r Request) Decision {
+	s := selection{picker: p, now: now, request: r, decision: Decision{Reason: EmptyPool}}
+	if r.Models {
+		for _, name := range r.Ready {
+			if u := p.byName[name]; u != nil {
+				s.consider(u)
+			}
+		}
+		s.refuseUnready()
+	} else {
+		for _, u := range p.upstreams {
+			s.consider(u)
+		}
+	}
+	s.choose()
+	return s.decision
+}
+
+// selection is the state of one Pick.
+type selection struct {
+	picker               *Picker
+	now                  time.Time
+	request              Request
+	decision             Decision
+	best, next           *upstream // by affinity
+	bestScore, nextScore uint64
+}
+
+func (s *selection) consider(u *upstream) {
+	if reason, eligibleAt := s.picker.ineligible(s.now, u, s.request.Tried); reason != "" {
+		s.refuse(u, reason, eligibleAt)
+		return
+	}
+	score := mix(s.request.Digest, u.hash)
+	switch {
+	case s.best == nil || score > s.bestScore:
+		if s.next != nil {
+			s.refuse(s.next, LowerAffinity, time.Time{})
+		}
+		s.next, s.nextScore = s.best, s.bestScore
+		s.best, s.bestScore = u, score
+	case s.next == nil || score > s.nextScore:
+		if s.next != nil {
+			s.refuse(s.next, LowerAffinity, time.Time{})
+		}
+		s.next, s.nextScore = u, score
+	default:
+		s.refuse(u, LowerAffinity, time.Time{})
+	}
+}
+
+// refuseUnready refuses the upstreams without a replica.
+func (s *selection) refuseUnready() {
+	for _, u := range s.picker.upstreams {
+		if !slices.Contains(s.request.Ready, u.Name) {
+			s.refuse(u, ReplicaNotReady, time.Time{})
+		}
+	}
+}
+
+func (s *selection) refuse(u *upstream, reason Reason, eligibleAt time.Time) {
+	d := &s.decision
+	if len(d.Refused) < s.picker.config.MaxRefused {
+		d.Refused = append(d.Refused, Alternative{Upstream: u.Name, Reason: reason})
+	} else {
+		d.Omitted++
+	}
+	if reason == LowerAffinity || reason == HigherLoad {
+		return // eligible; says nothing on when to come back
+	}
+	if nearness[reason] > nearness[d.Reason] {
+		d.Reason = reason
+	}
+	d.Wait = d.Wait || nearness[reason] >= nearness[Ejected]
+	if eligibleAt.After(s.now) {
+		if after := eligibleAt.Sub(s.now); d.RetryAfter == 0 || after < d.RetryAfter {
+			d.RetryAfter = after
+		}
+	}
+}
+
+func (s *selection) choose() {
+	chosen, reason := s.best, BestAffinity
+	switch {
+	case s.best == nil:
+		return
+	case s.next == nil:
+		reason = OnlyEligible
+	case s.picker.load(s.now, s.next) < s.picker.load(s.now, s.best):
+		chosen, reason = s.next, LeastLoad
+		s.refuse(s.best, HigherLoad, time.Time{})
+	default:
+		s.refuse(s.next, HigherLoad, time.Time{})
+	}
+	d := &s.decision
+	d.Upstream, d.Address, d.Reason = chosen.Name, chosen.Address, reason
+	d.RetryAfter, d.Wait = 0, false
+}
+
+// ineligible returns the reason against an upstream, or "", and when that
+// reason ends, if known.
+func (p *Picker) ineligible(now time.Time, u *upstream, tried []string) (Reason, time.Time) {
+	switch {
+	case u.disabled:
+		return DataCentreDisabled, time.Time{}
+	case u.leaving || u.Leaving:
+		return Leaving, time.Time{}
+	case slices.Contains(tried, u.Name):
+		return AlreadyTried, time.Time{}
+	case u.health.ejected && now.Before(u.health.until):
+		return Ejected, u.health.until
+	case u.health.probing:
+		return ProbeInFlight, time.Time{}
+	}
+	limit, cause, grows := p.limit(now, u)
+	if u.inFlight >= limit {
+		return cause, grows
+	}
+	if cause == AtConcurrency && float64(u.inFlight)+p.others(now, u) >= float64(u.Concurrency) {
+		return AtConcurrency, u.report.at.Add(p.config.ReportMaxAge)
+	}
+	return "", time.Time{}
+}
--- /dev/null
+++ b/balance/picker.go
@@ -0,0 +1,193 @@
+// Package balance chooses the upstream of a request among the members of a
+// pool. It is a state machine: the time is passed in, and nothing blocks or
+// does I/O. A Picker is not safe for concurrent use.
+package balance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+)
+
+// Defaults of the settings.
+const (
+	DefaultRamp          = 30 * time.Second
+	DefaultEjectAfter    = 5
+	DefaultEjectBase     = 5 * time.Second
+	DefaultEjectMax      = 5 * time.Minute
+	DefaultReportMaxAge  = 5 * time.Second
+	DefaultMaxRefused    = 16
+	routeFailureShare    = 3 // of DefaultEjectAfter, see health.failures
+	healthyForFirstDelay = 5 * time.Minute
+)
+
+// Config holds the settings of a Picker. Zero fields take their defaults.
+type Config struct {
+	// Self is the ID of this instance.
+	Self string
+	// Ramp is the time in which the allowance of a fresh upstream grows to its concurrency. Default 30s.
+	Ramp time.Duration
+	// EjectAfter is the number of failures in a row that eject an upstream. Default 5.
+	EjectAfter int
+	// EjectBase is the length of the first ejection; it doubles with each further one. Default 5s.
+	EjectBase time.Duration
+	// EjectMax bounds an ejection. Default 5m.
+	EjectMax time.Duration
+	// ReportMaxAge is the age from which a load report is ignored. Default 5s.
+	ReportMaxAge time.Duration
+	// MaxRefused bounds the refused alternatives that a decision lists. Default 16.
+	MaxRefused int
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Picker chooses among the upstreams of one pool.
+type Picker struct {
+	config    Config
+	kind      catalog.Kind
+	routes    int // routes that use the pool
+	upstreams []*upstream
+	byName    map[string]*upstream
+	members   []string
+	epoch     uint64 // grows with each change of members
+}
+
+// upstream is what an instance knows about one upstream.
+type upstream struct {
+	catalog.Upstream
+	hash     uint64
+	disabled bool // its data centre has been taken out
+	leaving  bool // reported by the platform's list or by the upstream
+	inFlight int
+	ramp     ramp
+	health   health
+	report   report
+}
+
+// New returns a Picker of an empty pool.
+func New(config Config) *Picker {
+	setDefault(&config.Ramp, DefaultRamp)
+	setDefault(&config.EjectAfter, DefaultEjectAfter)
+	setDefault(&config.EjectBase, DefaultEjectBase)
+	setDefault(&config.EjectMax, DefaultEjectMax)
+	setDefault(&config.ReportMaxAge, DefaultReportMaxAge)
+	setDefault(&config.MaxRefused, DefaultMaxRefused)
+	return &Picker{config: config, byName: map[string]*upstream{}}
+}
+
+// SetPool takes over a pool and the number of routes that use it. State of
+// upstreams that keep name and address is kept. An upstream that is new or
+// comes back into service is fresh, because this instance cannot know how
+// long it has been running.
+func (p *Picker) SetPool(now time.Time, pool *catalog.Pool, routes int) {
+	previous := p.byName
+	p.kind, p.routes = pool.Kind, max(routes, 1)
+	p.upstreams, p.byName = make([]*upstream, 0, len(pool.Upstreams)), make(map[string]*upstream, len(pool.Upstreams))
+	for _, entry := range pool.Upstreams {
+		u := previous[entry.Name]
+		if u == nil || u.Address != entry.Address {
+			u = &upstream{hash: xxhash.Sum64String(entry.Name)}
+			u.ramp.start = now
+		}
+		was := u.inService() || u.Name == ""
+		u.Upstream, u.disabled = entry, pool.Disabled(entry.DataCentre)
+		if !was && u.inService() {
+			u.ramp.start = now
+		}
+		p.upstreams = append(p.upstreams, u)
+		p.byName[entry.Name] = u
+	}
+	p.limitEjections(now)
+}
+
+// SetLeaving records that an upstream reports leaving, or that it is back.
+func (p *Picker) SetLeaving(now time.Time, name string, leaving bool) {
+	u := p.byName[name]
+	if u == nil || u.leaving == leaving {
+		return
+	}
+	if u.leaving = leaving; !leaving {
+		u.ramp.start = now
+	}
+	p.limitEjections(now)
+}
+
+// SetMembers takes over the IDs of the instances that share the upstreams.
+func (p *Picker) SetMembers(ids []string) {
+	p.members = append(p.members[:0:0], ids...)
+	p.epoch++
+}
+
+func (u *upstream) inService() bool { return !u.disabled && !u.leaving && !u.Leaving }
+
+// Ticket stands for a request that was handed to an upstream.
+type Ticket struct {
+	upstream *upstream
+	started  time.Time
+	probe    bool
+	finished bool
+}
+
+// Kind classifies how a request at an upstream ended.
+type Kind uint8
+
+// Kinds of results.
+const (
+	Neutral       Kind = iota // cancelled, or declined without an error of the upstream
+	Success                   // a complete answer
+	ConnectFailed             // no connection; nothing of the request was sent
+	Broken                    // the connection broke before the end of the answer
+	TimedOut                  // no complete answer before the deadline
+	InvalidAnswer             // not an answer to this request
+	ErrorAnswer               // an answer that reports an error of the server
+)
+
+// Result is the end of a request at an upstream.
+type Result struct {
+	Kind  Kind
+	Route string
+	// Incarnation is what the answer said, empty if it did not say.
+	Incarnation string
+}
+
+// Start counts a request in flight. It must follow Pick before the state
+// changes. It returns nil for an upstream that is not in the pool.
+func (p *Picker) Start(now time.Time, name string) *Ticket {
+	u := p.byName[name]
+	if u == nil {
+		return nil
+	}
+	u.inFlight++
+	t := &Ticket{upstream: u, started: now, probe: u.health.ejected}
+	if t.probe {
+		u.health.probing = true
+	}
+	return t
+}
+
+// Finish ends a request. Further calls for the same ticket have no effect.
+func (p *Picker) Finish(now time.Time, t *Ticket, r Result) {
+	if t == nil || t.finished {
+		return
+	}
+	t.finished = true
+	u := t.upstream
+	u.inFlight--
+	u.observe(now, r.Incarnation, t.started)
+	p.judge(now, t, r)
+}
+
+// InFlight returns the number of requests that this instance has at an upstream.
+func (p *Picker) InFlight(name string) int {
+	if u := p.byName[name]; u != nil {
+		return u.inFlight
+	}
+	return 0
+}
