--- /dev/null
+++ b/idempotency/store_test.go
@@ -0,0 +1,307 @@
+package idempotency
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/verdict"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+type objects map[string][]byte
+
+func (o objects) Put(_ context.Context, key string, data []byte) error {
+	o[key] = bytes.Clone(data)
+	return nil
+}
+
+func (o objects) Get(_ context.Context, key string) ([]byte, error) {
+	if data, ok := o[key]; ok {
+		return data, nil
+	}
+	return nil, platform.ErrNotFound
+}
+
+// history runs submissions of a few keys at two instances, with faults and
+// kills taken from a script of bytes.
+type history struct {
+	script  []byte
+	table   *platformtest.Table
+	objects objects
+	stores  [2]*Store
+	serial  int
+	gone    map[string]bool
+	ran     map[string]int // side effects by key and digest
+	clean   int            // table calls that were answered
+	depth   int
+	failure string
+}
+
+func (h *history) next(n int) int {
+	if len(h.script) == 0 {
+		return 0
+	}
+	b := int(h.script[0])
+	h.script = h.script[1:]
+	return b % n
+}
+
+func (h *history) token() string {
+	h.serial++
+	return fmt.Sprint("token", h.serial)
+}
+
+func (h *history) start(i int) {
+	if old := h.stores[i]; old != nil {
+		h.gone[old.Incarnation] = true
+	}
+	h.stores[i] = &Store{Table: h.table, Objects: h.objects, Instance: fmt.Sprint(i), Incarnation: h.token(),
+		Gone: func(_, incarnation string) bool { return h.gone[incarnation] }, NewToken: h.token, Now: time.Now}
+}
+
+func (h *history) hook(string, string) platformtest.Fault {
+	if h.depth < 2 && h.next(6) == 5 {
+		clean := h.clean
+		h.submit(h.next(2)) // another request comes in between
+		h.clean = clean
+	}
+	fault := []platformtest.Fault{platformtest.None, platformtest.None, platformtest.None, platformtest.Refuse, platformtest.LoseAnswer}[h.next(5)]
+	if fault == platformtest.None {
+		h.clean++
+	}
+	return fault
+}
+
+// submit is one request from claim to answer.
+func (h *history) submit(instance int) {
+	h.depth++
+	defer func() { h.depth-- }()
+	store, key := h.stores[instance], []string{"k1", strings.Repeat("k2/", 50)}[h.next(2)]
+	body := []string{"a", "a", "a", "b"}[h.next(4)]
+	h.clean = 0
+	before := h.ran[key]
+	claim, outcome, refusal := store.Claim(context.Background(), Request{Workspace: "w", Route: "r", Key: key, Digest: body})
+	switch {
+	case claim != nil:
+		h.forward(instance, store, claim, key, body)
+	case outcome != nil:
+		if string(outcome.Body) != "answer to "+body {
+			h.fail("replayed %q to body %s", outcome.Body, body)
+		}
+	case refusal.Verdict() == verdict.NotRun && before > 0 && h.clean > 0:
+		h.fail("told not_run (%s) after %d runs", refusal.Reason, before)
+	case refusal.Verdict() == verdict.NotRun && refusal.Reason != verdict.ClaimUnavailable:
+		h.fail("told not_run by %s", refusal.Reason)
+	}
+}
+
+func (h *history) forward(instance int, store *Store, claim *Claim, key, body string) {
+	if h.next(6) == 5 || store != h.stores[instance] { // killed after the claim
+		h.start(instance)
+		return
+	}
+	attempt := verdict.Attempt{}
+	var outcome *Outcome
+	switch h.next(4) {
+	case 0: // no upstream was eligible
+	case 1: // broken connection
+		attempt.Expose()
+		h.ran[key]++
+	default:
+		attempt.Expose()
+		h.ran[key]++
+		outcome = &Outcome{Status: 200, Body: []byte("answer to " + body)}
+	}
+	if h.ran[key] > 1 {
+		h.fail("key %.3s ran %d times", key, h.ran[key])
+	}
+	if h.next(6) == 5 { // killed before the outcome was stored
+		h.start(instance)
+		return
+	}
+	_ = store.Complete(context.Background(), claim, attempt.Verdict(), outcome)
+	if h.next(4) == 3 {
+		store.Sweep(context.Background())
+	}
+}
+
+func (h *history) fail(format string, args ...any) {
+	if h.failure == "" {
+		h.failure = fmt.Sprintf(format, args...)
+	}
+}
+
+// Guards against a second run of a request with one Idempotency-Key, and
+// against a repeat that is told not_run although the table showed otherwise.
+func TestRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := &history{script: rapid.SliceOfN(rapid.Byte(), 50, 400).Draw(rt, "script"),
+			table: platformtest.NewTable(), objects: objects{}, gone: map[string]bool{}, ran: map[string]int{}}
+		h.start(0)
+		h.start(1)
+		h.table.SetHook(h.hook)
+		synctest.Test(t, func(*testing.T) { // the pauses of platform.Commit pass at once
+			for len(h.script) > 0 {
+				h.submit(h.next(2))
+			}
+		})
+		if h.failure != "" {
+			rt.Fatal(h.failure)
+		}
+	})
+}
+
+// Guards against wrong answers to a repeat in each state of a claim.
+func TestBegin(t *testing.T) {
+	yes, no := func(string) bool { return true }, func(string) bool { return false }
+	for _, c := range []struct {
+		name      string
+		row       Row
+		gone      bool
+		abandoned func(string) bool
+		want      Action
+	}{
+		{"running", Row{State: Running, Digest: "d"}, false, no, RefuseActive},
+		{"running at an instance that is gone", Row{State: Running, Digest: "d"}, true, no, RefuseDoubt},
+		{"given up before forwarding", Row{State: Running, Digest: "d"}, false, yes, Take},
+		{"done", Row{State: Done, Digest: "d", Outcome: &Outcome{}}, true, no, Replay},
+		{"done, body lost", Row{State: Done, Digest: "d", Outcome: &Outcome{Lost: true}}, false, no, RefuseRan},
+		{"unknown", Row{State: Unknown, Digest: "d"}, false, yes, RefuseDoubt},
+		{"released", Row{State: Released, Digest: "other"}, false, no, Take},
+		{"other request", Row{State: Done, Digest: "other", Outcome: &Outcome{}}, false, no, RefuseReused},
+		{"unreadable state", Row{State: "later version", Digest: "d"}, false, no, RefuseDoubt},
+	} {
+		d := Begin(c.row, true, 7, "d", func(string, string) bool { return c.gone }, c.abandoned)
+		if d.Action != c.want || (c.want == Take && d.Revision != 7) {
+			t.Errorf("%s: %+v, want action %d", c.name, d, c.want)
+		}
+	}
+}
+
+// Guards against refusals that claim too much while the table is away, and
+// against a key that stays blocked by a claim that was never forwarded.
+func TestTableOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &history{table: platformtest.NewTable(), objects: objects{}, gone: map[string]bool{}}
+		h.start(0)
+		h.start(1)
+		request := Request{Workspace: "w", Route: "r", Key: "k", Digest: "d"}
+		lost := func(op, _ string) platformtest.Fault {
+			if op == "get" {
+				return platformtest.Refuse
+			}
+			return platformtest.LoseAnswer
+		}
+		h.table.SetHook(lost)
+		claim, _, refusal := h.stores[0].Claim(t.Context(), request)
+		if claim != nil || refusal.Reason != verdict.ClaimUnavailable || refusal.Verdict() != verdict.NotRun || refusal.RetryAfter == 0 {
+			t.Fatalf("claim of unknown effect: %+v, %v", claim, refusal)
+		}
+		h.table.SetHook(nil)
+		if _, _, refusal = h.stores[1].Claim(t.Context(), request); refusal == nil || refusal.Verdict() != verdict.MayHaveRun {
+			t.Fatalf("another instance took over a running claim: %v", refusal)
+		}
+		if left := h.stores[0].Sweep(t.Context()); left != 0 {
+			t.Fatalf("%d claims left after the table came back", left)
+		}
+		if claim, _, refusal = h.stores[1].Claim(t.Context(), request); claim == nil {
+			t.Fatalf("the key stays blocked: %v", refusal)
+		}
+		h.table.SetHook(lost)
+		if _, _, refusal = h.stores[1].Claim(t.Context(), request); refusal.Reason != verdict.RequestInProgress || refusal.Verdict() != verdict.MayHaveRun {
+			t.Fatalf("repeat at the instance that runs the request: %v", refusal)
+		}
+		h.table.SetHook(nil)
+		if err := h.stores[1].Complete(t.Context(), claim, verdict.MayHaveRun, &Outcome{Status: 200}); err != nil {
+			t.Fatalf("the outcome of a claim that was taken over could not be stored: %v", err)
+		}
+	})
+}
+
+// Guards against a table that forgets the token of a transaction and reports a
+// conflict with the claim's own write.
+func TestConflictWithOwnWrite(t *testing.T) {
+	h := &history{table: platformtest.NewTable(), objects: objects{}, gone: map[string]bool{}}
+	h.start(0)
+	h.stores[0].Table = conflicting{h.table}
+	claim, _, refusal := h.stores[0].Claim(t.Context(), Request{Workspace: "w", Route: "r", Key: "k", Digest: "d"})
+	if claim == nil {
+		t.Fatalf("the claim was not recognised: %v", refusal)
+	}
+}
+
+type conflicting struct{ *platformtest.Table }
+
+func (c conflicting) Transact(ctx context.Context, token string, writes ...platform.Write) error {
+	_ = c.Table.Transact(ctx, token, writes...)
+	return platform.ErrConflict
+}
+
+// Guards against bodies that do not fit a row, and against answers that are
+// not replayed as they were.
+func TestOutcomeBodies(t *testing.T) {
+	for _, c := range []struct {
+		size     int
+		objects  int
+		replayed bool
+	}{{0, 0, true}, {MaxInline, 0, true}, {MaxInline + 1, 1, true}, {MaxStored + 1, 0, false}} {
+		h := &history{table: platformtest.NewTable(), objects: objects{}, gone: map[string]bool{}}
+		h.start(0)
+		request := Request{Workspace: "w", Route: "r", Key: "k", Digest: "d"}
+		claim, _, _ := h.stores[0].Claim(t.Context(), request)
+		body := bytes.Repeat([]byte("x"), c.size)
+		if err := h.stores[0].Complete(t.Context(), claim, verdict.MayHaveRun, &Outcome{Status: 201, Body: body}); err != nil {
+			t.Fatal(err)
+		}
+		_, outcome, refusal := h.stores[0].Claim(t.Context(), request)
+		if len(h.objects) != c.objects || (outcome != nil) != c.replayed {
+			t.Fatalf("%d bytes: %d objects, outcome %v, refusal %v", c.size, len(h.objects), outcome != nil, refusal)
+		}
+		if c.replayed && (outcome.Status != 201 || !bytes.Equal(outcome.Body, body)) {
+			t.Errorf("%d bytes: replayed %d bytes with status %d", c.size, len(outcome.Body), outcome.Status)
+		}
+		if !c.replayed && (refusal.Reason != verdict.AlreadyRun || refusal.Verdict() != verdict.MayHaveRun) {
+			t.Errorf("%d bytes: %v", c.size, refusal)
+		}
+	}
+}
+
+// Guards against two different keys, routes or workspaces that share a row.
+func TestRowKeys(t *testing.T) {
+	hashed := RowKey("w", "r", "a b")
+	seen := map[string]string{}
+	for _, parts := range [][3]string{
+		{"w", "r", "k"}, {"w", "r", "K"}, {"w/r", "k", "k"}, {"w", "r/k", "k"}, {"w", "r", "r/k"}, {"w", "r", "a b"},
+		{"w", "r", hashed[strings.LastIndex(hashed, "/")+1:]}, {"w", "r", strings.Repeat("k", 255)}, {"w", "r", strings.Repeat("k", 254)},
+	} {
+		key := RowKey(parts[0], parts[1], parts[2])
+		if other, taken := seen[key]; taken || len(key) > 200 {
+			t.Errorf("%v has row %s, also used by %s", parts, key, other)
+		}
+		seen[key] = fmt.Sprint(parts)
+	}
+	for key, valid := range map[string]bool{"": false, "a": true, " ~": true, "a\n": false, "é": false, "\x7f": false,
+		strings.Repeat("k", 255): true, strings.Repeat("k", 256): false} {
+		if ValidKey(key) != valid {
+			t.Errorf("key %q: valid is %t", key, !valid)
+		}
+	}
+}
