fairqueue: estimate the start of service by class

Requests that wait for a cold model are passed over and do not delay requests for other models, so that they must not count in the estimate for those. Removing the comparison of classes made TestDeadlineShedding fail: 'another model does not wait for the backlog'. balance.Decision tells whether an upstream can become eligible before the computed time.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -60,6 +60,8 @@
 	RetryAfter time.Duration
 	// Wait says that waiting can make an upstream eligible.
 	Wait bool
+	// Sooner says that this can happen before RetryAfter, such as by the end of a request.
+	Sooner bool
 	// Refused lists the alternatives, at most Config.MaxRefused of them.
 	Refused []Alternative
 	// Omitted counts the refused alternatives that are not listed.
@@ -150,6 +152,7 @@
 		d.Reason = reason
 	}
 	d.Wait = d.Wait || nearness[reason] >= nearness[Ejected]
+	d.Sooner = d.Sooner || nearness[reason] >= nearness[OverAllotment] || (nearness[reason] >= nearness[ProbeInFlight] && u.inFlight > 0)
 	if eligibleAt.After(s.now) {
 		if after := eligibleAt.Sub(s.now); d.RetryAfter == 0 || after < d.RetryAfter {
 			d.RetryAfter = after
@@ -172,7 +175,7 @@
 	}
 	d := &s.decision
 	d.Upstream, d.Address, d.Reason = chosen.Name, chosen.Address, reason
-	d.RetryAfter, d.Wait = 0, false
+	d.RetryAfter, d.Wait, d.Sooner = 0, false, false
 }
 
 // ineligible returns the reason against an upstream, or "", and when that
--- a/fairqueue/flow.go
+++ b/fairqueue/flow.go
@@ -107,6 +107,7 @@
 	f.cost -= item.Cost
 	q.length--
 	q.cost -= item.Cost
+	q.classes[item.Class].waiting--
 	if f.length == 0 {
 		heap.Remove(&q.active, f.index)
 	} else {
--- a/fairqueue/pop.go
+++ b/fairqueue/pop.go
@@ -50,6 +50,6 @@
 		q.virtual = max(q.virtual, f.start)
 		f.start += float64(item.Cost) / f.weight
 	}
-	q.rate.served(now, item.queued, item.Cost)
+	q.classes[item.Class].served(now, item.queued, item.Cost)
 	q.remove(item)
 }
--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -38,6 +38,9 @@
 // Entry describes a request that waits.
 type Entry[T any] struct {
 	Workspace string
+	// Class names what the entry waits for, such as a model. The expected
+	// start follows from the entries and the rate of its own class.
+	Class string
 	// Weight is the share of the workspace; the latest value holds for all its entries.
 	Weight float64
 	// Cost is the number of tokens the request is charged, at least 1.
@@ -77,7 +80,7 @@
 	length  int
 	cost    int64
 	seq     uint64
-	rate    meter
+	classes map[string]*meter
 }
 
 // New returns an empty queue.
@@ -88,7 +91,7 @@
 	if config.MaxPerWorkspace <= 0 {
 		config.MaxPerWorkspace = DefaultMaxPerWorkspace
 	}
-	return &Queue[T]{config: config, flows: map[string]*flow[T]{}}
+	return &Queue[T]{config: config, flows: map[string]*flow[T]{}, classes: map[string]*meter{}}
 }
 
 // Push adds an entry and returns the entries that are shed for it, which can
@@ -101,12 +104,12 @@
 	}
 	q.seq++
 	item := &Item[T]{Entry: e, seq: q.seq, queued: now}
-	if q.length == 0 {
-		q.rate.begin(now)
-	}
+	q.meter(now, e.Class).waiting++
 	q.insert(f, item)
-	if start := q.estimate(now, item); e.missed(start) {
-		return item, []Shed[T]{q.giveUp(now, item, start)}
+	if !e.Deadline.IsZero() {
+		if start := q.estimate(now, item); e.missed(start) {
+			return item, []Shed[T]{q.giveUp(now, item, start)}
+		}
 	}
 	if victim := q.overBound(f); victim != nil {
 		start := q.estimate(now, victim)
--- a/fairqueue/queue_test.go
+++ b/fairqueue/queue_test.go
@@ -183,6 +183,13 @@
 func TestDeadlineShedding(t *testing.T) {
 	q := New[int](Config{})
 	now := epoch
+	for range 3 { // a rate of 100 tokens a second for another class
+		q.Push(now, Entry[int]{Workspace: "c", Class: "cold", Weight: 1, Cost: 100})
+	}
+	for range 3 {
+		now = now.Add(time.Second)
+		q.Pop(now)
+	}
 	for range 40 {
 		q.Push(now, Entry[int]{Workspace: "a", Weight: 1, Cost: 100})
 	}
@@ -190,8 +197,8 @@
 		now = now.Add(100 * time.Millisecond)
 		q.Pop(now)
 	}
-	push := func(workspace string, patience, load time.Duration) []Shed[int] {
-		e := Entry[int]{Workspace: workspace, Weight: 1, Cost: 100, Deadline: now.Add(patience)}
+	push := func(workspace, class string, patience, load time.Duration) []Shed[int] {
+		e := Entry[int]{Workspace: workspace, Class: class, Weight: 1, Cost: 100, Deadline: now.Add(patience)}
 		if load > 0 {
 			e.NotBefore = now.Add(load)
 		}
@@ -202,15 +209,17 @@
 	for _, c := range []struct {
 		name           string
 		workspace      string
+		class          string
 		patience, load time.Duration
 		retry          time.Duration // -1: served
 	}{
-		{"backlog of 2 s ahead", "a", 500 * time.Millisecond, 0, 1500 * time.Millisecond},
-		{"enough patience", "a", 2100 * time.Millisecond, 0, -1},
-		{"another workspace does not wait for the backlog", "b", 500 * time.Millisecond, 0, -1},
-		{"model load ends too late", "b", 5 * time.Second, 20 * time.Second, 15 * time.Second},
+		{"another model does not wait for the backlog", "a", "cold", 500 * time.Millisecond, 0, -1},
+		{"backlog of 2 s ahead", "a", "", 500 * time.Millisecond, 0, 1500 * time.Millisecond},
+		{"enough patience", "a", "", 2100 * time.Millisecond, 0, -1},
+		{"another workspace does not wait for the backlog", "b", "", 500 * time.Millisecond, 0, -1},
+		{"model load ends too late", "b", "", 5 * time.Second, 20 * time.Second, 15 * time.Second},
 	} {
-		shed := push(c.workspace, c.patience, c.load)
+		shed := push(c.workspace, c.class, c.patience, c.load)
 		if c.retry < 0 {
 			if len(shed) != 0 {
 				t.Errorf("%s: shed %+v", c.name, shed[0])
--- a/fairqueue/rate.go
+++ b/fairqueue/rate.go
@@ -1,6 +1,7 @@
 package fairqueue
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -15,17 +16,34 @@
 	// minQueued separates entries that waited from those passed straight on,
 	// which say nothing about the rate under load.
 	minQueued = time.Millisecond
+	// maxIdleClasses bounds the classes whose rate is remembered while nothing waits.
+	maxIdleClasses = 256
 )
 
 // meter measures tokens served per second while entries wait.
 type meter struct {
-	mark   time.Time // start of the interval not yet counted
-	tokens float64
-	busy   float64 // seconds
+	waiting int
+	mark    time.Time // start of the interval not yet counted
+	tokens  float64
+	busy    float64 // seconds
 }
 
-// begin starts a period in which entries wait.
-func (m *meter) begin(now time.Time) { m.mark = now }
+// meter returns the meter of a class. If nothing waits in it, a period in
+// which entries wait begins now.
+func (q *Queue[T]) meter(now time.Time, class string) *meter {
+	m, ok := q.classes[class]
+	if !ok {
+		if len(q.classes) >= maxIdleClasses {
+			maps.DeleteFunc(q.classes, func(_ string, m *meter) bool { return m.waiting == 0 })
+		}
+		m = &meter{}
+		q.classes[class] = m
+	}
+	if m.waiting == 0 {
+		m.mark = now
+	}
+	return m
+}
 
 // served counts an entry that was taken out for service.
 func (m *meter) served(now, queued time.Time, cost int64) {
--- a/fairqueue/shed.go
+++ b/fairqueue/shed.go
@@ -12,11 +12,11 @@
 // longer be met at the current rate of service.
 func (q *Queue[T]) Expire(now time.Time) []Shed[T] {
 	var shed []Shed[T]
-	ahead := int64(0)
+	ahead := map[string]int64{} // by class
 	for _, item := range q.schedule() {
-		start := q.startAfter(now, item, ahead)
+		start := q.startAfter(now, item, ahead[item.Class])
 		if !item.missed(start) {
-			ahead += item.Cost
+			ahead[item.Class] += item.Cost
 			continue
 		}
 		shed = append(shed, q.giveUp(now, item, start))
@@ -53,39 +53,33 @@
 
 // estimate returns the expected start of service of a waiting item.
 func (q *Queue[T]) estimate(now time.Time, item *Item[T]) time.Time {
-	f := item.flow
-	if q.config.Policy == FIFO {
-		return q.startAfter(now, item, q.arrivedBefore(item))
-	}
-	own := f.cost - item.Cost
-	if item != f.tail {
-		own = 0
-		for other := item.prev; other != nil; other = other.prev {
-			own += other.Cost
-		}
+	tag := item.flow.start
+	for other := item.flow.head; other != item; other = other.next {
+		tag += float64(other.Cost) / item.flow.weight
 	}
-	tag := f.start + float64(own)/f.weight
-	ahead := float64(own)
-	for _, g := range q.active {
-		if g != f && tag > g.start {
-			ahead += min(float64(g.cost), (tag-g.start)*g.weight)
+	ahead := int64(0)
+	for _, f := range q.active {
+		before := f.start
+		for other := f.head; other != nil && q.precedes(other, before, item, tag); other = other.next {
+			if other.Class == item.Class {
+				ahead += other.Cost
+			}
+			before += float64(other.Cost) / f.weight
 		}
 	}
-	return q.startAfter(now, item, int64(ahead))
+	return q.startAfter(now, item, ahead)
 }
 
-func (q *Queue[T]) arrivedBefore(item *Item[T]) int64 {
-	ahead := int64(0)
-	q.Each(func(other *Item[T]) {
-		if other.seq < item.seq {
-			ahead += other.Cost
-		}
-	})
-	return ahead
+// precedes reports whether a is served before b by their start tags.
+func (q *Queue[T]) precedes(a *Item[T], tagA float64, b *Item[T], tagB float64) bool {
+	if q.config.Policy == FIFO || tagA == tagB {
+		return a.seq < b.seq
+	}
+	return tagA < tagB
 }
 
 func (q *Queue[T]) startAfter(now time.Time, item *Item[T], ahead int64) time.Time {
-	start := now.Add(q.rate.wait(now, ahead))
+	start := now.Add(q.classes[item.Class].wait(now, ahead))
 	if start.Before(item.NotBefore) {
 		return item.NotBefore
 	}
