filter: queue, balance, claim and relay requests in full

The thin chain chose an upstream by time, never retried, could repeat requests inside net/http and showed truncated streams as far as they came. The chain now queues by workspace, asks the balancer, retries by verdict and budget, claims requests with an Idempotency-Key, relays whole events only and ends a stream that is not complete with an error event.

The verdict follows from the first write on the connection and not from the connection itself, so that a stale idle connection gives not_run. net/http repeats requests without a body after bytes have left, if the method or an Idempotency-Key header permits; the request is built so that it does not.

--- a/catalog/index.go
+++ b/catalog/index.go
@@ -140,3 +140,15 @@
 	slices.Sort(names)
 	return names
 }
+
+// MaxChatBody returns the largest body that a model route which the key hash
+// opens accepts, 0 if there is none.
+func (x *Index) MaxChatBody(hash string) int64 {
+	limit := int64(0)
+	for i := range x.Catalog.Routes {
+		if r := &x.Catalog.Routes[i]; len(r.Models) > 0 && (r.Open || x.Allows(r, hash)) {
+			limit = max(limit, r.MaxBody)
+		}
+	}
+	return limit
+}
--- a/filter/chat.go
+++ b/filter/chat.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 )
 
 // Chat is what the chain reads of a chat completion request; the body is
@@ -11,6 +12,7 @@
 	Model               string          `json:"model"`
 	Messages            json.RawMessage `json:"messages"`
 	Stream              bool            `json:"stream"`
+	N                   int             `json:"n"`
 	MaxTokens           *int64          `json:"max_tokens"`
 	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
 }
@@ -19,6 +21,12 @@
 // is rather charged too high at admission than too low.
 const bytesPerToken = 3
 
+// Bounds of what a request may ask for, so that sums of tokens do not overflow.
+const (
+	maxOutput  = 1 << 30
+	maxChoices = 128
+)
+
 // ParseChat reads a chat completion request.
 func ParseChat(body []byte) (*Chat, error) {
 	var c Chat
@@ -30,8 +38,10 @@
 		return nil, errors.New("model must be set")
 	case len(c.Messages) == 0 || c.Messages[0] != '[':
 		return nil, errors.New("messages must be a list")
-	case c.output(1) < 1:
-		return nil, errors.New("max_tokens must be at least 1")
+	case c.output(1) < 1 || c.output(1) > maxOutput:
+		return nil, fmt.Errorf("max_tokens must be between 1 and %d", maxOutput)
+	case c.N < 0 || c.N > maxChoices:
+		return nil, fmt.Errorf("n must be between 1 and %d", maxChoices)
 	}
 	return &c, nil
 }
@@ -49,5 +59,8 @@
 
 // Reserve returns the tokens to reserve: the prompt and the longest output.
 func (c *Chat) Reserve(defaultOutput int64) int64 {
-	return int64(len(c.Messages))/bytesPerToken + 1 + c.output(defaultOutput)
+	return c.prompt() + int64(max(c.N, 1))*c.output(defaultOutput)
 }
+
+// prompt estimates the tokens of the prompt.
+func (c *Chat) prompt() int64 { return int64(len(c.Messages))/bytesPerToken + 1 }
--- /dev/null
+++ b/filter/claim.go
@@ -0,0 +1,108 @@
+package filter
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/idempotency"
+	"github.com/hibiscusyard/hibiscusyard/verdict"
+)
+
+// IdempotencyKeyHeader makes a request run at most once.
+const IdempotencyKeyHeader = "Idempotency-Key"
+
+// ReplayedHeader marks an answer that comes from an earlier run.
+const ReplayedHeader = "Idempotency-Replayed"
+
+const (
+	claimTimeout    = 3 * time.Second
+	completeTimeout = 5 * time.Second
+)
+
+// Claims lets a request with an Idempotency-Key run at most once, over all
+// instances, and answers repeats.
+type Claims struct{ Store *idempotency.Store }
+
+// Serve implements Filter.
+func (f Claims) Serve(ctx context.Context, r *Request, next Next) error {
+	values := r.HTTP.Header.Values(IdempotencyKeyHeader)
+	if len(values) == 0 {
+		return next(ctx, r)
+	}
+	if len(values) > 1 {
+		return verdict.New(verdict.IdempotencyKeyInvalid, "more than one Idempotency-Key")
+	}
+	claim, outcome, err := f.claim(ctx, r, values[0])
+	if err != nil {
+		return err
+	}
+	if outcome != nil {
+		return replay(r.Writer, outcome)
+	}
+	return f.run(ctx, r, claim, next)
+}
+
+func (f Claims) claim(ctx context.Context, r *Request, key string) (*idempotency.Claim, *idempotency.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	claim, outcome, refusal := f.Store.Claim(ctx, idempotency.Request{
+		Workspace: r.Workspace.Name, Route: r.Route.Name, Key: key,
+		Digest: idempotency.RequestDigest(r.HTTP.Method, r.HTTP.URL.RequestURI(), r.Body),
+	})
+	if refusal != nil {
+		return nil, nil, refusal
+	}
+	return claim, outcome, nil
+}
+
+// run forwards a claimed request. It runs to its end within the deadline also
+// if the caller hangs up, since the outcome is what a repeat asks for.
+func (f Claims) run(ctx context.Context, r *Request, claim *idempotency.Claim, next Next) (err error) {
+	r.Claimed = true
+	r.Writer.record, r.Writer.limit = true, idempotency.MaxStored
+	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
+	defer cancel()
+	complete := false
+	defer func() { f.complete(ctx, r, claim, complete) }() // also after a panic
+	err = next(run, r)
+	complete = err == nil
+	if complete && r.Writer.gone {
+		return r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection; the outcome was kept")
+	}
+	return err
+}
+
+func (f Claims) complete(ctx context.Context, r *Request, claim *idempotency.Claim, complete bool) {
+	var outcome *idempotency.Outcome
+	if complete {
+		outcome = &idempotency.Outcome{
+			Status: r.Writer.Status(), Headers: idempotency.KeepHeaders(r.Writer.Header().Get),
+			Body: r.Writer.copied, Lost: r.Writer.overflow,
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), completeTimeout)
+	defer cancel()
+	if err := f.Store.Complete(ctx, claim, r.Attempt.Verdict(), outcome); err != nil {
+		r.Log.WithError(err).Warn("outcome of a claimed request not stored")
+	}
+	f.Store.Sweep(ctx)
+}
+
+// replay answers with a stored outcome.
+func replay(w *ResponseWriter, outcome *idempotency.Outcome) error {
+	for name, value := range outcome.Headers {
+		w.Header().Set(name, value)
+	}
+	w.Header().Set(ReplayedHeader, "true")
+	w.WriteHeader(outcome.Status)
+	if err := w.send(outcome.Body, true); err != nil {
+		return alreadyRan("the caller closed the connection").Because(err)
+	}
+	return nil
+}
+
+func alreadyRan(message string) *verdict.Refusal {
+	var earlier verdict.Attempt
+	earlier.Expose()
+	return earlier.Refuse(verdict.CallerGone, "%s", message)
+}
--- a/filter/forward.go
+++ b/filter/forward.go
@@ -3,18 +3,25 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/hibiscusyard/hibiscusyard/balance"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
-// IncarnationHeader carries the incarnation of an upstream in every answer.
-const IncarnationHeader = "X-Upstream-Incarnation"
+// Headers of upstreams that callers do not see.
+const (
+	// IncarnationHeader carries the incarnation of an upstream in every answer.
+	IncarnationHeader = "X-Upstream-Incarnation"
+	// LoadHeader carries an ORCA load report.
+	LoadHeader = "Endpoint-Load-Metrics"
+)
 
 // hopByHop lists the headers that concern one connection only.
 var hopByHop = []string{
@@ -30,110 +37,150 @@
 	Observe func(pool *catalog.Pool, upstream *catalog.Upstream, header http.Header, err error)
 }
 
-// NewClient returns a client for upstreams: no redirects, no automatic retry
-// of a request whose bytes may have left.
-func NewClient() *http.Client {
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}
-	return &http.Client{
-		Transport:     transport,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+// Causes of the end of a request other than its upstream.
+var (
+	errKeyWithdrawn = errors.New("the key was withdrawn")
+	errCallerGone   = errors.New("the caller is gone or does not read")
+	errMalformed    = errors.New("malformed answer")
+)
+
+// try is one try of a request at an upstream.
+type try struct {
+	*Forward
+	ctx      context.Context
+	r        *Request
+	upstream *catalog.Upstream
+	conns    *tryConns
+	// result is the end of the request as the upstream's health sees it.
+	result balance.Result
+	header http.Header // of the answer, nil without one
+}
+
+// Try runs the request once at the upstream. It returns the result for the
+// upstream's health, the headers of the answer if there was one, and a
+// refusal if the answer is not complete.
+func (f *Forward) Try(ctx context.Context, r *Request, u *catalog.Upstream) (balance.Result, http.Header, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := &try{Forward: f, ctx: ctx, r: r, upstream: u, conns: &tryConns{expose: r.Attempt.Expose}}
+	err := t.run()
+	t.result.Route = r.Route.Name
+	if t.header != nil {
+		t.result.Incarnation = t.header.Get(IncarnationHeader)
+	}
+	return t.result, t.header, err
 }
 
-// Try runs the request once at the upstream.
-func (f *Forward) Try(ctx context.Context, r *Request, u *catalog.Upstream) error {
-	out, err := f.build(ctx, r, u)
+func (t *try) run() error {
+	out, err := t.build()
 	if err != nil {
-		return verdict.New(verdict.BadRequest, "the request can't be forwarded").Because(err)
+		return t.r.Attempt.Refuse(verdict.BadRequest, "the request can't be forwarded").Because(err)
 	}
-	if !f.Session.Valid(time.Now()) {
-		return r.Attempt.Refuse(verdict.NotReady, "this instance must check its session first")
-	}
-	resp, err := f.Client.Do(out)
-	if f.Observe != nil {
-		var header http.Header
-		if resp != nil {
-			header = resp.Header
-		}
-		f.Observe(r.Pool, u, header, err)
+	if !t.Session.Valid(time.Now()) {
+		return t.r.Attempt.Refuse(verdict.NotReady, "this instance must check its session first")
 	}
+	resp, err := t.Client.Do(out)
+	t.observe(resp, err)
 	if err != nil {
-		return f.refuse(ctx, r, u, err)
+		return t.fail(err)
 	}
 	defer resp.Body.Close()
-	if id := resp.Header.Get(RequestIDHeader); id != "" && id != r.ID {
-		return r.Attempt.Refuse(verdict.UpstreamInvalidAnswer, "the upstream answered another request")
+	t.header = resp.Header
+	if t.foreign(resp.Header) {
+		return t.fail(errForeign)
+	}
+	if t.disowned(resp) {
+		return t.r.Attempt.Refuse(verdict.UpstreamFailed, "upstream %s takes no requests for the model now", t.upstream.Name)
+	}
+	if err := t.relay(resp); err != nil {
+		return t.fail(err)
+	}
+	t.result.Kind = balance.Success
+	if resp.StatusCode >= http.StatusInternalServerError {
+		t.result.Kind = balance.ErrorAnswer
+	}
+	return nil
+}
+
+var errForeign = errors.Join(errMalformed, errors.New("the upstream answered another request"))
+
+// foreign reports whether an answer names another request than this one.
+func (t *try) foreign(header http.Header) bool {
+	return slices.ContainsFunc(header.Values(RequestIDHeader), func(id string) bool { return id != t.r.ID })
+}
+
+func (t *try) observe(resp *http.Response, err error) {
+	if t.Observe == nil {
+		return
+	}
+	var header http.Header
+	if resp != nil {
+		header = resp.Header
 	}
-	return f.relay(ctx, r, resp)
+	t.Observe(t.r.Pool, t.upstream, header, err)
 }
 
-func (f *Forward) build(ctx context.Context, r *Request, u *catalog.Upstream) (*http.Request, error) {
+func (t *try) build() (*http.Request, error) {
+	r := t.r
 	url := *r.HTTP.URL
-	url.Scheme, url.Host = "http", u.Address
-	// The body is hidden from net/http's replay logic (no GetBody), so that
-	// the transport never sends a request twice by itself.
-	out, err := http.NewRequestWithContext(ctx, r.HTTP.Method, url.String(), io.NopCloser(bytes.NewReader(r.Body)))
+	url.Scheme, url.Host = "http", t.upstream.Address
+	// The transport repeats requests without a body by itself, also after
+	// bytes have left, if their method or an Idempotency-Key header permits.
+	// An opaque body and a header name in lower case keep it from that.
+	var body io.Reader = struct{ io.Reader }{bytes.NewReader(r.Body)}
+	if len(r.Body) == 0 && !lacksBody(r.HTTP.Method) {
+		body = http.NoBody
+	}
+	out, err := http.NewRequestWithContext(t.conns.trace(t.ctx), r.HTTP.Method, url.String(), body)
 	if err != nil {
 		return nil, err
 	}
 	out.ContentLength = int64(len(r.Body))
-	if len(r.Body) == 0 {
-		out.Body = http.NoBody
-	}
 	copyHeaders(out.Header, r.HTTP.Header)
 	out.Header.Del("Authorization")
-	out.Header.Set(RequestIDHeader, r.ID)
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { r.Attempt.Expose() }}
-	return out.WithContext(httptrace.WithClientTrace(ctx, trace)), nil
-}
-
-func (f *Forward) refuse(ctx context.Context, r *Request, u *catalog.Upstream, err error) error {
-	if ctx.Err() != nil && r.HTTP.Context().Err() != nil {
-		return r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection")
+	out.Header.Del("Expect")
+	if values := out.Header.Values(IdempotencyKeyHeader); len(values) > 0 {
+		out.Header.Del(IdempotencyKeyHeader)
+		out.Header[strings.ToLower(IdempotencyKeyHeader)] = values
 	}
-	if ctx.Err() != nil {
-		return r.Attempt.Refuse(verdict.DeadlineExceeded, "the upstream did not answer in time").Because(err)
-	}
-	return r.Attempt.Refuse(verdict.UpstreamFailed, "upstream %s failed", u.Name).Because(err)
+	out.Header.Set(RequestIDHeader, r.ID)
+	return out, nil
 }
 
-// relay copies the answer, flushing as data arrives.
-func (f *Forward) relay(ctx context.Context, r *Request, resp *http.Response) error {
-	copyHeaders(r.Writer.Header(), resp.Header)
-	r.Writer.Header().Set(RequestIDHeader, r.ID)
-	r.Writer.WriteHeader(resp.StatusCode)
-	control := http.NewResponseController(r.Writer)
-	buffer := make([]byte, 16<<10)
-	for {
-		n, err := resp.Body.Read(buffer)
-		if n > 0 {
-			if _, werr := r.Writer.Write(buffer[:n]); werr != nil {
-				return r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection").Because(werr)
-			}
-			control.Flush() //nolint:errcheck // the next write reports a broken connection.
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return f.refuseBegun(ctx, r, err)
-		}
-	}
+// lacksBody reports whether requests of the method usually have no body; the
+// transport then sends none if the reader is empty.
+func lacksBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete, "PROPFIND", "SEARCH":
+		return true
+	}
+	return false
 }
 
-// refuseBegun ends an answer that can't be completed: an error event in an
-// event stream, a broken connection otherwise, so that it never looks whole.
-func (f *Forward) refuseBegun(_ context.Context, r *Request, err error) error {
-	refusal := r.Attempt.Refuse(verdict.UpstreamTruncated, "the upstream's answer ended early").Because(err)
-	if strings.HasPrefix(r.Writer.Header().Get("Content-Type"), "text/event-stream") {
-		WriteErrorEvent(r.Writer, refusal)
-		return refusal
-	}
-	panic(http.ErrAbortHandler)
+// fail closes the connection, so that nothing of this request leaves or
+// arrives any more, and returns the refusal.
+func (t *try) fail(err error) error {
+	t.conns.seal()
+	r, name := t.r, t.upstream.Name
+	refuse := func(kind balance.Kind, reason verdict.Reason, format string, args ...any) error {
+		t.result.Kind = kind
+		return r.Attempt.Refuse(reason, format, args...).Because(err)
+	}
+	switch {
+	case errors.Is(context.Cause(t.ctx), errKeyWithdrawn):
+		return refuse(balance.Neutral, verdict.KeyWithdrawn, "the key was withdrawn")
+	case errors.Is(err, errCallerGone), errors.Is(t.ctx.Err(), context.Canceled):
+		return refuse(balance.Neutral, verdict.CallerGone, "the caller closed the connection or does not read")
+	case errors.Is(err, errMalformed):
+		return refuse(balance.InvalidAnswer, verdict.UpstreamInvalidAnswer, "upstream %s sent a malformed answer", name)
+	case t.ctx.Err() != nil:
+		return refuse(balance.TimedOut, verdict.DeadlineExceeded, "the upstream did not answer in time")
+	case !t.conns.connected():
+		return refuse(balance.ConnectFailed, verdict.UpstreamFailed, "no connection to upstream %s", name)
+	case t.header != nil:
+		return refuse(balance.Broken, verdict.UpstreamTruncated, "the answer of upstream %s ended early", name)
+	}
+	return refuse(balance.Broken, verdict.UpstreamFailed, "the connection to upstream %s broke", name)
 }
 
 func copyHeaders(to, from http.Header) {
--- a/filter/handler.go
+++ b/filter/handler.go
@@ -65,13 +65,18 @@
 	return h.Chain(ctx, r)
 }
 
+// finish answers with the refusal, if there is one, and counts the request. An
+// answer that has begun and can't be completed breaks off with the connection,
+// so that it never looks whole.
 func (h *Handler) finish(r *Request, err error) {
-	outcome := "served"
+	outcome, ended := "served", true
 	if err != nil {
 		refusal := verdict.From(err)
 		outcome = string(refusal.Reason)
 		if !r.Writer.Begun() {
 			WriteRefusal(r.Writer, refusal)
+		} else {
+			ended = endBegun(r.Writer, refusal)
 		}
 		entry := r.Log.WithFields(log.Fields{"code": refusal.Reason, "verdict": refusal.Verdict().String(), "detail": refusal.Message})
 		if refusal.Cause != nil {
@@ -82,6 +87,9 @@
 	name := fmt.Sprintf(`hibiscusyard_requests_total{outcome=%q}`, outcome)
 	h.Metrics.GetOrCreateCounter(name).Inc()
 	h.Metrics.GetOrCreateHistogram(`hibiscusyard_request_duration_seconds`).UpdateDuration(r.Arrived)
+	if !ended {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // WriteRefusal answers with the JSON form of a refusal.
@@ -98,13 +106,25 @@
 	json.NewEncoder(w).Encode(body) //nolint:errcheck // the caller may have gone.
 }
 
-// WriteErrorEvent ends an event stream that can't be completed.
-func WriteErrorEvent(w http.ResponseWriter, refusal *verdict.Refusal) {
+// LimitWrites lifts the write deadline that the last request on a connection
+// has left behind, and bounds the writes that follow the handler.
+func LimitWrites(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		control.SetWriteDeadline(time.Time{})                                     //nolint:errcheck // not every writer has deadlines.
+		defer func() { control.SetWriteDeadline(time.Now().Add(writeTimeout)) }() //nolint:errcheck // as above.
+		next.ServeHTTP(w, r)
+	})
+}
+
+// WriteErrorEvent ends an event stream that can't be completed. Only whole
+// events have been passed on before it.
+func WriteErrorEvent(w *ResponseWriter, refusal *verdict.Refusal) error {
 	data, err := json.Marshal(describe(refusal))
 	if err != nil {
-		return
+		return err
 	}
-	fmt.Fprintf(w, "\n\nevent: error\ndata: %s\n\n", data) //nolint:errcheck // the caller may have gone.
+	return w.send(fmt.Appendf(nil, "event: error\ndata: %s\n\n", data), true)
 }
 
 func describe(refusal *verdict.Refusal) refusalBody {
--- a/filter/identify.go
+++ b/filter/identify.go
@@ -22,8 +22,8 @@
 // TimeoutHeader lets a caller shorten its deadline, in seconds.
 const TimeoutHeader = "X-Request-Timeout"
 
-// maxUnroutedBody bounds a chat body before its route is known.
-const maxUnroutedBody = 64 << 20
+// bodyTimeout bounds the time in which a caller sends its body.
+const bodyTimeout = 30 * time.Second
 
 // Catalog is the catalogue as the chain sees it.
 type Catalog interface {
@@ -48,6 +48,10 @@
 	}
 	if key != "" {
 		r.KeyHash = catalog.HashKey(key)
+		// A wrong key is refused before anything else is read.
+		if _, known := index.KeyOwner(r.KeyHash); !known {
+			return verdict.New(verdict.InvalidKey, "the key is not valid")
+		}
 	}
 	if err := f.route(r); err != nil {
 		return err
@@ -71,7 +75,13 @@
 		return verdict.New(verdict.UnknownRoute, "no route serves %s", path)
 	}
 	r.Route = route
-	body, err := readBody(r.HTTP, route.MaxBody)
+	if r.KeyHash == "" && !route.Open {
+		return verdict.New(verdict.MissingKey, "route %q needs a key", route.Name)
+	}
+	if r.KeyHash != "" && !r.Index.Allows(route, r.KeyHash) {
+		return verdict.New(verdict.Forbidden, "the key does not open route %q", route.Name)
+	}
+	body, err := readBody(r, route.MaxBody)
 	r.Body = body
 	return err
 }
@@ -80,11 +90,14 @@
 	if r.HTTP.Method != http.MethodPost {
 		return verdict.New(verdict.MethodNotAllowed, "%s takes POST", ChatPath)
 	}
-	if _, known := r.Index.KeyOwner(r.KeyHash); r.KeyHash != "" && !known {
-		// A wrong key is refused before its body is read.
-		return verdict.New(verdict.InvalidKey, "the key is not valid")
+	limit := r.Index.MaxChatBody(r.KeyHash)
+	if limit == 0 && r.KeyHash == "" {
+		return verdict.New(verdict.MissingKey, "no model is open to callers without a key")
 	}
-	body, err := readBody(r.HTTP, maxUnroutedBody)
+	if limit == 0 {
+		return verdict.New(verdict.Forbidden, "the key opens no model")
+	}
+	body, err := readBody(r, limit)
 	if err != nil {
 		return err
 	}
@@ -103,12 +116,16 @@
 	return nil
 }
 
-func readBody(hr *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, hr.Body, limit))
+func readBody(r *Request, limit int64) ([]byte, error) {
+	defer limitRead(r.Writer, bodyTimeout)()
+	body, err := io.ReadAll(http.MaxBytesReader(r.Writer.ResponseWriter, r.HTTP.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, verdict.New(verdict.BodyTooLarge, "the body exceeds %d bytes", limit)
 	}
+	if slowBody(err) {
+		return nil, verdict.New(verdict.BadRequest, "the body did not arrive within %s", bodyTimeout).Because(err)
+	}
 	if err != nil {
 		return nil, verdict.New(verdict.BadRequest, "the body ended early").Because(err)
 	}
--- a/filter/request.go
+++ b/filter/request.go
@@ -33,6 +33,8 @@
 	Cost  int64 // tokens reserved
 	Used  int64 // tokens to charge at the end
 	Known bool  // Used comes from the upstream
+	// Claimed says that the request holds a claim and must run at most once.
+	Claimed bool
 
 	Attempt verdict.Attempt
 	Log     log.Interface
@@ -66,33 +68,3 @@
 	}
 	return next
 }
-
-// ResponseWriter notes whether the answer has begun.
-type ResponseWriter struct {
-	http.ResponseWriter
-	status int
-}
-
-// WriteHeader notes the status.
-func (w *ResponseWriter) WriteHeader(status int) {
-	if w.status == 0 {
-		w.status = status
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-func (w *ResponseWriter) Write(p []byte) (int, error) {
-	if w.status == 0 {
-		w.status = http.StatusOK
-	}
-	return w.ResponseWriter.Write(p)
-}
-
-// Begun reports whether any part of the answer has been written.
-func (w *ResponseWriter) Begun() bool { return w.status != 0 }
-
-// Status returns the status written, 0 before.
-func (w *ResponseWriter) Status() int { return w.status }
-
-// Unwrap lets http.ResponseController reach the connection.
-func (w *ResponseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/instance.go
+++ b/instance.go
@@ -47,6 +47,7 @@
 	placement *placementControl
 	quota     *quotaControl
 	forward   *filter.Forward
+	route     *filter.Route
 
 	listeners listeners
 	servers   servers
@@ -84,6 +85,7 @@
 	i.quota = newQuotaControl(i)
 	i.placement = newPlacementControl(i)
 	i.forward = &filter.Forward{Client: filter.NewClient(), Session: i.session, Observe: i.placement.observe}
+	i.route = newRoute(i)
 	return i, nil
 }
 
@@ -221,7 +223,8 @@
 		filter.Identify{Catalog: i.catalog},
 		filter.Authorise{Catalog: i.catalog},
 		filter.Admit{Limiter: i.quota},
-		&filter.Route{Directory: i.placement, Catalog: i.catalog, Forward: i.forward},
+		filter.Claims{Store: newClaimStore(i)},
+		i.route,
 	)
 	handler := &filter.Handler{Chain: chain, Log: i.log, Metrics: i.metrics}
 	mux := http.NewServeMux()
@@ -229,5 +232,5 @@
 	mux.HandleFunc("GET /readyz", admin.ReadyHandler(i.notReady))
 	mux.Handle("GET "+filter.ModelsPath, filter.Models{Catalog: i.catalog})
 	mux.Handle("/", i.requests.count(handler))
-	return mux
+	return filter.LimitWrites(mux)
 }
