Place models by the controller under its lease and route by its views

Instances report demand to the lease holder and receive views with ready replicas and allotments. Running requests are reported, so that a replica in use is not unloaded.

--- /dev/null
+++ b/controller/directory/directory.go
@@ -0,0 +1,183 @@
+// Package directory keeps what an instance knows of placement: the latest view
+// of the placer, and the demand that the instance reports to it.
+package directory
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/balance"
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/placement"
+	"github.com/hibiscusyard/hibiscusyard/verdict"
+)
+
+const (
+	// silentAfter is the age of the latest view after which no placer is known
+	// to be at work. A placer repeats its view every 2 s.
+	silentAfter = 7 * time.Second
+	// leaseGap is the time in which another instance takes over the placer's
+	// lease and publishes its first view.
+	leaseGap = 6 * time.Second
+)
+
+type modelKey struct{ pool, model string }
+
+// Directory answers which upstreams have a model. Its methods are safe for
+// concurrent use.
+type Directory struct {
+	self    string
+	started time.Time
+
+	mu       sync.Mutex
+	view     placement.View
+	received time.Time // zero before the first view
+	models   map[modelKey]placement.ModelView
+	changed  chan struct{}
+	ledger   demandLedger
+}
+
+// New returns a directory without a view.
+func New(self string, now time.Time) *Directory {
+	return &Directory{self: self, started: now, changed: make(chan struct{}), ledger: newDemandLedger()}
+}
+
+// SetView takes over a view unless a newer one is known. It reports whether
+// the view was taken over.
+func (d *Directory) SetView(now time.Time, view placement.View) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.received.IsZero() && !view.Newer(d.view) {
+		return false
+	}
+	d.view, d.received = view, now
+	d.models = make(map[modelKey]placement.ModelView, len(view.Models))
+	for _, m := range view.Models {
+		d.models[modelKey{m.Pool, m.Model}] = m
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+	return true
+}
+
+// View returns the latest view.
+func (d *Directory) View() placement.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view
+}
+
+// Allotments returns by pool what the view lets this instance send to each
+// upstream at once.
+func (d *Directory) Allotments() map[string][]balance.Allotment {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pools := map[string][]balance.Allotment{}
+	for _, u := range d.view.Upstreams {
+		limit := u.Limit
+		if u.Limited {
+			limit = u.Allotments[d.self]
+		}
+		pools[u.Pool] = append(pools[u.Pool], balance.Allotment{Upstream: u.Upstream, Incarnation: u.Incarnation, Limit: limit})
+	}
+	return pools
+}
+
+// Incarnation returns the incarnation of an upstream in the view.
+func (d *Directory) Incarnation(pool, upstream string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, u := range d.view.Upstreams {
+		if u.Pool == pool && u.Upstream == upstream {
+			return u.Incarnation
+		}
+	}
+	return ""
+}
+
+// Ready implements filter.Directory.
+func (d *Directory) Ready(pool *catalog.Pool, model string) ([]*catalog.Upstream, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var ready []*catalog.Upstream
+	for _, replica := range d.models[modelKey{pool.Name, model}].Ready {
+		if u := pool.Upstream(replica.Upstream); u != nil {
+			ready = append(ready, u)
+		}
+	}
+	return ready, d.changed
+}
+
+// ComeBack implements filter.Directory. A request is refused as soon as it is
+// known that no load can make its deadline.
+func (d *Directory) ComeBack(pool, model string, deadline time.Time) *verdict.Refusal {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if since := d.silentSince(); now.Sub(since) > silentAfter {
+		return verdict.New(verdict.PlacementUnavailable, "model %q is not loaded and no placement controller is at work", model).After(leaseGap)
+	}
+	m, known := d.models[modelKey{pool, model}]
+	if !known || len(m.Ready) > 0 || m.Expected == 0 {
+		return nil
+	}
+	wait := m.Expected
+	if m.RetryAfter > 0 {
+		wait = m.RetryAfter
+	}
+	at := d.received.Add(wait)
+	if !at.After(deadline) {
+		return nil
+	}
+	return verdict.New(verdict.DeadlineTooShort, "model %q can't be loaded before the deadline", model).After(at.Sub(now))
+}
+
+func (d *Directory) silentSince() time.Time {
+	if d.received.IsZero() {
+		return d.started
+	}
+	return d.received
+}
+
+// Wait implements filter.Directory.
+func (d *Directory) Wait(pool, model, workspace string, deadline time.Time) func() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.end(d.ledger.wait(demandKey{modelKey{pool, model}, workspace}, deadline))
+}
+
+// Run implements filter.Directory.
+func (d *Directory) Run(pool, model, workspace, upstream string) func() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.end(d.ledger.run(demandKey{modelKey{pool, model}, workspace}, upstream))
+}
+
+// end wraps the end of an entry with the lock; calls after the first have no
+// effect.
+func (d *Directory) end(done func()) func() {
+	return sync.OnceFunc(func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		done()
+	})
+}
+
+// Report returns the demand to report. It counts arrivals since the last call.
+func (d *Directory) Report(now time.Time) []placement.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ledger.report(now)
+}
+
+// Wanted is signalled when a request begins or ends to wait.
+func (d *Directory) Wanted() <-chan struct{} { return d.ledger.wanted }
+
+// minDeadline is the shortest time to a deadline that a report carries, since
+// zero means that nothing waits.
+const minDeadline = time.Millisecond
+
+func timeLeft(now, deadline time.Time) time.Duration {
+	return time.Duration(math.Max(float64(deadline.Sub(now)), float64(minDeadline)))
+}
--- a/filter/route.go
+++ b/filter/route.go
@@ -22,6 +22,8 @@
 	Ready(pool *catalog.Pool, model string) ([]*catalog.Upstream, <-chan struct{})
 	// Wait reports a request that waits for a model; done ends the report.
 	Wait(pool, model, workspace string, deadline time.Time) (done func())
+	// Run reports a request that runs at an upstream; done ends the report.
+	Run(pool, model, workspace, upstream string) (done func())
 	// ComeBack returns a refusal if no load can make the deadline, else nil.
 	ComeBack(pool, model string, deadline time.Time) *verdict.Refusal
 }
@@ -108,6 +110,9 @@
 	if err := f.stillServed(r, g.upstream); err != nil {
 		return err
 	}
+	if r.Chat != nil {
+		defer f.Directory.Run(r.Pool.Name, r.Model(), r.Workspace.Name, g.upstream.Name)()
+	}
 	ctx, stop := watchKey(ctx, f.Catalog, r)
 	defer stop()
 	result, header, err := f.Forward.Try(ctx, r, g.upstream)
--- a/instance.go
+++ b/instance.go
@@ -128,6 +128,7 @@
 	i.hub.SetAddress(address)
 	i.session.SetAddress(address)
 	i.members.SetAddress(address)
+	i.placement.prepare(address)
 	i.state, i.stop = context.WithCancel(context.Background())
 	i.group, _ = errgroup.WithContext(i.state)
 	i.serve()
--- a/placement.go
+++ b/placement.go
@@ -3,50 +3,235 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
-	"time"
+	"github.com/hibiscusyard/hibiscusyard/controller/directory"
+	"github.com/hibiscusyard/hibiscusyard/controller/placer"
+	"github.com/hibiscusyard/hibiscusyard/engine"
+	"github.com/hibiscusyard/hibiscusyard/filter"
+	"github.com/hibiscusyard/hibiscusyard/peer"
+	"github.com/hibiscusyard/hibiscusyard/placement"
 )
 
-// placementControl answers which upstreams can run a request.
-type placementControl struct{ instance *Instance }
+const (
+	// reportEvery is how often demand is reported without a change.
+	reportEvery = 3 * time.Second
+	// reportGap bounds the reports that changes of demand cause.
+	reportGap = 20 * time.Millisecond
+	// sendTimeout bounds a report or a view on its way.
+	sendTimeout = 2 * time.Second
+)
+
+// upstreamEvent tells the placer what a request saw of an upstream.
+type upstreamEvent struct {
+	Pool        string `cbor:"1,keyasint"`
+	Upstream    string `cbor:"2,keyasint"`
+	Incarnation string `cbor:"3,keyasint,omitempty"` // empty after a broken connection
+}
+
+// demandReport carries all demand of the sending instance.
+type demandReport struct {
+	Demands []placement.Demand `cbor:"1,keyasint"`
+}
+
+// placementControl connects this instance's placer and its directory with the
+// other instances.
+type placementControl struct {
+	instance  *Instance
+	directory *directory.Directory
+	placer    *placer.Placer
+	done      chan struct{}
+
+	views     sync.Mutex // orders the views on their way to the routing filter
+	published chan placement.View
+}
+
+func newPlacementControl(i *Instance) *placementControl {
+	p := &placementControl{
+		instance: i, directory: directory.New(i.settings.Instance, time.Now()),
+		done: make(chan struct{}), published: make(chan placement.View, 1),
+	}
+	i.hub.Handle(peer.KindDemand, p.handleDemand)
+	i.hub.Handle(peer.KindPlacementView, p.handleView)
+	i.hub.Handle(peer.KindUpstreamEvent, p.handleUpstreamEvent)
+	i.catalog.OnAdopt(func(x *catalog.Index) { p.placer.SetCatalog(x) })
+	return p
+}
 
-func newPlacementControl(i *Instance) *placementControl { return &placementControl{instance: i} }
+// prepare builds the placer once the peer address is known.
+func (p *placementControl) prepare(address string) {
+	i := p.instance
+	p.placer = placer.New(i.table, engine.NewClient(), placer.Config{
+		Instance: i.settings.Instance, Incarnation: i.incarnation, Address: address,
+		Publish: p.publish, Log: i.log,
+	})
+}
 
+// run places models while this instance holds the lease, and reports demand
+// to whoever does.
 func (p *placementControl) run(ctx context.Context) error {
-	<-ctx.Done()
+	defer close(p.done)
+	var parts sync.WaitGroup
+	parts.Go(func() { p.placer.Run(ctx) })
+	parts.Go(func() { p.spread(ctx) })
+	parts.Go(func() { p.reportDemand(ctx) })
+	parts.Wait()
 	return nil
 }
 
-func (p *placementControl) release(context.Context) {}
+// publish hands over the newest view; one that was not sent yet is replaced.
+func (p *placementControl) publish(view placement.View) {
+	for {
+		select {
+		case p.published <- view:
+			return
+		default:
+		}
+		select {
+		case <-p.published:
+		default:
+		}
+	}
+}
 
-func (p *placementControl) observe(*catalog.Pool, *catalog.Upstream, http.Header, error) {}
+// spread sends each view of this instance's placer to all instances.
+func (p *placementControl) spread(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case view := <-p.published:
+			p.adopt(view.For(p.instance.settings.Instance))
+			for _, id := range p.instance.hub.Connected() {
+				go p.notify(ctx, id.Instance, peer.KindPlacementView, view.For(id.Instance))
+			}
+		}
+	}
+}
 
-func (p *placementControl) holder() string { return "" }
+func (p *placementControl) notify(ctx context.Context, instance string, kind peer.Kind, message any) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	if err := p.instance.hub.Notify(ctx, instance, kind, message); err != nil {
+		p.instance.log.WithError(err).WithField("peer", instance).Debug("placement message not sent")
+	}
+}
 
-func (p *placementControl) replicas() []admin.ReplicaStatus { return nil }
+// adopt puts a view in force at this instance.
+func (p *placementControl) adopt(view placement.View) {
+	p.views.Lock()
+	defer p.views.Unlock()
+	if !p.directory.SetView(time.Now(), view) {
+		return
+	}
+	for pool, allotments := range p.directory.Allotments() {
+		p.instance.route.SetAllotments(pool, allotments)
+	}
+}
 
-// Ready implements filter.Directory.
-func (p *placementControl) Ready(pool *catalog.Pool, model string) ([]*catalog.Upstream, <-chan struct{}) {
-	if model != "" {
-		return nil, nil
+func (p *placementControl) reportDemand(ctx context.Context) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-p.directory.Wanted():
+			if !sleep(ctx, reportGap) {
+				return
+			}
+		}
+		p.sendDemand(ctx)
 	}
-	var ready []*catalog.Upstream
-	for i := range pool.Upstreams {
-		u := &pool.Upstreams[i]
-		if !u.Leaving && !pool.Disabled(u.DataCentre) {
-			ready = append(ready, u)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (p *placementControl) sendDemand(ctx context.Context) {
+	holder := p.placer.Holder().Holder
+	demands := p.directory.Report(time.Now())
+	if holder == p.instance.settings.Instance {
+		p.placer.Report(holder, demands)
+		return
+	}
+	if holder != "" {
+		p.notify(ctx, holder, peer.KindDemand, demandReport{Demands: demands})
+	}
+}
+
+func (p *placementControl) handleDemand(_ context.Context, from peer.Identity, body []byte) (any, error) {
+	var report demandReport
+	if err := cbor.Unmarshal(body, &report); err != nil {
+		return nil, err
+	}
+	p.placer.Report(from.Instance, report.Demands)
+	return nil, nil
+}
+
+func (p *placementControl) handleView(_ context.Context, _ peer.Identity, body []byte) (any, error) {
+	var view placement.View
+	if err := cbor.Unmarshal(body, &view); err != nil {
+		return nil, err
+	}
+	p.placer.Observe(view)
+	p.adopt(view)
+	return nil, nil
+}
+
+func (p *placementControl) handleUpstreamEvent(_ context.Context, _ peer.Identity, body []byte) (any, error) {
+	var event upstreamEvent
+	if err := cbor.Unmarshal(body, &event); err != nil {
+		return nil, err
+	}
+	p.placer.UpstreamEvent(event.Pool, event.Upstream, event.Incarnation)
+	return nil, nil
+}
+
+// observe is told of the answer of each try at an upstream. A broken
+// connection or another incarnation than in the view is passed on to the placer.
+func (p *placementControl) observe(pool *catalog.Pool, u *catalog.Upstream, header http.Header, err error) {
+	if pool.Kind != catalog.Engine {
+		return
+	}
+	event := upstreamEvent{Pool: pool.Name, Upstream: u.Name}
+	if err == nil {
+		event.Incarnation = header.Get(filter.IncarnationHeader)
+		if event.Incarnation == "" || event.Incarnation == p.directory.Incarnation(pool.Name, u.Name) {
+			return
 		}
 	}
-	return ready, nil
+	p.placer.UpstreamEvent(event.Pool, event.Upstream, event.Incarnation)
+	if holder := p.placer.Holder().Holder; holder != "" && holder != p.instance.settings.Instance {
+		go p.notify(context.Background(), holder, peer.KindUpstreamEvent, event)
+	}
 }
 
-// Wait implements filter.Directory.
-func (p *placementControl) Wait(_, _, _ string, _ time.Time) func() { return func() {} }
+// holder returns the instance that holds the placer's lease as last read.
+func (p *placementControl) holder() string { return p.placer.Holder().Holder }
 
-// ComeBack implements filter.Directory.
-func (p *placementControl) ComeBack(_, _ string, _ time.Time) *verdict.Refusal {
-	return verdict.New(verdict.PlacementUnavailable, "no placement controller is running")
+// replicas lists the replicas of the latest view.
+func (p *placementControl) replicas() []admin.ReplicaStatus {
+	var list []admin.ReplicaStatus
+	for _, m := range p.directory.View().Models {
+		for _, r := range m.Ready {
+			list = append(list, admin.ReplicaStatus{Pool: m.Pool, Model: m.Model, Upstream: r.Upstream, State: "ready"})
+		}
+		for _, r := range m.Loading {
+			list = append(list, admin.ReplicaStatus{Pool: m.Pool, Model: m.Model, Upstream: r.Upstream, State: "loading"})
+		}
+	}
+	return list
 }
--- a/requests.go
+++ b/requests.go
@@ -15,7 +15,7 @@
 // newRoute wires queueing, the choice of upstreams and forwarding.
 func newRoute(i *Instance) *filter.Route {
 	route := &filter.Route{
-		Directory: i.placement, Catalog: i.catalog, Forward: i.forward,
+		Directory: i.placement.directory, Catalog: i.catalog, Forward: i.forward,
 		Balance: balance.Config{Self: i.settings.Instance},
 		Queue:   fairqueue.Config{MaxEntries: i.settings.QueueLimit, MaxPerWorkspace: i.settings.QueueLimit},
 	}
--- a/shutdown.go
+++ b/shutdown.go
@@ -62,7 +62,6 @@
 func (i *Instance) release() {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	i.placement.release(ctx)
 	i.quota.release(ctx)
 	if err := i.session.End(ctx); err != nil {
 		i.log.WithError(err).Warn("session not ended")
