--- a/e2e/service_test.go
+++ b/e2e/service_test.go
@@ -90,3 +90,32 @@
 		t.Errorf("service that does not listen: status %d, %+v, %v", a.status, r, err)
 	}
 }
+
+// Guards against a call with an Idempotency-Key that runs a second time when
+// its repeats arrive at any instance, also while the answer is lost after
+// effect or the table is out.
+func TestKeyedCallRunsAtMostOnce(t *testing.T) {
+	s := newScene(t)
+	keyed := func(key, body string) call {
+		return call{method: http.MethodPost, path: "/signup/new", key: lawKey, body: body, header: map[string]string{"Idempotency-Key": key}}
+	}
+	first := keyed("k1", "x").do(s.one)
+	second := keyed("k1", "x").do(s.two)
+	if first.status != http.StatusOK || second.status != http.StatusOK || second.body != first.body {
+		t.Errorf("repeat: status %d %q, first %d %q", second.status, second.body, first.status, first.body)
+	}
+	keyed("k1", "y").do(s.two).wantRefusal(t, "key reused for another request", http.StatusUnprocessableEntity, "idempotency_key_reused", "may_have_run")
+	s.service.Faults(standin.Faults{LoseAnswers: 1})
+	keyed("k2", "x").do(s.one).wantRefusal(t, "answer lost after effect", http.StatusBadGateway, "upstream_failed", "may_have_run")
+	s.service.Faults(standin.Faults{})
+	for _, i := range []*processtest.Instance{s.one, s.two} {
+		keyed("k2", "x").do(i).wantRefusal(t, "repeat at "+i.Name, http.StatusConflict, "outcome_unknown", "may_have_run")
+	}
+	s.fleet.Table.Faults(standin.Faults{Outage: standin.OutageError})
+	keyed("k3", "x").do(s.one).wantRefusal(t, "table out", http.StatusServiceUnavailable, "claim_unavailable", "not_run")
+	s.fleet.Table.Faults(standin.Faults{})
+	state := s.service.Service()
+	if state.ByKey["k1"] != 1 || state.ByKey["k2"] != 1 || state.ByKey["k3"] != 0 {
+		t.Errorf("effects by key: %v", state.ByKey)
+	}
+}
