--- /dev/null
+++ b/cmd/matrix/main.go
@@ -0,0 +1,36 @@
+// Command matrix prints the fault matrix: its counts, its page, or the
+// commands that run its tests.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/hibiscusyard/hibiscusyard/faultmatrix"
+)
+
+func main() {
+	var options struct {
+		Page     bool `long:"page" description:"print the page docs/fault-matrix.md"`
+		Commands bool `long:"commands" description:"print the commands that run the named tests"`
+	}
+	if _, err := flags.Parse(&options); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	switch {
+	case options.Page:
+		faultmatrix.Write(os.Stdout)
+	case options.Commands:
+		for _, command := range faultmatrix.Commands() {
+			fmt.Println(command)
+		}
+	default:
+		proved, impossible, open := faultmatrix.Counts()
+		fmt.Printf("fault matrix: %d cells, %d proved, %d impossible, %d not proved\n", proved+impossible+open, proved, impossible, open)
+	}
+}
