--- a/placement/placementtest/engine.go
+++ b/placement/placementtest/engine.go
@@ -112,6 +112,9 @@
 		}
 		c.Ready = true
 		e.Cached[o.Model] = placement.Memory
+		if w.Loaded != nil {
+			w.Loaded(e, c)
+		}
 		for _, f := range c.waiters {
 			f(out)
 		}
--- a/placement/placementtest/world.go
+++ b/placement/placementtest/world.go
@@ -34,6 +34,8 @@
 	Published func(placement.View)
 	// Decided receives every decision.
 	Decided func(placement.Decision)
+	// Loaded is called when a copy has become ready.
+	Loaded func(*Engine, *Copy)
 	// Unloaded is called before a copy is dropped by an order.
 	Unloaded func(*Engine, *Copy)
 	// Check, if set, runs after every event that changed a copy or a row.
