--- a/quota/borrow.go
+++ b/quota/borrow.go
@@ -16,6 +16,12 @@
 	maxBackOff = time.Second
 	// settleDelay is how long settlements wait for a message to the same lender.
 	settleDelay = time.Second
+	// settlePart is the part of a slot's capacity whose return does not wait. With a
+	// small burst, tokens on their way back are missed at once.
+	settlePart = 1.0 / 16
+	// probeAfter is the age at which a holder's level counts as unknown, because
+	// other instances may have returned tokens to it.
+	probeAfter = 250 * time.Millisecond
 	// settleRetry bounds how long settlements to an unreachable lender are kept.
 	settleRetry = time.Minute
 	// maxSettles bounds the settlements kept for one lender.
@@ -37,13 +43,19 @@
 	askUntil  time.Duration
 }
 
-// estimate returns the holder's level if nobody else spends from it.
+// estimate returns the holder's level if nobody else spends from it, or its
+// capacity if the level is not known well enough to leave it out.
 func (h *holder) estimate(w *workspace, now time.Duration) float64 {
-	full := float64(h.slots) * w.slotCapacity()
-	if !h.known {
-		return math.Floor(full)
+	if !h.known || now-h.at > max(probeAfter, h.backOff) {
+		return math.Floor(float64(h.slots) * w.slotCapacity())
 	}
-	return math.Floor(min(full, h.level+float64(h.slots)*w.slotRate()*(now-h.at).Seconds()))
+	return math.Floor(h.projected(w, now))
+}
+
+// projected returns the last known level plus what has flowed in since.
+func (h *holder) projected(w *workspace, now time.Duration) float64 {
+	level := h.level + float64(h.slots)*w.slotRate()*(now-h.at).Seconds()
+	return min(float64(h.slots)*w.slotCapacity(), level)
 }
 
 func (h *holder) asking(now time.Duration) bool { return h.askID != 0 && now < h.askUntil }
@@ -67,8 +79,10 @@
 	id        uint64
 	workspace *workspace
 	lender    string
+	tokens    float64
 	left      float64
 	unused    float64 // once dead: never spent or refunded
+	returning float64 // part of unused since the last urgent report
 	open      int     // reservations that it funds
 	expires   time.Duration
 	dead      bool
@@ -79,6 +93,7 @@
 	requests    []GrantRequest
 	settles     map[uint64]GrantSettle
 	since       time.Duration
+	urgent      bool
 	failedSince time.Duration // 0 while reachable
 }
 
@@ -102,7 +117,7 @@
 func (l *Ledger) Messages(now time.Duration, flush bool) []Outgoing {
 	var out []Outgoing
 	for name, p := range l.peers {
-		due := len(p.settles) > 0 && (flush || now-p.since >= settleDelay)
+		due := len(p.settles) > 0 && (flush || p.urgent || now-p.since >= settleDelay)
 		if len(p.requests) == 0 && !due {
 			continue
 		}
@@ -111,7 +126,7 @@
 			batch.Settles = append(batch.Settles, s)
 		}
 		slices.SortFunc(batch.Settles, func(a, b GrantSettle) int { return int(a.ID) - int(b.ID) })
-		p.requests, p.settles = nil, map[uint64]GrantSettle{}
+		p.requests, p.settles, p.urgent = nil, map[uint64]GrantSettle{}, false
 		out = append(out, Outgoing{name, batch})
 		if p.failedSince == 0 {
 			delete(l.peers, name)
@@ -136,7 +151,7 @@
 		l.endAsk(a)
 		l.learn(a, g, now)
 		if g.Tokens > 0 {
-			b := &borrowed{id: g.ID, workspace: a.workspace, lender: from, left: float64(g.Tokens), expires: a.sent + GrantLife}
+			b := &borrowed{id: g.ID, workspace: a.workspace, lender: from, tokens: float64(g.Tokens), left: float64(g.Tokens), expires: a.sent + GrantLife}
 			l.borrowed[b.id] = b
 			a.workspace.grants = append(a.workspace.grants, b)
 			slices.SortStableFunc(a.workspace.grants, func(x, y *borrowed) int { return int(x.expires - y.expires) })
@@ -152,7 +167,7 @@
 	if g.Moved {
 		h.slots, l.moved = 0, true
 	}
-	if g.Tokens < a.need {
+	if g.Tokens == 0 {
 		h.backOffFrom(now)
 	} else {
 		h.backOff, h.notBefore = 0, 0
@@ -204,11 +219,26 @@
 
 // endGrant stops spending from a grant and reports what was not spent.
 func (l *Ledger) endGrant(b *borrowed, now time.Duration) {
-	b.dead, b.unused, b.left = true, b.left, 0
-	l.reportGrant(b, now)
+	b.dead = true
+	back := b.left
+	b.left = 0
+	l.reportGrant(b, back, now)
+	if b.tokens >= b.workspace.slotCapacity()*settlePart {
+		l.peer(b.lender).urgent = true // the lender's slots fill again once it knows
+	}
 }
 
-func (l *Ledger) reportGrant(b *borrowed, now time.Duration) {
+// reportGrant queues a settlement that returns further tokens to the lender.
+func (l *Ledger) reportGrant(b *borrowed, back float64, now time.Duration) {
+	b.unused += back
+	b.returning += back
+	if h := b.workspace.holder(b.lender); h != nil {
+		h.level += back
+	}
+	if b.returning >= b.workspace.slotCapacity()*settlePart {
+		l.peer(b.lender).urgent = true
+		b.returning = 0
+	}
 	l.queueSettle(b.lender, GrantSettle{ID: b.id, Unused: uint64(b.unused), Open: b.open > 0}, now)
 	if b.open == 0 {
 		delete(l.borrowed, b.id)
--- a/quota/lend.go
+++ b/quota/lend.go
@@ -38,10 +38,10 @@
 	}
 	ln.closed, ln.unused = true, unused
 	ln.workspace.lending--
+	part := unused / max(ln.tokens, 1)
 	for i := range ln.parts {
 		p := &ln.parts[i]
-		back := min(unused, p.amount)
-		unused -= back
+		back := part * p.amount
 		if !p.slot.gone {
 			p.mark = p.slot.bucket.CloseLoan(p.amount, back, now)
 		}
@@ -51,11 +51,11 @@
 
 // refund returns tokens of a closed loan.
 func (ln *loan) refund(tokens float64, now time.Duration) {
+	part := tokens / max(ln.tokens-ln.unused, 1)
 	ln.unused += tokens
 	for i := range ln.parts {
 		p := &ln.parts[i]
-		back := min(tokens, p.amount)
-		tokens -= back
+		back := part * p.amount
 		p.amount -= back
 		if back > 0 && !p.slot.gone {
 			p.slot.bucket.Refund(p.mark, back, now)
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -117,6 +117,7 @@
 		if l.active {
 			if parts, ok := w.take(float64(t.Tokens), now); ok {
 				w.waiting = w.waiting[1:]
+				l.endSpentGrants(w, now)
 				t.Reservation = &Reservation{Workspace: t.Workspace, Tokens: t.Tokens, workspace: w, parts: parts}
 				l.decide(t, Admitted)
 				continue
@@ -130,6 +131,18 @@
 	}
 }
 
+// endSpentGrants reports grants that are used up, because they count against
+// the lender's capacity until it knows.
+func (l *Ledger) endSpentGrants(w *workspace, now time.Duration) {
+	w.grants = slices.DeleteFunc(w.grants, func(b *borrowed) bool {
+		if b.left >= 1 {
+			return false
+		}
+		l.endGrant(b, now)
+		return true
+	})
+}
+
 // available returns what can be spent here at once.
 func (w *workspace) available(now time.Duration) float64 {
 	sum := w.own(now)
@@ -181,10 +194,19 @@
 	r.settled = true
 	l.expire(now)
 	l.expireGrants(r.workspace, now)
-	back := float64(max(0, r.Tokens-max(used, 0)))
+	// The refund is spread evenly, because a slot that got all of it would
+	// overflow while the others bear the use.
+	part := 0.0
+	if r.Tokens > 0 {
+		part = float64(max(0, r.Tokens-max(used, 0))) / float64(r.Tokens)
+	}
+	carry := 0.0 // grants are refunded in whole tokens
 	for _, p := range r.parts {
-		amount := min(back, p.amount)
-		back -= amount
+		amount := min(p.amount, part*p.amount+carry)
+		if p.grant != nil {
+			amount = math.Floor(amount + roundingTokens)
+		}
+		carry = max(0, carry+part*p.amount-amount)
 		switch {
 		case p.grant != nil:
 			l.refundGrant(p.grant, amount, now)
@@ -205,9 +227,8 @@
 		b.left += amount
 		return
 	}
-	b.unused += amount
 	if amount > 0 || b.open == 0 {
-		l.reportGrant(b, now)
+		l.reportGrant(b, amount, now)
 	}
 }
 
@@ -303,7 +324,7 @@
 	ask := time.Duration(0)
 	for _, h := range w.holders {
 		if h.known {
-			level += h.estimate(w, now)
+			level += h.projected(w, now)
 		}
 		if rest := h.notBefore - now; rest > 0 && (ask == 0 || rest < ask) {
 			ask = rest
