--- /dev/null
+++ b/e2e/faults_test.go
@@ -0,0 +1,313 @@
+package e2e
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/standin"
+)
+
+// balancer sends callers to ready instances, as the platform's balancer does.
+type balancer struct {
+	mu        sync.Mutex
+	instances []*processtest.Instance
+	next      int
+}
+
+// balancerLag is how often readiness is looked at; the drain delay of the
+// tests is above it.
+const balancerLag = 50 * time.Millisecond
+
+func (b *balancer) add(i *processtest.Instance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances = append(b.instances, i)
+}
+
+// pick returns the next ready instance. The answer about readiness is as old
+// as one call to it.
+func (b *balancer) pick() *processtest.Instance {
+	for {
+		b.mu.Lock()
+		b.next++
+		i := b.instances[b.next%len(b.instances)]
+		b.mu.Unlock()
+		if i.Ready() {
+			return i
+		}
+	}
+}
+
+// load repeats calls until stop is closed and returns all answers.
+func (b *balancer) load(stop <-chan struct{}, callers int, next func(n int) call) []answer {
+	var mu sync.Mutex
+	var answers []answer
+	var wg sync.WaitGroup
+	for n := range callers {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				a := next(n).do(b.pick())
+				mu.Lock()
+				answers = append(answers, a)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+func signup() call {
+	return call{method: http.MethodPost, path: "/signup/new", key: salesKey, body: "x"}
+}
+
+// Guards against a graceful shutdown that cuts, refuses or drops a request
+// while all instances are replaced under load.
+func TestRollingReplacementCutsNoRequest(t *testing.T) {
+	s := newScene(t)
+	b := &balancer{}
+	b.add(s.one)
+	b.add(s.two)
+	chat("small", lawKey, 1, true).do(s.one).wantStream(t, "first request", 1)
+	stop := make(chan struct{})
+	done := make(chan []answer)
+	go func() {
+		done <- b.load(stop, 6, func(n int) call {
+			if n%2 == 0 {
+				return signup()
+			}
+			return chat("small", lawKey, 40, true)
+		})
+	}()
+	for k, old := range []*processtest.Instance{s.one, s.two} {
+		settings := s.fleet.Settings([]string{"entry-3", "entry-4"}[k], old.Settings.DataCentre)
+		settings.DrainDelay = duration.Duration(4 * balancerLag)
+		replacement := s.fleet.Start(settings)
+		processtest.Eventually(t, replacement.Name+" is ready", replacement.Ready)
+		b.add(replacement)
+		old.Terminate()
+		processtest.Eventually(t, old.Name+" ends", old.Ended)
+		if code := old.ExitCode(); code != 0 {
+			t.Errorf("%s ended with %d: %s", old.Name, code, tail(old.Log()))
+		}
+		s.fleet.List.Deregister(old.Name)
+	}
+	close(stop)
+	answers := <-done
+	for _, a := range answers {
+		if a.err != nil || a.status != http.StatusOK {
+			t.Errorf("during the replacement: status %d, error %v, body %q", a.status, a.err, a.body)
+		}
+	}
+	t.Logf("%d requests during the replacement", len(answers))
+}
+
+func tail(log string) string { return log[max(0, len(log)-2000):] }
+
+// Guards against a second run, and against a false not_run, when an instance
+// is killed after the upstream has run a call and before its answer arrives.
+func TestKilledInstanceLeavesOutcomeUnknown(t *testing.T) {
+	s := newScene(t)
+	keyed := signup()
+	keyed.header = map[string]string{"Idempotency-Key": "k1"}
+	s.service.Faults(standin.Faults{AnswerLatency: duration.Duration(time.Minute)})
+	broken := make(chan answer, 1)
+	go func() { broken <- keyed.do(s.one) }()
+	processtest.Eventually(t, "the service has run the call", func() bool { return s.service.Service().ByKey["k1"] == 1 })
+	s.one.Kill()
+	if a := <-broken; a.err == nil {
+		t.Errorf("the caller of the killed instance got %d %q", a.status, a.body)
+	}
+	s.service.Faults(standin.Faults{})
+	a := keyed.do(s.two)
+	if !strings.Contains(a.body, `"verdict":"may_have_run"`) {
+		t.Errorf("the repeat got %d %q, want may_have_run", a.status, a.body)
+	}
+	if n := s.service.Service().ByKey["k1"]; n != 1 {
+		t.Errorf("the call ran %d times", n)
+	}
+}
+
+// Guards against a frozen lease holder that stops placement for good, or that
+// orders a second replica when it runs again.
+func TestFrozenPlacerIsReplaced(t *testing.T) {
+	s := newScene(t)
+	holder, other := s.one, s.two
+	processtest.Eventually(t, "a placer is known", func() bool {
+		status, err := s.one.Status()
+		if err == nil && status.Placer == s.two.Name {
+			holder, other = s.two, s.one
+		}
+		return err == nil && status.Placer != ""
+	})
+	holder.Freeze()
+	processtest.Eventually(t, "the other instance places the model", func() bool {
+		return chat("small", lawKey, 3, true).do(other).status == http.StatusOK
+	})
+	holder.Thaw()
+	for _, i := range []*processtest.Instance{holder, other} {
+		processtest.Eventually(t, "served by "+i.Name, func() bool {
+			a := chat("large", lawKey, 3, true).do(i)
+			if a.status != http.StatusOK && !strings.Contains(a.body, `"verdict":"not_run"`) {
+				t.Errorf("%s after the thaw: %d %q %v", i.Name, a.status, a.body, a.err)
+			}
+			return a.status == http.StatusOK
+		})
+	}
+	state := s.engine.Engine()
+	if state.MaxReplicas["small"] != 1 || state.MaxReplicas["large"] != 1 || state.MaxMemoryMB > 16000 {
+		t.Errorf("most replicas %v, most memory %d MB", state.MaxReplicas, state.MaxMemoryMB)
+	}
+}
+
+// Guards against a stream that looks complete although its engine restarted,
+// and against a model that stays lost after a restart.
+func TestEngineRestartsDuringStream(t *testing.T) {
+	s := newScene(t)
+	chat("small", lawKey, 1, true).do(s.one).wantStream(t, "first request", 1)
+	before := s.engine.Engine().TokensSent
+	result := make(chan answer, 1)
+	go func() { result <- chat("small", lawKey, 2000, true).do(s.one) }()
+	processtest.Eventually(t, "the stream runs", func() bool { return s.engine.Engine().TokensSent > before+20 })
+	s.engine.Restart()
+	a := <-result
+	if !strings.Contains(a.body, "event: error") || !strings.Contains(a.body, "may_have_run") || strings.Contains(a.body, "[DONE]") {
+		t.Errorf("the cut stream ended with %v: %q", a.err, tail(a.body))
+	}
+	processtest.Eventually(t, "the model is loaded again", func() bool {
+		return chat("small", lawKey, 5, true).do(s.two).status == http.StatusOK
+	})
+	if state := s.engine.Engine(); state.MaxReplicas["small"] != 1 {
+		t.Errorf("most replicas %v", state.MaxReplicas)
+	}
+}
+
+// Guards against new work at a data centre after it was taken out, against
+// running work that is cut by it, and against a centre that stays empty after
+// its return.
+func TestDataCentreTakenOut(t *testing.T) {
+	s := newScene(t)
+	west := processtest.StartStandin(t, "service-west", "service")
+	s.pools.Pools[1].Upstreams = append(s.pools.Pools[1].Upstreams, catalog.Upstream{Name: "signup-2", Address: west.Address, DataCentre: "west"})
+	s.one.MustPut("pools", s.pools)
+	b := &balancer{instances: []*processtest.Instance{s.one, s.two}}
+	stop := make(chan struct{})
+	done := make(chan []answer)
+	go func() { done <- b.load(stop, 4, func(int) call { return signup() }) }()
+	arrives := func() bool {
+		before := west.Service().Effects
+		deadline := time.Now().Add(time.Second)
+		for time.Now().Before(deadline) {
+			if west.Service().Effects > before {
+				return true
+			}
+		}
+		return false
+	}
+	processtest.Eventually(t, "the west gets work", arrives)
+	s.pools.Pools[1].DisabledDataCentres = []string{"west"}
+	s.two.MustPut("pools", s.pools)
+	processtest.Within(t, inForce, "the west gets no new work", func() bool { return !arrives() })
+	if arrives() {
+		t.Error("the west got work again while it was taken out")
+	}
+	s.pools.Pools[1].DisabledDataCentres = nil
+	s.one.MustPut("pools", s.pools)
+	processtest.Eventually(t, "the west gets work after its return", arrives)
+	close(stop)
+	for _, a := range <-done {
+		if a.err != nil || a.status != http.StatusOK {
+			t.Errorf("while a data centre left and returned: status %d, error %v, body %q", a.status, a.err, a.body)
+		}
+	}
+}
+
+// Guards against refusing loaded models during a table outage, and against
+// holding a request that no load can help until its deadline.
+func TestTableOutageKeepsLoadedModels(t *testing.T) {
+	s := newScene(t)
+	chat("small", lawKey, 3, true).do(s.one).wantStream(t, "first request", 3)
+	s.fleet.Table.Faults(standin.Faults{Outage: standin.OutageClose})
+	processtest.Eventually(t, "a model that is not loaded is refused", func() bool {
+		cold := chat("large", lawKey, 3, true)
+		cold.header = map[string]string{"X-Request-Timeout": "20"}
+		a := cold.do(s.two)
+		chat("small", lawKey, 3, true).do(s.one).wantStream(t, "loaded model during the outage", 3)
+		return strings.Contains(a.body, "placement_unavailable") && strings.Contains(a.body, "not_run") && a.header.Get("Retry-After") != ""
+	})
+	s.fleet.Table.Faults(standin.Faults{})
+	processtest.Eventually(t, "the other model is loaded after the outage", func() bool {
+		return chat("large", lawKey, 3, true).do(s.two).status == http.StatusOK
+	})
+}
+
+// Guards against a running stream that goes on after its key was withdrawn.
+func TestWithdrawnKeyEndsRunningStream(t *testing.T) {
+	s := newScene(t)
+	chat("small", lawKey, 1, true).do(s.one).wantStream(t, "first request", 1)
+	before := s.engine.Engine().TokensSent
+	result := make(chan answer, 1)
+	go func() { result <- chat("small", lawKey, 20000, true).do(s.one) }()
+	processtest.Eventually(t, "the stream runs", func() bool { return s.engine.Engine().TokensSent > before+5 })
+	s.routes.Routes[0].Workspaces[0].Keys = nil
+	s.routes.Routes[1].Workspaces[0].Keys = nil
+	s.two.MustPut("routes", s.routes)
+	accepted := time.Now()
+	a := <-result
+	if took := time.Since(accepted); took > inForce {
+		t.Errorf("the stream went on for %s", took)
+	}
+	if !strings.Contains(a.body, "key_withdrawn") || strings.Contains(a.body, "[DONE]") {
+		t.Errorf("the stream ended with %q", tail(a.body))
+	}
+	processtest.Eventually(t, "the engine's stream is cancelled", func() bool { return s.engine.Engine().Running == 0 })
+}
+
+// Guards against more than rate x time + burst over all instances while a
+// workspace sends several times its rate and an instance is killed.
+func TestFloodStaysWithinRateAndBurst(t *testing.T) {
+	s := newScene(t)
+	const rate, burst, floodFor = 40.0, 80.0, 6 * time.Second
+	for _, r := range s.routes.Routes {
+		for k := range r.Workspaces {
+			if r.Workspaces[k].Name == "sales" {
+				r.Workspaces[k].Rate, r.Workspaces[k].Burst = rate, burst
+			}
+		}
+	}
+	before := s.service.Service().Effects
+	start := time.Now()
+	s.one.MustPut("routes", s.routes)
+	b := &balancer{instances: []*processtest.Instance{s.one, s.two}}
+	stop := make(chan struct{})
+	done := make(chan []answer)
+	go func() { done <- b.load(stop, 6, func(int) call { return signup() }) }()
+	time.AfterFunc(floodFor/2, s.one.Kill)
+	time.AfterFunc(floodFor, func() { close(stop) })
+	answers := <-done
+	elapsed := time.Since(start)
+	effects := float64(s.service.Service().Effects - before)
+	if limit := rate*elapsed.Seconds() + burst; effects > limit {
+		t.Errorf("%.0f calls ran in %s, the limit is %.0f", effects, elapsed, limit)
+	}
+	if due := rate * (floodFor / 2).Seconds(); effects < due {
+		t.Errorf("only %.0f calls ran while both instances lived, %.0f were due in half the time", effects, due)
+	}
+	for _, a := range answers {
+		if a.err == nil && a.status != http.StatusOK && !strings.Contains(a.body, `"verdict":"not_run"`) && !strings.Contains(a.body, "may_have_run") {
+			t.Errorf("answer without verdict: %d %q", a.status, a.body)
+		}
+	}
+	t.Logf("%.0f calls ran of %d in %s", effects, len(answers), elapsed)
+}
