--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -17,6 +17,8 @@
 type balancer struct {
 	mu        sync.Mutex
 	instances []*processtest.Instance
+	ready     []*processtest.Instance // at the last look
+	looked    time.Time
 	next      int
 }
 
@@ -30,16 +32,23 @@
 	b.instances = append(b.instances, i)
 }
 
-// pick returns the next ready instance. The answer about readiness is as old
-// as one call to it.
+// pick returns the next instance that was ready at the last look, which is up
+// to balancerLag old.
 func (b *balancer) pick() *processtest.Instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	for {
-		b.mu.Lock()
-		b.next++
-		i := b.instances[b.next%len(b.instances)]
-		b.mu.Unlock()
-		if i.Ready() {
-			return i
+		if time.Since(b.looked) > balancerLag {
+			b.looked, b.ready = time.Now(), nil
+			for _, i := range b.instances {
+				if i.Ready() {
+					b.ready = append(b.ready, i)
+				}
+			}
+		}
+		if len(b.ready) > 0 {
+			b.next++
+			return b.ready[b.next%len(b.ready)]
 		}
 	}
 }
