--- a/filter/chat.go
+++ b/filter/chat.go
@@ -1,9 +1,12 @@
 package filter
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 )
 
 // Chat is what the chain reads of a chat completion request; the body is
@@ -33,6 +36,9 @@
 	if err := json.Unmarshal(body, &c); err != nil {
 		return nil, err
 	}
+	if err := checkNames(body); err != nil {
+		return nil, err
+	}
 	switch {
 	case c.Model == "":
 		return nil, errors.New("model must be set")
@@ -46,6 +52,36 @@
 	return &c, nil
 }
 
+var chatFields = []string{"model", "messages", "stream", "n", "max_tokens", "max_completion_tokens"}
+
+// checkNames refuses fields that this parser and an engine's could read
+// differently: names that stand twice, and known names in another case. A
+// request must not be authorised for one model and run on another.
+func checkNames(body []byte) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if start, err := dec.Token(); err != nil || start != json.Delim('{') {
+		return errors.New("the body must be an object")
+	}
+	seen := map[string]bool{}
+	for dec.More() {
+		token, err := dec.Token()
+		if err != nil {
+			return err
+		}
+		name, ok := token.(string)
+		known := slices.ContainsFunc(chatFields, func(field string) bool { return strings.EqualFold(field, name) })
+		if !ok || seen[name] || (known && !slices.Contains(chatFields, name)) {
+			return fmt.Errorf("field %q stands twice or in another case", name)
+		}
+		seen[name] = true
+		var value json.RawMessage
+		if err := dec.Decode(&value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *Chat) output(otherwise int64) int64 {
 	switch {
 	case c.MaxCompletionTokens != nil:
--- a/filter/conn.go
+++ b/filter/conn.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
 const (
@@ -66,10 +69,17 @@
 // tryConns holds the connections that one try was given. The transport takes
 // another one only if nothing was written to the first.
 type tryConns struct {
-	expose func()
-	mu     sync.Mutex
-	conns  []*upstreamConn
-	got    bool
+	attempt *verdict.Attempt
+	written atomic.Bool
+	mu      sync.Mutex
+	conns   []*upstreamConn
+	got     bool
+	reused  bool // the last connection had served before
+}
+
+func (t *tryConns) expose() {
+	t.written.Store(true)
+	t.attempt.Expose()
 }
 
 func (t *tryConns) trace(ctx context.Context) context.Context {
@@ -79,7 +89,7 @@
 func (t *tryConns) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.got = true
+	t.got, t.reused = true, info.Reused
 	conn, ok := info.Conn.(*upstreamConn)
 	if !ok { // a client of another kind can't tell when it writes
 		t.expose()
@@ -98,6 +108,14 @@
 	return t.got
 }
 
+// stale reports whether an idle connection turned out to be closed before a
+// byte of the request was written. It must follow seal.
+func (t *tryConns) stale() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reused && !t.written.Load()
+}
+
 // seal closes the connections. No byte leaves after it has returned, so that
 // the verdict of the try is final.
 func (t *tryConns) seal() {
--- a/filter/forward.go
+++ b/filter/forward.go
@@ -37,6 +37,10 @@
 	Observe func(pool *catalog.Pool, upstream *catalog.Upstream, header http.Header, err error)
 }
 
+// maxStale bounds the closed idle connections that one try passes over. After
+// a restart of an upstream all its idle connections are closed.
+const maxStale = 64
+
 // Causes of the end of a request other than its upstream.
 var (
 	errKeyWithdrawn = errors.New("the key was withdrawn")
@@ -62,7 +66,7 @@
 func (f *Forward) Try(ctx context.Context, r *Request, u *catalog.Upstream) (balance.Result, http.Header, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	t := &try{Forward: f, ctx: ctx, r: r, upstream: u, conns: &tryConns{expose: r.Attempt.Expose}}
+	t := &try{Forward: f, ctx: ctx, r: r, upstream: u, conns: &tryConns{attempt: &r.Attempt}}
 	err := t.run()
 	t.result.Route = r.Route.Name
 	if t.header != nil {
@@ -72,17 +76,9 @@
 }
 
 func (t *try) run() error {
-	out, err := t.build()
+	resp, err := t.send()
 	if err != nil {
-		return t.r.Attempt.Refuse(verdict.BadRequest, "the request can't be forwarded").Because(err)
-	}
-	if !t.Session.Valid(time.Now()) {
-		return t.r.Attempt.Refuse(verdict.NotReady, "this instance must check its session first")
-	}
-	resp, err := t.Client.Do(out)
-	t.observe(resp, err)
-	if err != nil {
-		return t.fail(err)
+		return err
 	}
 	defer resp.Body.Close()
 	t.header = resp.Header
@@ -102,6 +98,31 @@
 	return nil
 }
 
+// send sends the request and returns the answer or a refusal. A connection
+// that the upstream has closed while it was idle is replaced.
+func (t *try) send() (*http.Response, error) {
+	for stale := 0; ; stale++ {
+		out, err := t.build()
+		if err != nil {
+			return nil, t.r.Attempt.Refuse(verdict.BadRequest, "the request can't be forwarded").Because(err)
+		}
+		if !t.Session.Valid(time.Now()) {
+			return nil, t.r.Attempt.Refuse(verdict.NotReady, "this instance must check its session first")
+		}
+		resp, err := t.Client.Do(out)
+		if err == nil {
+			t.observe(resp.Header, nil)
+			return resp, nil
+		}
+		t.conns.seal()
+		if !t.conns.stale() || stale >= maxStale || t.ctx.Err() != nil {
+			t.observe(nil, err)
+			return nil, t.fail(err)
+		}
+		t.conns = &tryConns{attempt: &t.r.Attempt}
+	}
+}
+
 var errForeign = errors.Join(errMalformed, errors.New("the upstream answered another request"))
 
 // foreign reports whether an answer names another request than this one.
@@ -109,15 +130,10 @@
 	return slices.ContainsFunc(header.Values(RequestIDHeader), func(id string) bool { return id != t.r.ID })
 }
 
-func (t *try) observe(resp *http.Response, err error) {
-	if t.Observe == nil {
-		return
-	}
-	var header http.Header
-	if resp != nil {
-		header = resp.Header
+func (t *try) observe(header http.Header, err error) {
+	if t.Observe != nil {
+		t.Observe(t.r.Pool, t.upstream, header, err)
 	}
-	t.Observe(t.r.Pool, t.upstream, header, err)
 }
 
 func (t *try) build() (*http.Request, error) {
@@ -125,7 +141,7 @@
 	url := *r.HTTP.URL
 	url.Scheme, url.Host = "http", t.upstream.Address
 	// The transport repeats requests without a body by itself, also after
-	// bytes have left, if their method or an Idempotency-Key header permits.
+	// bytes have left, if their method or the header of an idempotency key permits.
 	// An opaque body and a header name in lower case keep it from that.
 	var body io.Reader = struct{ io.Reader }{bytes.NewReader(r.Body)}
 	if len(r.Body) == 0 && !lacksBody(r.HTTP.Method) {
@@ -139,9 +155,11 @@
 	copyHeaders(out.Header, r.HTTP.Header)
 	out.Header.Del("Authorization")
 	out.Header.Del("Expect")
-	if values := out.Header.Values(IdempotencyKeyHeader); len(values) > 0 {
-		out.Header.Del(IdempotencyKeyHeader)
-		out.Header[strings.ToLower(IdempotencyKeyHeader)] = values
+	for _, name := range []string{IdempotencyKeyHeader, "X-" + IdempotencyKeyHeader} {
+		if values := out.Header.Values(name); len(values) > 0 {
+			out.Header.Del(name)
+			out.Header[strings.ToLower(name)] = values
+		}
 	}
 	out.Header.Set(RequestIDHeader, r.ID)
 	return out, nil
--- /dev/null
+++ b/filter/forward_test.go
@@ -0,0 +1,327 @@
+package filter
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+)
+
+const (
+	token    = "data: {\"id\":\"1\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t\"}}]}\n\n"
+	finish   = "data: {\"id\":\"1\",\"choices\":[{\"index\":0,\"finish_reason\":\"stop\"}]}\n\n"
+	done     = "data: [DONE]\n\n"
+	whole    = `{"choices":[],"usage":{"total_tokens":7}}`
+	wrongID  = "someone-else"
+	overload = `{"error":{"code":"overloaded"}}`
+)
+
+func answer(status int, body string, headers ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for i := 0; i < len(headers); i += 2 {
+			w.Header().Set(headers[i], headers[i+1])
+		}
+		w.WriteHeader(status)
+		io.WriteString(w, body) //nolint:errcheck // the test reads what arrives.
+	}
+}
+
+// events answers an event stream and breaks the connection if cut is set.
+func events(body string, cut bool) http.HandlerFunc {
+	return chunks("text/event-stream", body, cut)
+}
+
+func chunks(contentType, body string, cut bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		answer(200, body, "Content-Type", contentType)(w, r)
+		if cut {
+			http.NewResponseController(w).Flush() //nolint:errcheck // as above.
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func hang(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// Guards against wrong verdicts, unsafe repeats, truncated answers that look
+// whole, and answers to another request that are shown.
+func TestUpstreamFaults(t *testing.T) {
+	good := answer(200, whole)
+	for _, c := range []struct {
+		name       string
+		path       string           // "" chat, "stream" streaming chat
+		first      http.HandlerFunc // nil: nothing listens
+		repeatable bool
+		status     int    // 0: the connection breaks
+		has, hasNo string // in the body
+		calls      int    // at the first upstream
+		second     bool   // the second upstream is used
+	}{
+		{"served", "/s/x", answer(201, "ok", "X-A", "1", LoadHeader, "JSON {}"), false, 201, "ok", "", 1, false},
+		{"no listener", "/s/x", nil, false, 200, whole, "", 0, true},
+		{"reset after the request", "/s/x", abort, false, 502, `"verdict":"may_have_run"`, whole, 1, false},
+		{"reset on a repeatable route", "/s/x", abort, true, 200, whole, "", 1, true},
+		{"keyed, reset on a repeatable route", "/s/x", abort, true, 502, `"verdict":"may_have_run"`, whole, 1, false},
+		{"reset in a chat", "", abort, false, 502, `"code":"upstream_failed"`, whole, 1, false},
+		{"truncated body", "/s/x", answer(200, "part", "Content-Length", "99"), true, 0, "part", "", 1, false},
+		{"truncated body of unknown length", "/s/x", chunks("text/plain", "part", true), true, 0, "part", "", 1, false},
+		{"truncated chat", "", answer(200, whole, "Content-Length", "99"), false, 502, `"code":"upstream_truncated"`, "usage", 1, false},
+		{"truncated chat, repeatable", "", answer(200, whole, "Content-Length", "99"), true, 200, whole, "", 1, true},
+		{"crossed answer", "/s/x", answer(200, "secret", RequestIDHeader, wrongID), false, 502, `"code":"upstream_invalid_answer"`, "secret", 1, false},
+		{"garbage chat", "", answer(200, "<html>"), false, 502, `"code":"upstream_invalid_answer"`, "html", 1, false},
+		{"error answer", "", answer(500, `{"error":{"code":"x"}}`), true, 500, `"x"`, "", 1, false},
+		{"overloaded engine", "", answer(503, overload), false, 200, whole, "", 1, true},
+		{"overloaded service", "/s/x", answer(503, overload), false, 503, "overloaded", "", 1, false},
+		{"slow", "/s/x", hang, true, 504, `"code":"deadline_exceeded"`, "", 1, false},
+		{"stream", "stream", events(token+finish+done, false), false, 200, token + finish + done, "error", 1, false},
+		{"stream ends with a finish", "stream", events(token+finish, true), false, 200, token + finish, "error", 1, false},
+		{"end marker without blank line", "stream", events(token+"data: [DONE]\n", false), false, 200, token + done, "error", 1, false},
+		{"stream cut", "stream", events(token+token, true), true, 200, token + "event: error\n", "[DONE]", 1, false},
+		{"stream closed in order", "stream", events(token, false), false, 200, `"code":"upstream_truncated","verdict":"may_have_run"`, "[DONE]", 1, false},
+		{"stream cut within an event", "stream", events(token+finish[:30], true), false, 200, token + "event: error\n", "finish", 1, false},
+		{"stream cut before an event", "stream", events("data: {", true), true, 200, whole, "", 1, true},
+		{"stream turns to another answer", "stream", events(token+strings.Replace(token, `"1"`, `"2"`, 1), false), false, 200, `"code":"upstream_invalid_answer"`, `"2"`, 1, false},
+		{"garbage event first", "stream", events("data: <html>\n\n", false), false, 502, `"code":"upstream_invalid_answer"`, "html", 1, false},
+		{"error of the engine", "stream", events(token+"data: {\"error\":{}}\n\n"+done, false), false, 200, `"code":"upstream_truncated"`, "", 1, false},
+		{"endless event", "stream", events(token+"data: "+strings.Repeat("x", maxEvent), false), false, 200, `"code":"upstream_invalid_answer"`, "xxx", 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, second := newUpstream(t, c.first), newUpstream(t, good)
+			address := first.address()
+			if c.first == nil {
+				first.Close()
+			}
+			e := newEntry(t, address, second.address())
+			e.edit(func(tables *catalog.Catalog) {
+				tables.Routes[0].Repeatable, tables.Routes[1].Repeatable = c.repeatable, c.repeatable
+			})
+			// The second upstream is busier, so that the first is tried first.
+			for _, name := range []string{"services", "engines"} {
+				p := e.route.pool(name)
+				p.advance(time.Now(), e.index)
+				p.picker.Report("b", 8, time.Now().Add(time.Hour))
+			}
+			headers := []string{TimeoutHeader, map[bool]string{true: "0.3", false: "20"}[c.name == "slow"]}
+			if strings.HasPrefix(c.name, "keyed") {
+				headers = append(headers, IdempotencyKeyHeader, "k")
+			}
+			got := e.call("POST", c.path, "body", headers...)
+			if got.status != c.status && !(c.status == 0 && got.err != nil) {
+				t.Errorf("status %d (%v), want %d: %s", got.status, got.err, c.status, got.body)
+			}
+			if !strings.Contains(got.body, c.has) || (c.hasNo != "" && strings.Contains(got.body, c.hasNo)) {
+				t.Errorf("body %q, want %q and no %q", got.body, c.has, c.hasNo)
+			}
+			if first.total() != c.calls || (second.total() > 0) != c.second {
+				t.Errorf("calls %d and %d, want %d and second %t", first.total(), second.total(), c.calls, c.second)
+			}
+			if got.header.Get(LoadHeader) != "" || got.header.Get(RequestIDHeader) == wrongID {
+				t.Errorf("headers %v", got.header)
+			}
+		})
+	}
+}
+
+// Guards against a request that net/http sends again by itself after the
+// first one may have run.
+func TestTransportNeverRepeats(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var mu sync.Mutex
+	seen := map[string]int{}
+	go func() {
+		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
+			go func() { // answers the first request of a connection and breaks it at the second
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for k := range 2 {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body) //nolint:errcheck // the body does not matter.
+					mu.Lock()
+					seen[r.Header.Get(RequestIDHeader)]++
+					mu.Unlock()
+					if k == 0 {
+						io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") //nolint:errcheck // as above.
+					}
+				}
+			}()
+		}
+	}()
+	e := newEntry(t, l.Addr().String())
+	for _, method := range []string{"GET", "HEAD", "DELETE", "POST"} {
+		for _, headers := range [][]string{nil, {"X-Idempotency-Key", "1"}} {
+			for range 4 {
+				e.call(method, "/s/x", "", headers...)
+			}
+		}
+	}
+	for k := range 4 {
+		e.call("POST", "/s/x", "", IdempotencyKeyHeader, fmt.Sprint("key", k))
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for id, n := range seen {
+		if n > 1 {
+			t.Errorf("request %s reached the upstream %d times", id, n)
+		}
+	}
+}
+
+// Guards against upstream work for a caller that has gone or does not read.
+func TestCallerGone(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		begun, ended := make(chan struct{}), make(chan struct{})
+		u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+			defer close(ended)
+			w.Header().Set("Content-Type", "text/event-stream")
+			io.WriteString(w, token)              //nolint:errcheck // the context ends the loop.
+			http.NewResponseController(w).Flush() //nolint:errcheck // as above.
+			close(begun)
+			for big := strings.Replace(token, `"t"`, `"`+strings.Repeat("t", 1<<16)+`"`, 1); r.Context().Err() == nil; {
+				if reads {
+					<-r.Context().Done()
+				}
+				io.WriteString(w, big) //nolint:errcheck // as above.
+			}
+		})
+		e := newEntry(t, u.address())
+		ctx, cancel := context.WithCancel(t.Context())
+		req, err := http.NewRequestWithContext(ctx, "POST", e.URL+ChatPath, strings.NewReader(`{"model":"m","messages":[],"stream":true}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer key")
+		resp, err := e.Client().Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		within(t, "stream begun", begun)
+		if reads {
+			cancel()
+		}
+		within(t, "upstream request cancelled", ended)
+		cancel()
+		resp.Body.Close()
+	}
+}
+
+// Guards against a withdrawn key that goes on working for streams and waiting
+// requests, and against plain calls that are cut by it.
+func TestKeyWithdrawn(t *testing.T) {
+	begun, release := make(chan struct{}, 2), make(chan struct{})
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		io.WriteString(w, token)              //nolint:errcheck // the test reads what arrives.
+		http.NewResponseController(w).Flush() //nolint:errcheck // as above.
+		begun <- struct{}{}
+		select {
+		case <-r.Context().Done():
+		case <-release:
+		}
+	})
+	e := newEntry(t, u.address())
+	e.edit(func(c *catalog.Catalog) { c.Pools[0].Upstreams[0].Concurrency = 1 })
+	stream, waiting, plain := make(chan reply, 1), make(chan reply, 1), make(chan reply, 1)
+	go func() { stream <- e.call("POST", "stream", "") }()
+	within(t, "stream begun", begun)
+	go func() { plain <- e.call("POST", "/s/x", "") }()
+	within(t, "plain call begun", begun)
+	go func() { waiting <- e.call("POST", "/s/y", "") }()
+	for deadline := time.Now().Add(waitCap); len(e.route.Backlog()) == 0; <-time.After(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the second plain call does not wait")
+		}
+	}
+	e.edit(func(c *catalog.Catalog) {
+		for i := range c.Routes {
+			c.Routes[i].Workspaces = []catalog.Workspace{{Name: "w", Rate: 1, Burst: 1}}
+		}
+	})
+	if got := <-stream; !strings.HasPrefix(got.body, token+"event: error\n") || !strings.Contains(got.body, `"code":"key_withdrawn"`) {
+		t.Errorf("running stream: %+v", got)
+	}
+	if got := <-waiting; got.status != 401 || !strings.Contains(got.body, `"code":"key_withdrawn","verdict":"not_run"`) {
+		t.Errorf("waiting call: %+v", got)
+	}
+	close(release)
+	if got := <-plain; got.status != 200 || got.body != token || got.err != nil {
+		t.Errorf("plain call: %+v", got)
+	}
+	if got := e.call("POST", "/s/x", ""); got.status != 401 {
+		t.Errorf("new call: %+v", got)
+	}
+}
+
+// Guards against work that is done twice for one Idempotency-Key, also when
+// the caller hangs up, and against forwarding without a certain claim.
+func TestClaims(t *testing.T) {
+	entered, release := make(chan struct{}, 9), make(chan struct{})
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		if r.URL.Path == "/s/slow" {
+			<-release
+		}
+		answer(201, "receipt", "Location", "/r/1")(w, r)
+	})
+	e := newEntry(t, u.address())
+	check := func(name, path, key, body string, status int, want string, calls int) {
+		t.Helper()
+		got := e.call("POST", path, body, IdempotencyKeyHeader, key)
+		if got.status != status || !strings.Contains(got.body, want) || u.total() != calls {
+			t.Errorf("%s: %+v after %d calls, want %d %s after %d", name, got, u.total(), status, want, calls)
+		}
+		if status == 201 && got.header.Get("Location") != "/r/1" {
+			t.Errorf("%s: headers %v", name, got.header)
+		}
+	}
+	check("first", "/s/x", "k", "body", 201, "receipt", 1)
+	check("repeat", "/s/x", "k", "body", 201, "receipt", 1)
+	check("other body", "/s/x", "k", "other", 422, `"code":"idempotency_key_reused","verdict":"may_have_run"`, 1)
+	check("invalid key", "/s/x", "\t\u00e9", "body", 400, "idempotency_key_invalid", 1)
+	e.table.SetHook(func(string, string) platformtest.Fault { return platformtest.Refuse })
+	check("table down", "/s/x", "new", "body", 503, `"code":"claim_unavailable","verdict":"not_run"`, 1)
+	e.table.SetHook(nil)
+
+	for len(entered) > 0 {
+		<-entered
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "POST", e.URL+"/s/slow", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set(IdempotencyKeyHeader, "hung-up")
+	go func() {
+		<-entered
+		cancel()
+	}()
+	if _, err := e.Client().Do(req); err == nil {
+		t.Error("the caller did not hang up")
+	}
+	check("repeat while running", "/s/slow", "hung-up", "body", 409, `"code":"request_in_progress","verdict":"may_have_run"`, 2)
+	close(release)
+	for deadline := time.Now().Add(waitCap); ; <-time.After(time.Millisecond) {
+		if got := e.call("POST", "/s/slow", "body", IdempotencyKeyHeader, "hung-up"); got.status == 201 || time.Now().After(deadline) {
+			break
+		}
+	}
+	check("repeat after a hang-up", "/s/slow", "hung-up", "body", 201, "receipt", 2)
+}
--- a/filter/handler.go
+++ b/filter/handler.go
@@ -25,6 +25,8 @@
 	Chain   Next
 	Log     log.Interface
 	Metrics *metrics.Set
+	// WriteTimeout bounds one write to a caller. Default 30s.
+	WriteTimeout time.Duration
 }
 
 // refusalBody is the one JSON form of all refusals.
@@ -44,7 +46,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	r := &Request{
 		ID: uuid.NewString(), Arrived: time.Now(), HTTP: hr,
-		Writer: &ResponseWriter{ResponseWriter: w},
+		Writer: &ResponseWriter{ResponseWriter: w, timeout: h.WriteTimeout},
 	}
 	r.Log = h.Log.WithField("request", r.ID)
 	w.Header().Set(RequestIDHeader, r.ID)
--- /dev/null
+++ b/filter/harness_test.go
@@ -0,0 +1,221 @@
+package filter
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/google/uuid"
+
+	"github.com/hibiscusyard/hibiscusyard/balance"
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/idempotency"
+	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/verdict"
+)
+
+const waitCap = 20 * time.Second
+
+// entry is an entry chain over test upstreams. It stands in for the
+// catalogue, the directory, the session and the quota.
+type entry struct {
+	*httptest.Server
+	t      *testing.T
+	mu     sync.Mutex
+	index  *catalog.Index
+	edited chan struct{}
+	tables catalog.Catalog
+	route  *Route
+	table  *platformtest.Table
+	logs   *memory.Handler
+	cold   atomic.Bool // no model is loaded
+	tokens atomic.Int64
+}
+
+func (e *entry) Current() (*catalog.Index, <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.index, e.edited
+}
+
+func (e *entry) Fresh(time.Time) bool { return true }
+func (e *entry) Valid(time.Time) bool { return true }
+
+func (e *entry) Ready(pool *catalog.Pool, _ string) (ready []*catalog.Upstream, changed <-chan struct{}) {
+	for i := range pool.Upstreams {
+		if !e.cold.Load() {
+			ready = append(ready, &pool.Upstreams[i])
+		}
+	}
+	return ready, nil
+}
+
+func (e *entry) Wait(_, _, _ string, _ time.Time) func() { return func() {} }
+
+func (e *entry) ComeBack(_, _ string, _ time.Time) *verdict.Refusal { return nil }
+
+func (e *entry) Admit(_ context.Context, _ string, tokens int64) (Reservation, error) {
+	e.tokens.Add(tokens)
+	return reserved{e, tokens}, nil
+}
+
+type reserved struct {
+	e      *entry
+	tokens int64
+}
+
+func (r reserved) Settle(used int64) { r.e.tokens.Add(used - r.tokens) }
+
+// charged waits until the charges, which settle after the answers, come to
+// the number of tokens.
+func (e *entry) charged(want int64) {
+	e.t.Helper()
+	for deadline := time.Now().Add(waitCap); e.tokens.Load() != want; <-time.After(time.Millisecond) {
+		if time.Now().After(deadline) {
+			e.t.Fatalf("%d tokens charged, want %d", e.tokens.Load(), want)
+		}
+	}
+}
+
+// edit changes the tables and puts them in force.
+func (e *entry) edit(change func(*catalog.Catalog)) {
+	change(&e.tables)
+	data, err := e.tables.Encode()
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	c, err := catalog.Load(data)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.edited != nil {
+		close(e.edited)
+	}
+	e.index, e.edited = catalog.NewIndex(c, ""), make(chan struct{})
+}
+
+// newEntry serves the service route /s/ and the model m over the upstreams.
+func newEntry(t *testing.T, upstreams ...string) *entry {
+	e := &entry{t: t, table: platformtest.NewTable(), logs: memory.New()}
+	workspace := []catalog.Workspace{{Name: "w", Keys: []string{catalog.HashKey("key")}, Rate: 1, Burst: 1}}
+	e.tables = catalog.Catalog{
+		Routes: []catalog.Route{
+			{Name: "s", Pool: "services", Prefix: "/s/", Workspaces: workspace, MaxBody: 1 << 10},
+			{Name: "m", Pool: "engines", Models: []string{"m"}, Workspaces: workspace, MaxBody: 1 << 10},
+		},
+		Pools: []catalog.Pool{
+			{Name: "services", Kind: catalog.Service},
+			{Name: "engines", Kind: catalog.Engine, Models: []catalog.Model{{Name: "m", MemoryMB: 1}}},
+		},
+	}
+	for i, address := range upstreams {
+		u := catalog.Upstream{Name: string(rune('a' + i)), Address: address, DataCentre: "dc", MemoryMB: 1}
+		for k := range e.tables.Pools {
+			e.tables.Pools[k].Upstreams = append(e.tables.Pools[k].Upstreams, u)
+		}
+	}
+	e.edit(func(*catalog.Catalog) {})
+	client := NewClient()
+	t.Cleanup(client.CloseIdleConnections)
+	// Without a ramp the tests need not wait for upstreams to become warm.
+	e.route = &Route{Directory: e, Catalog: e, Forward: &Forward{Client: client, Session: e}, Balance: balance.Config{Self: "i", Ramp: 1}}
+	e.route.SetMembers([]string{"i"})
+	store := &idempotency.Store{Table: e.table, Instance: "i", Incarnation: "x", NewToken: uuid.NewString, Now: time.Now,
+		Gone: func(string, string) bool { return false }}
+	handler := &Handler{
+		Chain: Chain(Identify{e}, Authorise{e}, Admit{e}, Claims{store}, e.route),
+		Log:   &log.Logger{Handler: e.logs, Level: log.InfoLevel}, Metrics: metrics.NewSet(), WriteTimeout: 200 * time.Millisecond,
+	}
+	e.Server = httptest.NewServer(LimitWrites(handler))
+	t.Cleanup(e.Close)
+	return e
+}
+
+type reply struct {
+	status int
+	body   string
+	header http.Header
+	err    error // of reading the body
+}
+
+// call sends one request with header pairs. A path of "" is a chat, "stream"
+// a chat that streams.
+func (e *entry) call(method, path, body string, headers ...string) reply {
+	switch path {
+	case "":
+		path, body = ChatPath, `{"model":"m","messages":[]}`
+	case "stream":
+		path, body = ChatPath, `{"model":"m","messages":[],"stream":true}`
+	}
+	req, err := http.NewRequest(method, e.URL+path, strings.NewReader(body))
+	if err != nil {
+		e.t.Error(err)
+		return reply{}
+	}
+	req.Header.Set("Authorization", "Bearer key")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := e.Client().Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, string(data), resp.Header, err}
+}
+
+// upstream serves a handler, counts its calls by request ID and remembers the
+// headers of the last one.
+type upstream struct {
+	*httptest.Server
+	mu     sync.Mutex
+	calls  map[string]int
+	header http.Header
+}
+
+func newUpstream(t *testing.T, handler http.HandlerFunc) *upstream {
+	u := &upstream{calls: map[string]int{}}
+	u.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body) //nolint:errcheck // a hang-up is noticed only after the body.
+		u.mu.Lock()
+		u.calls[r.Header.Get(RequestIDHeader)]++
+		u.header = r.Header.Clone()
+		u.mu.Unlock()
+		handler(w, r)
+	}))
+	t.Cleanup(u.Close)
+	return u
+}
+
+func (u *upstream) address() string { return strings.TrimPrefix(u.URL, "http://") }
+
+func (u *upstream) total() (n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, calls := range u.calls {
+		n += calls
+	}
+	return n
+}
+
+// within fails the test if the channel stays silent.
+func within(t *testing.T, what string, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(waitCap):
+		t.Fatalf("%s: not within %s", what, waitCap)
+	}
+}
--- a/filter/sse.go
+++ b/filter/sse.go
@@ -29,12 +29,12 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			err = nil
 		}
-		if err != nil {
-			return event, err
-		}
 		if len(event) > maxEvent {
 			return nil, fmt.Errorf("%w: event over %d bytes", errMalformed, maxEvent)
 		}
+		if err != nil {
+			return event, err
+		}
 		if blank := bytes.TrimRight(line, "\r\n"); len(blank) == 0 && endsBlank(event) {
 			return event, nil
 		}
--- a/filter/upstreams.go
+++ b/filter/upstreams.go
@@ -1,12 +1,31 @@
 package filter
 
 import (
+	"context"
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/balance"
 	"github.com/hibiscusyard/hibiscusyard/fairqueue"
 )
 
+// Run follows the catalogue until ctx ends, so that the age of an upstream
+// counts from the edit that brought it and not from its first request.
+func (f *Route) Run(ctx context.Context) error {
+	for {
+		index, edited := f.Catalog.Current()
+		if index != nil {
+			for i := range index.Catalog.Pools {
+				f.pool(index.Catalog.Pools[i].Name).advance(time.Now(), index)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-edited:
+		}
+	}
+}
+
 // The methods below are for controllers. Their callers must hold no lock that
 // the methods of Directory take.
 
--- a/instance.go
+++ b/instance.go
@@ -132,7 +132,7 @@
 	i.group, _ = errgroup.WithContext(i.state)
 	i.serve()
 	for _, run := range []func(context.Context) error{
-		i.session.Run, i.members.Run, i.catalog.Run, i.quota.run, i.placement.run,
+		i.session.Run, i.members.Run, i.catalog.Run, i.quota.run, i.placement.run, i.route.Run,
 	} {
 		i.group.Go(func() error { return run(i.state) })
 	}
