--- a/instance.go
+++ b/instance.go
@@ -128,6 +128,7 @@
 	i.hub.SetAddress(address)
 	i.session.SetAddress(address)
 	i.members.SetAddress(address)
+	i.placement.prepare(address)
 	i.state, i.stop = context.WithCancel(context.Background())
 	i.group, _ = errgroup.WithContext(i.state)
 	i.serve()
@@ -189,6 +190,8 @@
 	}
 	if !i.session.Valid(time.Now()) {
 		reasons = append(reasons, "the session is not registered or has not been checked since a pause")
+	} else if !i.quota.sync.Ready() {
+		reasons = append(reasons, "the share slots have not been read since the start or a pause")
 	}
 	return reasons
 }
