balance: take over incarnations from the placer's views

A view that told of a restart left its allotment without effect, and an instance that had not noticed the restart itself went on with the upstream's full concurrency. The incarnation of a view is now adopted unless it is known to have ended, a suspicion no longer voids allotments after the length of a ramp, and an allotment without an incarnation counts as none.

Guards removed once: adoption, TestAllotments 'view that tells of a restart: 4 requests, want 2'; past incarnations, 'view from before a restart: 3 requests, want 1'; end of a suspicion, 'suspicion from long ago: 1 requests, want 3'.

--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -153,6 +153,20 @@
 			p.Suspect(epoch, "u0")
 			p.Observe(epoch, "u0", "x", epoch)
 		}, 1},
+		{"view that tells of a restart", func(p *Picker) {
+			p.Established("u0", "w", epoch.Add(-time.Hour))
+			p.SetAllotments(epoch, []Allotment{{"u0", "x", 2}})
+		}, 2},
+		{"view from before a restart", func(p *Picker) {
+			p.Observe(epoch, "u0", "w", epoch)
+			p.Observe(epoch, "u0", "x", epoch)
+			p.SetAllotments(epoch, []Allotment{{"u0", "w", 3}})
+		}, 1},
+		{"allotment without incarnation", func(p *Picker) { p.SetAllotments(epoch, []Allotment{{"u0", "", 3}}) }, 1},
+		{"suspicion from long ago", func(p *Picker) {
+			p.Suspect(epoch.Add(-DefaultRamp), "u0")
+			p.SetAllotments(epoch, []Allotment{{"u0", "x", 3}})
+		}, 3},
 		{"not a member", func(p *Picker) { p.SetMembers([]string{"b"}) }, 0},
 		{"running for long", func(p *Picker) { p.Established("u0", "x", epoch.Add(-time.Hour)) }, 4},
 	} {
--- a/balance/ramp.go
+++ b/balance/ramp.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,7 @@
 // ramp is what limits an upstream that may have started a short time ago.
 type ramp struct {
 	incarnation string
+	past        []string  // the incarnations before it, which never come back
 	learned     time.Time // when the incarnation was first seen
 	start       time.Time // start of the ramp of this incarnation
 	suspected   time.Time // last broken connection since, zero if none
@@ -38,12 +40,38 @@
 			continue
 		}
 		u.ramp.allotment = &a
-		if u.ramp.incarnation == "" {
-			u.observe(now, a.Incarnation, now)
-		}
+		u.ramp.adopt(now, a.Incarnation)
 	}
 }
 
+// maxPast bounds the incarnations that are remembered. Views and answers lag
+// by seconds, and an upstream restarts far less often.
+const maxPast = 8
+
+// adopt takes over an incarnation and reports whether it is the present one.
+// One that has ended is ignored, since views and answers can be late.
+func (r *ramp) adopt(now time.Time, incarnation string) bool {
+	switch {
+	case incarnation == "" || slices.Contains(r.past, incarnation):
+		return false
+	case incarnation == r.incarnation:
+		return true
+	case r.incarnation != "":
+		r.start = now
+		r.past = append(r.past[max(len(r.past)-maxPast+1, 0):], r.incarnation)
+	case r.suspected.After(r.start): // nothing to compare with: it may have restarted
+		r.start = r.suspected
+	}
+	r.incarnation, r.learned = incarnation, now
+	return true
+}
+
+// suspect reports whether the process that an allotment was made for may have
+// ended. After the length of a ramp it no longer matters.
+func (r *ramp) suspect(now time.Time, length time.Duration) bool {
+	return !r.suspected.IsZero() && now.Before(r.suspected.Add(length))
+}
+
 // Observe records the incarnation that an upstream gave in an answer to a
 // question asked at that time, or that a peer reported.
 func (p *Picker) Observe(now time.Time, name, incarnation string, asked time.Time) {
@@ -77,18 +105,12 @@
 // last suspicion can come from the process that has ended since.
 func (u *upstream) observe(now time.Time, incarnation string, asked time.Time) {
 	r := &u.ramp
-	if incarnation == "" || asked.Before(r.suspected) || asked.Before(r.learned) {
+	if asked.Before(r.suspected) || asked.Before(r.learned) {
 		return
 	}
-	if incarnation != r.incarnation {
-		if r.incarnation != "" {
-			r.start = now
-		} else if r.suspected.After(r.start) { // nothing to compare with: it may have restarted
-			r.start = r.suspected
-		}
-		r.incarnation, r.learned = incarnation, now
+	if r.adopt(now, incarnation) {
+		r.suspected = time.Time{}
 	}
-	r.suspected = time.Time{}
 }
 
 // freshSince returns the start of the ramp that is in force.
@@ -106,7 +128,7 @@
 // limit returns how many requests this instance may have at the upstream,
 // what sets the limit, and when it grows, if that is known.
 func (p *Picker) limit(now time.Time, u *upstream) (limit int, cause Reason, grows time.Time) {
-	if a := u.ramp.allotment; a != nil && u.ramp.suspected.IsZero() && a.Incarnation == u.ramp.incarnation {
+	if a := u.ramp.allotment; a != nil && !u.ramp.suspect(now, p.config.Ramp) && a.Incarnation != "" && a.Incarnation == u.ramp.incarnation {
 		return min(a.Limit, u.Concurrency), OverAllotment, time.Time{}
 	}
 	since := u.freshSince()
--- a/filter/harness_test.go
+++ b/filter/harness_test.go
@@ -61,6 +61,8 @@
 
 func (e *entry) Wait(_, _, _ string, _ time.Time) func() { return func() {} }
 
+func (e *entry) Run(_, _, _, _ string) func() { return func() {} }
+
 func (e *entry) ComeBack(_, _ string, _ time.Time) *verdict.Refusal { return nil }
 
 func (e *entry) Admit(_ context.Context, _ string, tokens int64) (Reservation, error) {
