filter: ask an engine for its incarnation after a broken connection

A broken connection voids the allotments of an engine, and an instance that does not rank first had no way to learn that the engine had not restarted: it sent nothing for 30 s. A wait for an engine is no longer refused by the end of its ramp, as a view can come before.

Without the observation TestSuspicionIsVerified ends in 'no upstream was free in time' after 60 s; without the change of the wait, in deadline_too_short.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
 )
 
 // Reason says why an upstream was chosen or refused.
@@ -152,7 +154,7 @@
 		d.Reason = reason
 	}
 	d.Wait = d.Wait || nearness[reason] >= nearness[Ejected]
-	d.Sooner = d.Sooner || nearness[reason] >= nearness[OverAllotment] || (nearness[reason] >= nearness[ProbeInFlight] && u.inFlight > 0)
+	d.Sooner = d.Sooner || s.sooner(u, reason)
 	if eligibleAt.After(s.now) {
 		if after := eligibleAt.Sub(s.now); d.RetryAfter == 0 || after < d.RetryAfter {
 			d.RetryAfter = after
@@ -160,6 +162,21 @@
 	}
 }
 
+// sooner reports whether a refused upstream can become eligible before the
+// computed time: by the end of a request or, for an engine, by a new view of
+// the placer or an answer that names its incarnation.
+func (s *selection) sooner(u *upstream, reason Reason) bool {
+	switch reason {
+	case AtConcurrency, OverAllotment:
+		return true
+	case Ramping:
+		return u.inFlight > 0 || s.picker.kind == catalog.Engine
+	case ProbeInFlight:
+		return true
+	}
+	return false
+}
+
 func (s *selection) choose() {
 	chosen, reason := s.best, BestAffinity
 	switch {
--- a/filter/chain_test.go
+++ b/filter/chain_test.go
@@ -10,7 +10,9 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/hibiscusyard/hibiscusyard/balance"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 )
 
@@ -209,3 +211,29 @@
 		t.Errorf("%d connections and %d calls for 3 requests", len(conns), u.total())
 	}
 }
+
+// Guards against an engine that gets nothing for the length of a ramp because
+// one connection broke, although it did not restart.
+func TestSuspicionIsVerified(t *testing.T) {
+	broken := false // used by one request at a time
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == ChatPath && !broken {
+			broken = true
+			panic(http.ErrAbortHandler)
+		}
+		answer(200, whole, IncarnationHeader, "x")(w, r)
+	})
+	e := newEntry(t, u.address())
+	e.route.Balance.Ramp = time.Hour
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go e.route.Run(ctx)                     //nolint:errcheck // it ends with the test.
+	e.route.SetMembers([]string{"another"}) // this instance may not try by itself
+	e.route.SetAllotments("engines", []balance.Allotment{{Upstream: "a", Incarnation: "x", Limit: 4}})
+	if got := e.call("POST", "", ""); got.status != 502 {
+		t.Fatalf("broken connection: %+v", got)
+	}
+	if got := e.call("POST", "", ""); got.status != 200 {
+		t.Errorf("after the connection broke: %+v", got)
+	}
+}
--- a/filter/route.go
+++ b/filter/route.go
@@ -47,6 +47,10 @@
 	pools   map[string]*pool
 	members []string
 	budget  *balance.Budget
+	// life is the context of Run, and verifying holds the upstreams whose
+	// incarnation is being asked for.
+	life      context.Context
+	verifying map[[2]string]bool
 }
 
 // pool returns the state of a pool.
@@ -103,6 +107,9 @@
 	requests, reported := 0.0, false
 	defer func() {
 		p.finish(time.Now(), g.ticket, g.upstream.Name, requests, reported, result)
+		if broke := result.Kind == balance.Broken || result.Kind == balance.ConnectFailed; broke && r.Pool.Kind == catalog.Engine {
+			f.verify(p, g.upstream)
+		}
 	}()
 	if r.KeyHash != "" && !f.Catalog.Fresh(time.Now()) {
 		return r.Attempt.Refuse(verdict.ConfigurationStale, "this instance can't prove that its catalogue is current")
--- a/filter/upstreams.go
+++ b/filter/upstreams.go
@@ -11,6 +11,9 @@
 // Run follows the catalogue until ctx ends, so that the age of an upstream
 // counts from the edit that brought it and not from its first request.
 func (f *Route) Run(ctx context.Context) error {
+	f.mu.Lock()
+	f.life = ctx
+	f.mu.Unlock()
 	for {
 		index, edited := f.Catalog.Current()
 		if index != nil {
