Test the quota controller and take back releases that were refused

Cause found by the tests: an instance that did not know the member list yet took all slots and gave them back one by one; a slot whose release the table refused stayed unused for the whole outage. Change: no slot is taken before the first reading of the list; a release that was certainly not applied is taken back, one of unknown outcome is repeated.

--- a/controller/quotasync/quotasync.go
+++ b/controller/quotasync/quotasync.go
@@ -95,12 +95,13 @@
 	closing      bool // spends nothing more
 	closed       bool // sends nothing more
 	limits       map[string]quota.Limits
+	listed       bool // the platform's list has been read
 	members      []Member
 	membersSince time.Time
 	owners       map[string][quota.Slots]string
 	rows         map[slotKey]stored
 	activated    map[slotKey]uint64
-	parked       map[slotKey]quota.Start
+	parked       map[slotKey]parkedSlot
 	absences     absences
 }
 
@@ -113,7 +114,7 @@
 		config: config, start: now, kick: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 		ledger:  quota.NewLedger(uint32(xxhash.Sum64String(config.Session.Incarnation()))),
 		waiters: map[*quota.Ticket]chan struct{}{}, lastTick: now,
-		rows: map[slotKey]stored{}, activated: map[slotKey]uint64{}, parked: map[slotKey]quota.Start{},
+		rows: map[slotKey]stored{}, activated: map[slotKey]uint64{}, parked: map[slotKey]parkedSlot{},
 		absences: absences{lag: config.ListLag, since: map[holderKey]time.Time{}, gone: map[holderKey]bool{}},
 	}
 }
@@ -325,7 +326,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	changed := !sameMembers(s.members, members)
+	changed := !s.listed || !sameMembers(s.members, members)
+	s.listed = true
 	if changed {
 		s.members, s.membersSince = members, now
 	}
--- /dev/null
+++ b/controller/quotasync/quotasync_test.go
@@ -0,0 +1,458 @@
+package quotasync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/verdict"
+)
+
+const team = "team-a"
+
+type fakeSession struct {
+	instance, incarnation, address string
+	invalid                        atomic.Bool
+}
+
+func (s *fakeSession) Valid(time.Time) bool { return !s.invalid.Load() }
+func (s *fakeSession) Instance() string     { return s.instance }
+func (s *fakeSession) Incarnation() string  { return s.incarnation }
+func (s *fakeSession) Address() string      { return s.address }
+
+// cluster is a few instances in one test bubble, on virtual time.
+type cluster struct {
+	t       *testing.T
+	table   *platformtest.Table
+	mu      sync.Mutex
+	nodes   map[string]*testNode
+	cut     map[string]bool // unreachable for messages
+	members []Member        // the platform's list
+}
+
+type testNode struct {
+	*Sync
+	cutTable
+	cluster *cluster
+	session *fakeSession
+	stop    func()
+}
+
+// cutTable is the table as one instance reaches it.
+type cutTable struct {
+	platform.Table
+	cut *atomic.Bool
+}
+
+func (t cutTable) List(ctx context.Context, kind string) ([]platform.Row, error) {
+	if t.cut.Load() {
+		return nil, platform.ErrUnknown
+	}
+	return t.Table.List(ctx, kind)
+}
+
+// Send implements Transport with 1 ms delay each way.
+func (n *testNode) Send(ctx context.Context, to string, message any) (any, error) {
+	pause(ctx, time.Millisecond)
+	n.cluster.mu.Lock()
+	peer, cut := n.cluster.nodes[to], n.cluster.cut[to] || n.cluster.cut[n.session.instance]
+	n.cluster.mu.Unlock()
+	if peer == nil || cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	answer, err := peer.Handle(n.session.instance, message)
+	pause(ctx, time.Millisecond)
+	return answer, err
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func newCluster(t *testing.T, names ...string) *cluster {
+	log.SetHandler(discard.Default)
+	c := &cluster{t: t, table: platformtest.NewTable(), nodes: map[string]*testNode{}, cut: map[string]bool{}}
+	for _, name := range names {
+		c.list(name, "run-1-"+name)
+	}
+	for _, name := range names {
+		c.start(name, "run-1-"+name)
+	}
+	return c
+}
+
+// list makes the platform's list show a run of an instance, or none.
+func (c *cluster) list(name, incarnation string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members = slices.DeleteFunc(slices.Clone(c.members), func(m Member) bool { return m.Instance == name })
+	if incarnation != "" {
+		c.members = append(c.members, Member{Instance: name, Incarnation: incarnation, Address: "addr-" + name, DataCentre: "dc"})
+	}
+}
+
+func (c *cluster) start(name, incarnation string) *testNode {
+	n := &testNode{cluster: c, cutTable: cutTable{c.table, new(atomic.Bool)}, session: &fakeSession{instance: name, incarnation: incarnation, address: "addr-" + name}}
+	config := DefaultConfig()
+	config.Table, config.Transport, config.Session = n.cutTable, n, n.session
+	n.Sync = New(config)
+	n.SetLimits(map[string]catalog.Workspace{team: {Name: team, Rate: 80, Burst: 800}})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { n.Run(ctx) })
+	running.Go(func() {
+		for ctx.Err() == nil {
+			c.mu.Lock()
+			members := c.members
+			c.mu.Unlock()
+			n.SetMembers(members)
+			pause(ctx, time.Second)
+		}
+	})
+	n.stop = func() { cancel(); n.cancel(); running.Wait(); n.sends.Wait() }
+	c.mu.Lock()
+	c.nodes[name] = n
+	c.mu.Unlock()
+	return n
+}
+
+// crash ends a run without a release.
+func (c *cluster) crash(name string) {
+	c.mu.Lock()
+	n := c.nodes[name]
+	delete(c.nodes, name)
+	c.mu.Unlock()
+	n.stop()
+}
+
+func (c *cluster) close() {
+	for name := range c.nodes {
+		c.crash(name)
+	}
+}
+
+func wait(d time.Duration) { pause(context.Background(), d); synctest.Wait() }
+
+// slots counts the slots that each instance holds by its own ledger.
+func (c *cluster) slots() map[string]int {
+	counts := map[string]int{}
+	for name, n := range c.nodes {
+		n.mu.Lock()
+		for index := range quota.Slots {
+			if n.ledger.Holds(team, index) {
+				counts[name]++
+			}
+		}
+		n.mu.Unlock()
+	}
+	return counts
+}
+
+func (c *cluster) want(total int, what string) {
+	c.t.Helper()
+	sum := 0
+	for _, n := range c.slots() {
+		sum += n
+	}
+	if sum != total {
+		c.t.Errorf("%s: the instances hold %v, want %d in all", what, c.slots(), total)
+	}
+}
+
+// spend admits requests of 10 tokens until one is refused, and returns the
+// tokens and the refusal.
+func (n *testNode) spend(t *testing.T) (int, *verdict.Refusal) {
+	for total := 0; ; total += 10 {
+		if _, err := n.Admit(context.Background(), team, 10); err != nil {
+			var refusal *verdict.Refusal
+			if !errors.As(err, &refusal) || refusal.Verdict() != verdict.NotRun {
+				t.Fatalf("not a refusal: %v", err)
+			}
+			return total, refusal
+		}
+	}
+}
+
+// Guards against instances that get only their own part of the rate, and
+// against many table calls: at most three readings and one write for each
+// instance at the start, and no write while nothing changes.
+func TestAdmitOverInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		var reads, writes atomic.Int64
+		c.table.SetHook(func(op, key string) platformtest.Fault {
+			if op == "transact" {
+				writes.Add(1)
+			} else {
+				reads.Add(1)
+			}
+			return platformtest.None
+		})
+		for _, name := range []string{"a", "b", "c"} {
+			c.list(name, "run-1-"+name)
+		}
+		for _, name := range []string{"a", "b", "c"} {
+			c.start(name, "run-1-"+name)
+		}
+		wait(4 * time.Second)
+		c.want(quota.Slots, "after the start")
+		t.Logf("placing the slots of three instances took %d reads and %d writes", reads.Load(), writes.Load())
+		if reads.Load() > 3*3 || writes.Load() > 3 {
+			t.Errorf("%d reads and %d writes to place the slots of three instances", reads.Load(), writes.Load())
+		}
+		before, written := reads.Load(), writes.Load()
+		wait(time.Minute)
+		if perInstance := float64(reads.Load()-before) / 3; perInstance > 13 || writes.Load() != written {
+			t.Errorf("%.1f reads per instance and %d writes in a quiet minute", perInstance, writes.Load()-written)
+		}
+		total, refusal := c.nodes["a"].spend(t)
+		if total < 780 || total > 820 {
+			t.Errorf("one instance spent %d of a burst of 800", total)
+		}
+		if refusal.Reason != verdict.RateLimited || refusal.RetryAfter <= 0 || refusal.RetryAfter > 2*time.Second {
+			t.Errorf("refusal %v, retry after %v", refusal, refusal.RetryAfter)
+		}
+		_, err := c.nodes["b"].Admit(t.Context(), team, 801)
+		if got := verdict.From(err); got.Reason != verdict.TooLarge {
+			t.Errorf("801 tokens of a burst of 800: %v", err)
+		}
+		gone, cancel := context.WithCancel(t.Context())
+		cancel()
+		if _, err := c.nodes["b"].Admit(gone, team, 100); verdict.From(err).Reason != verdict.CallerGone {
+			t.Errorf("caller gone: %v", err)
+		}
+		wait(5 * time.Second)
+		var all sync.WaitGroup
+		var admitted atomic.Int64
+		for i := range 60 {
+			all.Go(func() {
+				n := c.nodes[string(rune('a'+i%3))]
+				r, err := n.Admit(context.Background(), team, 10)
+				if err == nil {
+					admitted.Add(1)
+					n.Settle(r, 0)
+				}
+			})
+		}
+		all.Wait()
+		if admitted.Load() < 40 {
+			t.Errorf("%d of 60 concurrent requests fitted into 400 tokens", admitted.Load())
+		}
+	})
+}
+
+// Guards against slots that pass to another instance too early or never.
+func TestSlotsPass(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		run  func(t *testing.T, c *cluster)
+	}{
+		{"gone from the list", func(t *testing.T, c *cluster) {
+			had := c.slots()["a"]
+			c.crash("a")
+			wait(30 * time.Second)
+			c.want(quota.Slots-had, "while the list still shows the holder")
+			c.list("a", "")
+			wait(9 * time.Second)
+			c.want(quota.Slots-had, "before the list's lag has passed")
+			wait(20 * time.Second)
+			c.want(quota.Slots, "after the lag")
+			row := c.nodes["b"].rows
+			if !slices.ContainsFunc([]int{0, 1, 2, 3, 4, 5, 6, 7}, func(i int) bool { return row[slotKey{team, i}].Empty }) {
+				t.Error("no slot was taken over empty")
+			}
+		}},
+		{"new incarnation at the address", func(t *testing.T, c *cluster) {
+			had := c.slots()["a"]
+			c.crash("a")
+			c.start("a", "run-2-a")
+			wait(2 * time.Second)
+			if c.slots()["a"] != had {
+				t.Errorf("the new run holds %v, want %d", c.slots(), had)
+			}
+		}},
+		{"shutdown releases with the level", func(t *testing.T, c *cluster) {
+			a := c.nodes["a"]
+			a.stop()
+			if err := a.Shutdown(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			c.mu.Lock()
+			delete(c.nodes, "a")
+			c.mu.Unlock()
+			c.list("a", "")
+			wait(10 * time.Second)
+			c.want(quota.Slots, "after the release")
+			if total, _ := c.nodes["b"].spend(t); total < 780 {
+				t.Errorf("%d of a burst of 800 after the release", total)
+			}
+		}},
+		{"new member gets its part slowly", func(t *testing.T, c *cluster) {
+			c.list("d", "run-1-d")
+			c.start("d", "run-1-d")
+			wait(8 * time.Second)
+			if c.slots()["d"] != 0 {
+				t.Errorf("slots moved at once: %v", c.slots())
+			}
+			wait(2 * time.Minute)
+			c.want(quota.Slots, "after rebalancing")
+			if got := c.slots()["d"]; got != 2 {
+				t.Errorf("the fourth of four members holds %d of 8 slots", got)
+			}
+		}},
+		{"answers of writes lost", func(t *testing.T, c *cluster) {
+			c.crash("a")
+			c.table.SetHook(func(op, key string) platformtest.Fault {
+				if op == "get" {
+					return platformtest.Refuse
+				}
+				if op == "transact" {
+					return platformtest.LoseAnswer
+				}
+				return platformtest.None
+			})
+			c.start("a", "run-2-a")
+			wait(20 * time.Second)
+			c.want(quota.Slots, "with lost answers")
+		}},
+		{"table down for an hour", func(t *testing.T, c *cluster) {
+			c.table.SetHook(func(op, key string) platformtest.Fault { return platformtest.Refuse })
+			wait(time.Hour)
+			c.want(quota.Slots, "during the outage")
+			if total, _ := c.nodes["a"].spend(t); total < 780 {
+				t.Errorf("%d of a burst of 800 without the table", total)
+			}
+		}},
+		{"frozen while another took the slots", func(t *testing.T, c *cluster) {
+			a := c.nodes["a"]
+			a.session.invalid.Store(true)
+			a.cut.Store(true)
+			c.mu.Lock()
+			c.cut["a"] = true
+			c.mu.Unlock()
+			c.list("a", "")
+			wait(30 * time.Second)
+			if total, refusal := a.spend(t); total != 0 || refusal.Reason != verdict.NotReady {
+				t.Errorf("spent %d with an invalid session: %v", total, refusal)
+			}
+			a.session.invalid.Store(false)
+			wait(10 * time.Second)
+			if total, _ := a.spend(t); total != 0 {
+				t.Errorf("spent %d before the rows were read again", total)
+			}
+			a.cut.Store(false)
+			wait(20 * time.Second)
+			if total, _ := a.spend(t); total != 0 || c.slots()["a"] != 0 {
+				t.Errorf("spent %d from lost slots; slots %v", total, c.slots())
+			}
+			c.want(quota.Slots, "after the thaw")
+		}},
+		{"session ended", func(t *testing.T, c *cluster) {
+			had := c.slots()["a"]
+			c.crash("a")
+			wait(time.Minute)
+			c.want(quota.Slots-had, "while the session may last")
+			c.mu.Lock()
+			c.members = slices.Clone(c.members)
+			for i := range c.members {
+				if c.members[i].Instance == "a" {
+					c.members[i].State = Ended
+				}
+			}
+			c.mu.Unlock()
+			wait(20 * time.Second)
+			c.want(quota.Slots, "after the session's end")
+		}},
+		{"no ticks for more than 3 s", func(t *testing.T, c *cluster) {
+			c.nodes["a"].stop()
+			wait(3100 * time.Millisecond)
+			if total, refusal := c.nodes["a"].spend(t); total != 0 || refusal.Reason != verdict.NotReady {
+				t.Errorf("spent %d after a freeze: %v", total, refusal)
+			}
+		}},
+		{"lenders cut off", func(t *testing.T, c *cluster) {
+			c.mu.Lock()
+			c.cut["a"] = true
+			c.mu.Unlock()
+			began := time.Now()
+			own := c.slots()["a"] * 100
+			total, _ := c.nodes["a"].spend(t)
+			if total < own-10 || total > own+80 {
+				t.Errorf("spent %d with own slots of %d", total, own)
+			}
+			if waited := time.Since(began); waited > 300*time.Millisecond {
+				t.Errorf("refused after %v", waited)
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, "a", "b", "c")
+				defer c.close()
+				wait(15 * time.Second)
+				c.want(quota.Slots, "at first")
+				tc.run(t, c)
+			})
+		})
+	}
+}
+
+// Guards against a slot taken without one of the four grounds, and against
+// spending a generation twice after a release whose answer was lost.
+func TestDecide(t *testing.T) {
+	self, other := holderKey{"a", "run-1"}, holderKey{"b", "run-1"}
+	row := func(h holderKey, address string, generation uint64) stored {
+		return stored{SlotRow: SlotRow{Holder: h.instance, Incarnation: h.incarnation, Address: address, Level: 5, Generation: generation}, exists: true}
+	}
+	full, released := quota.Start{Level: 9}, quota.Start{Level: 5}
+	for i, tc := range []struct {
+		view  slotView
+		want  action
+		start quota.Start
+	}{
+		{slotView{first: true, known: true}, take, full},
+		{slotView{known: true}, leave, quota.Start{}},
+		{slotView{first: true, known: true, leaving: true}, leave, quota.Start{}},
+		{slotView{first: true}, leave, quota.Start{}},
+		{slotView{row: row(holderKey{}, "", 3), first: true, known: true}, take, released},
+		{slotView{row: row(holderKey{}, "", 3), known: true}, leave, quota.Start{}},
+		{slotView{row: row(other, "there", 3), first: true, known: true}, leave, quota.Start{}},
+		{slotView{row: row(other, "there", 3), first: true, known: true, gone: true}, take, quota.Start{Empty: true}},
+		{slotView{row: row(other, "there", 3), known: true, gone: true}, leave, quota.Start{}},
+		{slotView{row: row(holderKey{"a", "run-0"}, "here", 3), known: true}, take, quota.Start{Empty: true}},
+		{slotView{row: row(other, "there", 3), first: true, known: true, holding: true}, drop, quota.Start{}},
+		{slotView{row: row(self, "here", 3), known: true, holding: true, activated: 3}, keep, quota.Start{}},
+		{slotView{row: row(self, "here", 3), known: true, activated: 2}, adopt, released},
+		{slotView{row: row(self, "here", 3), known: true, activated: 3}, free, quota.Start{}},
+		{slotView{row: row(self, "here", 3), holding: true, activated: 3}, free, quota.Start{}},
+	} {
+		tc.view.self, tc.view.address, tc.view.full = self, "here", full
+		if got, start := decide(tc.view); got != tc.want || start != tc.start {
+			t.Errorf("case %d: action %d with %+v, want %d with %+v", i, got, start, tc.want, tc.start)
+		}
+	}
+	if key, ok := parseSlotKey(slotKey{"a/b", 7}.String()); !ok || key != (slotKey{"a/b", 7}) {
+		t.Errorf("a workspace name with a slash gave %v", key)
+	}
+	if _, ok := parseSlotKey(fmt.Sprintf("share/a/%d", quota.Slots)); ok {
+		t.Error("a slot beyond the last was accepted")
+	}
+}
--- a/controller/quotasync/slots.go
+++ b/controller/quotasync/slots.go
@@ -31,6 +31,13 @@
 	maxReleases = 1
 )
 
+// parkedSlot is a slot that is no longer spent from and whose release is not
+// confirmed yet.
+type parkedSlot struct {
+	quota.Start
+	unsure bool // a write of the release may still take effect
+}
+
 // change is one write of a refresh.
 type change struct {
 	key      slotKey
@@ -115,8 +122,10 @@
 	}
 }
 
+// leaving reports whether this instance takes no slots: it leaves, or it does
+// not know yet which other members there are.
 func (s *Sync) leaving() bool {
-	return s.closing || slices.ContainsFunc(s.members, func(m Member) bool {
+	return s.closing || !s.listed || slices.ContainsFunc(s.members, func(m Member) bool {
 		return m.Instance == s.config.Session.Instance() && m.State != Live
 	})
 }
@@ -228,7 +237,7 @@
 // release stops spending from a slot and returns the write that frees its row.
 func (s *Sync) release(key slotKey, at time.Duration) change {
 	if start, ok := s.ledger.GiveUp(key.workspace, key.index, at); ok {
-		s.parked[key] = start
+		s.parked[key] = parkedSlot{Start: start}
 	}
 	row, start := s.rows[key], s.parked[key]
 	return change{key, SlotRow{Level: start.Level, Lent: start.Lent, Empty: start.Empty, Generation: row.Generation}, row.revision}
@@ -293,15 +302,22 @@
 }
 
 // released forgets a slot whose row was freed and tells the member that ranks
-// first. A release whose outcome is unknown is repeated and never taken back,
-// because its write may still take effect.
+// first. A release that was certainly not applied is taken back. One whose
+// outcome is unknown is repeated, because its write may still take effect.
 func (s *Sync) released(c change, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
-		return
+	slot := s.parked[c.key]
+	refused := errors.Is(err, platform.ErrNotApplied) && !errors.Is(err, platform.ErrUnknown)
+	switch {
+	case err == nil || errors.Is(err, platform.ErrConflict): // freed, or the row has moved on
+		delete(s.parked, c.key)
+	case refused && !s.closing && !slot.unsure:
+		s.ledger.Gain(c.key.workspace, c.key.index, slot.Start, s.gate(time.Now()))
+		delete(s.parked, c.key)
+	default:
+		s.parked[c.key] = parkedSlot{Start: slot.Start, unsure: slot.unsure || !refused}
 	}
-	delete(s.parked, c.key)
 	if err != nil {
 		return
 	}
