Add the quota experiment on virtual time

Compares grants with a static split and one global bucket on the same traces. The demand estimate uses 10 s, and nothing extra is borrowed unless a further request is expected: one request made its instance borrow for a second one.

--- /dev/null
+++ b/cmd/experiment/main.go
@@ -0,0 +1,36 @@
+// Command experiment runs policies on virtual time against their baselines.
+package main
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/hibiscusyard/hibiscusyard/experiment"
+)
+
+// commands lists the subcommands; each is a flags.Commander with its own options.
+var commands = []struct {
+	name, short string
+	command     flags.Commander
+}{
+	{"quota", "Compares ways to limit rates over several instances", experiment.NewQuota(os.Stdout)},
+}
+
+func main() {
+	parser := flags.NewNamedParser("experiment", flags.Default)
+	for _, c := range commands {
+		if _, err := parser.AddCommand(c.name, c.short, "", c.command); err != nil {
+			panic(err)
+		}
+	}
+	if _, err := parser.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		if _, usage := err.(*flags.Error); usage {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -13,9 +13,9 @@
 	loanLife    = GrantLife + DriftMargin
 	// loanMemory bounds how long a lender accepts refunds of a grant whose asker has vanished.
 	loanMemory = 10 * time.Minute
-	// demandWindow is the time constant of the demand estimate. It equals the life of a
-	// grant, because that is how far ahead an asker may usefully borrow.
-	demandWindow = GrantLife
+	// demandWindow is the time constant of the demand estimate. With 2 s, one request
+	// made its instance borrow for a second one that did not come.
+	demandWindow = 10 * time.Second
 )
 
 // Limits are a workspace's limits over all instances together.
--- a/quota/lend.go
+++ b/quota/lend.go
@@ -110,7 +110,7 @@
 	}
 	level := w.own(now)
 	users := 1 + float64(w.lending)
-	if w.demandNow(now)*demandWindow.Seconds() >= 1 {
+	if w.demandNow(now)*GrantLife.Seconds() >= 1 {
 		users++
 	}
 	tokens := min(float64(r.Need), level)
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -295,10 +295,13 @@
 	return rank
 }
 
-// extra returns the expected use within the life of a grant that own slots and
-// grants at hand will not cover.
+// extra returns the expected use within the life of a grant that own slots
+// will not cover. It is nothing if no further request is expected by then.
 func (w *workspace) extra(now time.Duration) float64 {
 	life := GrantLife.Seconds()
+	if w.demandNow(now)*life < float64(w.waiting[0].Tokens) {
+		return 0
+	}
 	own := float64(w.held()) * w.slotRate() * life
 	return math.Floor(max(0, min(w.demandNow(now)*life-own, w.limits.Burst*maxExtra)))
 }
