Waste fewer grants while tokens are short

Cause: tokens gathered for a request that was refused in the end stayed unused at its instance for 2 s; a workspace at 5 times its rate collected crumbs from drained holders at 5.1 KB/s per instance; nearby slots were drained while others overflowed. Change: such tokens go back at once, a holder that gave less than it was asked for is not asked for 250 ms, and holders are ranked by how full they are.

--- a/quota/borrow.go
+++ b/quota/borrow.go
@@ -11,7 +11,10 @@
 	// askTimeout is when an unanswered ask no longer counts on its way; 150 ms cover
 	// a round trip between regions and leave time to ask another holder.
 	askTimeout = 150 * time.Millisecond
-	// minBackOff and maxBackOff bound how long a holder that lacked tokens is not asked again.
+	// drainedPause is how long a holder that gave less than it was asked for is not asked
+	// again. Its slots fill meanwhile, so the next grant is worth its message.
+	drainedPause = 250 * time.Millisecond
+	// minBackOff and maxBackOff bound how long a holder that gave nothing is not asked again.
 	minBackOff = 20 * time.Millisecond
 	maxBackOff = time.Second
 	// settleDelay is how long settlements wait for a message to the same lender.
@@ -167,9 +170,12 @@
 	if g.Moved {
 		h.slots, l.moved = 0, true
 	}
-	if g.Tokens == 0 {
+	switch {
+	case g.Tokens == 0:
 		h.backOffFrom(now)
-	} else {
+	case g.Tokens < a.need || h.level < 1:
+		h.backOff, h.notBefore = 0, now+drainedPause
+	default:
 		h.backOff, h.notBefore = 0, 0
 	}
 }
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -49,6 +49,9 @@
 // roundingTokens is below what the sum of several levels loses to rounding.
 const roundingTokens = 1e-6
 
+// nearBonus is the part of a slot's capacity that a short way is worth.
+const nearBonus = 0.25
+
 // maxExtra bounds what is asked beyond the need, as a part of the burst.
 const maxExtra = 0.25
 
@@ -108,6 +111,27 @@
 func (l *Ledger) refuse(w *workspace, t *Ticket, now time.Duration) {
 	t.RetryAfter = w.retryAfter(float64(t.Tokens), now)
 	l.decide(t, Refused)
+	if len(w.waiting) == 0 {
+		l.returnIdle(w, now)
+	}
+}
+
+// returnIdle gives back what was borrowed for a refused request, unless more
+// requests are expected here within the life of a grant. Kept for 2 s, such
+// tokens were missing at other instances.
+func (l *Ledger) returnIdle(w *workspace, now time.Duration) {
+	left := 0.0
+	for _, b := range w.grants {
+		left += b.left
+	}
+	if left == 0 || w.demandNow(now)*GrantLife.Seconds() >= left {
+		return
+	}
+	for _, b := range w.grants {
+		l.endGrant(b, now)
+		l.peer(b.lender).urgent = true
+	}
+	w.grants = nil
 }
 
 // proceed decides waiting tickets in order until one has to wait for grants.
@@ -270,27 +294,32 @@
 	}
 	extra := w.extra(now)
 	slices.SortStableFunc(free, func(a, b *holder) int { return cmp.Compare(b.rank(w, short+extra, now), a.rank(w, short+extra, now)) })
-	for _, h := range free {
-		if short <= 0 {
-			break
-		}
+	chosen := 0
+	for rest := short; chosen < len(free) && rest > 0; chosen++ {
+		rest -= free[chosen].estimate(w, now)
+	}
+	for _, h := range free[:chosen] {
 		need := math.Ceil(min(short, h.estimate(w, now)))
-		l.ask(w, h, uint64(need), uint64(extra), now)
+		l.ask(w, h, uint64(need), uint64(extra/float64(chosen)), now)
 		short -= need
-		extra = 0
 	}
 	return slices.ContainsFunc(w.holders, func(h *holder) bool { return h.asking(now) })
 }
 
-// rank orders holders: those that can cover all, then those nearby, then by level.
+// rank orders holders: those that can cover all, then by how full their slots
+// are. One nearby counts as fuller by nearBonus; a strict preference drained
+// the slots nearby while others overflowed.
 func (h *holder) rank(w *workspace, tokens float64, now time.Duration) float64 {
 	level := h.estimate(w, now)
-	rank := level / (1 + w.limits.Burst)
+	if h.known {
+		level = h.projected(w, now)
+	}
+	rank := level / (1 + float64(h.slots)*w.slotCapacity())
 	if level >= tokens {
 		rank += 2
 	}
 	if h.near {
-		rank++
+		rank += nearBonus
 	}
 	return rank
 }
