Keep a model's place in the load queue while it waits

Places by the remaining deadlines made models fall back whenever their most urgent requests were refused, and promised loads without waiting requests ran in a lane of their own that always came first. Histories now also require that no row is left without a copy.

--- a/experiment/placement_run.go
+++ b/experiment/placement_run.go
@@ -82,7 +82,7 @@
 	c := *t.catalog
 	c.Pools = slices.Clone(t.catalog.Pools)
 	x := &run{trace: t, days: days, all: newOutcome(), away: newOutcome(), byName: map[string]*outcome{},
-		view: map[string]placement.ModelView{}, copies: map[string]*copyUse{}, awayFrom: 23*time.Hour - 10*time.Minute}
+		view: map[string]placement.ModelView{}, copies: map[string]*copyUse{}, awayFrom: time.Hour}
 	x.w = placementtest.New(catalog.NewIndex(&c, ""), seed)
 	for _, w := range workspaces {
 		x.byName[w.name] = newOutcome()
@@ -153,8 +153,8 @@
 	}
 }
 
-// dataCentreLeaves takes one data centre out on the last evening and brings
-// it back.
+// dataCentreLeaves takes one data centre out during the last night and
+// brings it back.
 func (x *run) dataCentreLeaves() {
 	pool := &x.w.Index.Catalog.Pools[0]
 	x.awayFrom += time.Duration(x.days-1) * 24 * time.Hour
@@ -320,6 +320,7 @@
 		if d.Waiting == 0 || left < d.Deadline {
 			d.Deadline = left
 		}
+		d.Latest = max(d.Latest, left)
 		d.Waiting++
 	}
 	for key, n := range in.running {
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -18,6 +18,7 @@
 		item := entry{instance: e.Instance, workspace: d.Workspace, waiting: max(d.Waiting, 0), running: d.Running}
 		if item.waiting > 0 {
 			item.deadline = p.now.Add(d.Deadline)
+			item.latest = p.now.Add(max(d.Latest, d.Deadline))
 		}
 		m.entries = append(m.entries, item)
 		if !slices.Contains(rep.models, m) {
@@ -92,8 +93,13 @@
 			b.lastUse = p.now
 		}
 	}
-	if m.waiting > 0 {
-		p.heat(m)
+	if m.waiting == 0 {
+		return
+	}
+	p.heat(m)
+	m.asked = m.workspace()
+	if first := m.earliest(); m.urgent.IsZero() || first.Before(m.urgent) {
+		m.urgent = first
 	}
 }
 
@@ -102,7 +108,7 @@
 		return
 	}
 	m.hot = true
-	m.since = p.now
+	m.since, m.urgent = p.now, time.Time{}
 	p.hot = append(p.hot, m)
 }
 
--- a/placement/history_test.go
+++ b/placement/history_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -55,8 +57,8 @@
 func (h *history) callers() {
 	for i := range 3 {
 		var demands []placement.Demand
-		for model, n := range h.wants {
-			demands = append(demands, waiting(model, []string{"large", "small"}[i%2], n, 30*time.Second))
+		for _, model := range slices.Sorted(maps.Keys(h.wants)) {
+			demands = append(demands, waiting(model, []string{"large", "small"}[i%2], h.wants[model], 30*time.Second))
 		}
 		h.Report(fmt.Sprintf("i%d", i), demands)
 	}
@@ -77,9 +79,16 @@
 }
 
 // script asks for more models than fit, in bursts that evict and unload.
-func (h *history) script() {
+// Callers give up after a while.
+func (h *history) script(patience time.Duration) {
 	for i, model := range []string{"m0", "m1", "a0", "m2", "m3", "m4", "m5", "m0", "a0", "m2"} {
-		h.After(time.Duration(i)*6*time.Second, func() { h.wants[model] = 20 })
+		at := time.Duration(i) * 6 * time.Second
+		h.After(at, func() { h.wants[model] = 20 })
+		h.After(at+patience, func() {
+			if !h.calm {
+				delete(h.wants, model)
+			}
+		})
 	}
 }
 
@@ -97,6 +106,13 @@
 	if h.wants["a0"] != 0 {
 		h.fail("a0 was not placed within 100s after the last fault; rows %v", h.Rows())
 	}
+	copies := 0
+	for _, e := range h.Engines {
+		copies += len(e.Copies)
+	}
+	if rows := h.Rows(); len(rows) != copies {
+		h.fail("%d copies, rows left behind: %v", copies, rows)
+	}
 }
 
 // Guards the promises of section 11, numbers 1 and 2: whatever happens between
@@ -127,7 +143,7 @@
 			return placementtest.Fate{}
 		}
 		fates[op] = list[1:]
-		if list[0].Kill {
+		if list[0].Kill || list[0].Die {
 			h.After(time.Second, h.keepTwo)
 		}
 		return list[0]
@@ -135,7 +151,7 @@
 	for range rapid.IntRange(0, 3).Draw(t, "upheavals") {
 		h.upheaval(t)
 	}
-	h.script()
+	h.script(time.Duration(rapid.IntRange(1, 30).Draw(t, "patience")) * time.Second)
 	h.Run(75 * time.Second)
 	h.settle()
 }
@@ -144,7 +160,7 @@
 // order life; an engine that checks tokens bears any freeze.
 func drawFate(t *rapid.T, op string) placementtest.Fate {
 	late := time.Duration(rapid.IntRange(1, 11_000).Draw(t, "late")) * time.Millisecond
-	kind := rapid.SampledFrom([]string{"kill", "freeze", "refuse", "lose", "repeat", "delay", "repeat and lose"}).Draw(t, op)
+	kind := rapid.SampledFrom([]string{"kill", "freeze", "refuse", "lose", "repeat", "delay", "repeat and lose", "die", "die and delay"}).Draw(t, op)
 	switch kind {
 	case "kill":
 		return placementtest.Fate{Kill: true}
@@ -158,6 +174,10 @@
 		return placementtest.Fate{Repeat: late}
 	case "delay":
 		return placementtest.Fate{Delay: late}
+	case "die":
+		return placementtest.Fate{Die: true}
+	case "die and delay":
+		return placementtest.Fate{Die: true, Delay: late}
 	}
 	return placementtest.Fate{Lose: true, Repeat: late}
 }
@@ -194,12 +214,14 @@
 	fates := map[string]placementtest.Fate{
 		"kill": {Kill: true}, "freeze": {Freeze: 20 * time.Second}, "refuse": {Refuse: true},
 		"lose": {Lose: true}, "repeat": {Repeat: 9 * time.Second}, "lose, late": {Lose: true, Delay: 9 * time.Second},
+		"die": {Die: true}, "die, late": {Die: true, Delay: 9 * time.Second},
 	}
 	for _, fencing := range []bool{true, false} {
 		for name, fate := range fates {
 			t.Run(fmt.Sprintf("fencing=%t/%s", fencing, name), func(t *testing.T) {
 				for step, total := 0, 1; step < total; step++ {
-					total = runStep(t, fencing, fate, step)
+					total = runStep(t, fencing, fate, step, false)
+					runStep(t, fencing, fate, step, true)
 				}
 			})
 		}
@@ -207,8 +229,9 @@
 }
 
 // runStep plays a short history with one fault at the given operation of the
-// holder and returns how many operations there are.
-func runStep(t *testing.T, fencing bool, fate placementtest.Fate, step int) int {
+// holder and returns how many operations there are. With abandon set, callers
+// give up at the fault.
+func runStep(t *testing.T, fencing bool, fate placementtest.Fate, step int, abandon bool) int {
 	h := newHistory(fencing, 7, func(format string, args ...any) {
 		t.Fatalf("step %d: %s", step, fmt.Sprintf(format, args...))
 	})
@@ -220,6 +243,9 @@
 		}
 		if count++; count-1 == step {
 			h.After(time.Second, h.keepTwo)
+			if abandon {
+				clear(h.wants)
+			}
 			return fate
 		}
 		return placementtest.Fate{}
--- a/placement/message.go
+++ b/placement/message.go
@@ -16,6 +16,10 @@
 	Waiting int `cbor:"n,omitempty"`
 	// Deadline is the time left to the earliest deadline of the waiting requests.
 	Deadline time.Duration `cbor:"d,omitempty"`
+	// Latest is the time left to the latest deadline of the waiting requests. A
+	// load that is too late for some of them still serves the others. Default
+	// Deadline.
+	Latest time.Duration `cbor:"l,omitempty"`
 	// Arrivals is the number of requests that arrived since the last report,
 	// served or not. It feeds the arrival history of the unload rule.
 	Arrivals int `cbor:"a,omitempty"`
--- a/placement/placementtest/controller.go
+++ b/placement/placementtest/controller.go
@@ -130,6 +130,9 @@
 		w.on(c, 2*o.delay, o.refused)
 		return
 	}
+	if fate.Die {
+		c.Dead = true
+	}
 	w.After(o.delay+fate.Delay, func() {
 		answer := o.do(fate.Lose)
 		if fate.Lose {
--- a/placement/placementtest/world.go
+++ b/placement/placementtest/world.go
@@ -56,6 +56,7 @@
 // Fate is what happens to one operation of a controller.
 type Fate struct {
 	Kill   bool          // the controller dies before the operation
+	Die    bool          // the controller dies after sending the operation
 	Freeze time.Duration // the controller is frozen before the operation
 	Refuse bool          // the operation fails without effect
 	Lose   bool          // the operation takes effect, its answer is lost
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -9,10 +9,10 @@
 type job struct {
 	m         *model
 	workspace string
-	deadline  time.Time
+	first     time.Time // earliest deadline since the demand began: the place in the lane
+	latest    time.Time // latest deadline: decides whether the load is still of use
 	load      time.Duration
 	start     time.Time // planned start of the load
-	feasible  bool
 }
 
 // schedule orders loads for the models that are wanted and have no replica
@@ -91,33 +91,41 @@
 	}
 	load := p.bestEstimate(m)
 	before := len(jobs)
-	add := func(e entry, extra time.Duration) {
+	add := func(of *model, e entry, extra time.Duration) {
 		if e.waiting == 0 {
 			return
 		}
-		for i := before; i < len(jobs); i++ {
-			if jobs[i].workspace == e.workspace {
-				if d := e.deadline.Add(-extra); d.Before(jobs[i].deadline) {
-					jobs[i].deadline = d
-				}
-				return
-			}
+		i := before
+		for i < len(jobs) && jobs[i].workspace != e.workspace {
+			i++
+		}
+		if i == len(jobs) {
+			jobs = append(jobs, job{m: m, workspace: e.workspace, load: load, first: of.urgent.Add(-extra)})
+		}
+		j := &jobs[i]
+		j.latest = later(j.latest, e.latest.Add(-extra))
+		if first := of.urgent.Add(-extra); first.Before(j.first) {
+			j.first = first
 		}
-		jobs = append(jobs, job{m: m, workspace: e.workspace, deadline: e.deadline.Add(-extra), load: load})
 	}
 	for _, e := range m.entries {
-		add(e, 0)
+		add(m, e, 0)
 	}
 	for _, a := range m.adapters {
 		extra := p.bestEstimate(a)
 		for _, e := range a.entries {
-			add(e, extra)
+			add(a, e, extra)
 		}
 	}
 	if len(jobs) == before {
 		// Nothing waits at the moment: a promised or a replacing load, or one
-		// that the load of the ready replicas asks for.
-		jobs = append(jobs, job{m: m, load: load, deadline: p.now.Add(p.cfg.ReplaceWindow)})
+		// that the load of the ready replicas asks for. It belongs to those who
+		// asked last, and keeps their place.
+		j := job{m: m, workspace: m.asked, load: load, first: m.urgent, latest: p.now.Add(p.cfg.ReplaceWindow)}
+		if j.first.IsZero() {
+			j.first = j.latest
+		}
+		jobs = append(jobs, j)
 	}
 	return jobs
 }
@@ -154,8 +162,11 @@
 }
 
 // placeModels walks the queue: the workspace that has had the least load time
-// by weight goes first, within it the earliest deadline that can be met.
-// Deadlines that cannot be met come last; their loads serve those who come back.
+// by weight goes first, within it the model with the earliest deadline. Models
+// that none of their waiting requests can wait for come last; their loads
+// serve those who come back. A model keeps its place when its most urgent
+// requests have been refused: with a place by the remaining deadlines it would
+// fall back again and again.
 func (p *Planner) placeModels(jobs []job) {
 	if len(jobs) == 0 {
 		return
@@ -228,11 +239,10 @@
 			continue
 		}
 		at, slot := start()
-		if j.deadline.Before(at.Add(j.load)) && p.cfg.Order != OrderFirstCome {
+		if j.latest.Before(at.Add(j.load)) && p.cfg.Order != OrderFirstCome {
 			late = append(late, j)
 			continue
 		}
-		j.feasible = true
 		book(j, at, slot)
 	}
 	for _, j := range late {
@@ -289,7 +299,7 @@
 			if p.cfg.Order == OrderFirstCome {
 				return a.m.since.Compare(b.m.since)
 			}
-			return a.deadline.Compare(b.deadline)
+			return a.first.Compare(b.first)
 		})
 	}
 	return lanes
@@ -307,9 +317,6 @@
 
 // charge books a load on the workspace that it was ordered for.
 func (p *Planner) charge(j job) {
-	if j.workspace == "" {
-		return
-	}
 	begin := max(p.virtual[j.workspace], p.floor)
 	p.floor = begin
 	p.virtual[j.workspace] = begin + j.load.Seconds()/p.weight(j.workspace)
--- a/placement/state.go
+++ b/placement/state.go
@@ -74,7 +74,7 @@
 type entry struct {
 	instance, workspace string
 	waiting             int
-	deadline            time.Time
+	deadline, latest    time.Time
 	running             []Use
 }
 
@@ -92,6 +92,8 @@
 	hot              bool      // is on the planner's list of hot models
 	interest         time.Time // wanted until then although nothing waits
 	since            time.Time // start of the current demand
+	urgent           time.Time // earliest deadline since then
+	asked            string    // workspace that asked last
 	lastUse          time.Time
 	history          history
 	burst            float64 // requests that wait for a cold load, moving average
