--- a/placement/placementtest/engine.go
+++ b/placement/placementtest/engine.go
@@ -66,6 +66,16 @@
 	e.Copies = map[string]*Copy{}
 }
 
+// has reports whether a model is ready.
+func (e *Engine) has(model string) bool {
+	for _, c := range e.Copies {
+		if c.Model == model && c.Ready {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *Engine) stale(token uint64) bool {
 	if e.Fencing && token < e.MaxToken {
 		return true
@@ -93,6 +103,9 @@
 	}
 	w.touched = true
 	c := &Copy{ID: o.ID, Model: o.Model, MemoryMB: o.MemoryMB, Began: w.Now, attempt: o.Attempt, waiters: []func(placement.OrderAnswered){answer}}
+	if o.Base != "" && !e.has(o.Base) {
+		w.Baseless++
+	}
 	e.Copies[o.ID] = c
 	e.Loads[o.Model]++
 	w.LoadsBegun++
--- a/placement/placementtest/world.go
+++ b/placement/placementtest/world.go
@@ -42,6 +42,8 @@
 	Check func()
 
 	LoadsBegun, MaxStoreLoads int
+	// Baseless counts adapter loads that found no base on the engine.
+	Baseless int
 	// Sends holds the times at which load orders of models left.
 	Sends      []time.Time
 	Views      int
