--- a/placement/answer_test.go
+++ b/placement/answer_test.go
@@ -88,7 +88,7 @@
 	d.feed(done(load, "one"))
 	d.index("two", d.now)
 	d.index("one", early, load.ID)
-	if d.offered() != 0 {
+	if d.offered() != 0 || d.view.Upstreams[0].Incarnation != "two" {
 		t.Error("an old index counts after a newer one")
 	}
 	d = drive()
--- a/placement/history_test.go
+++ b/placement/history_test.go
@@ -241,7 +241,7 @@
 		t.Fatalf("step %d: %s", step, fmt.Sprintf(format, args...))
 	})
 	h.Run(2 * time.Second)
-	count := 0
+	count, abandoned := 0, false
 	h.Faults = func(c *placementtest.Controller, op string) placementtest.Fate {
 		if c != h.Controllers[0] || op == "index" || strings.HasPrefix(op, "lease.") {
 			return placementtest.Fate{}
@@ -250,13 +250,18 @@
 			h.After(time.Second, h.keepTwo)
 			if abandon {
 				clear(h.wants)
+				abandoned = true
 			}
 			return fate
 		}
 		return placementtest.Fate{}
 	}
 	for i, model := range []string{"m0", "a0", "m1"} {
-		h.After(time.Duration(i)*2*time.Second, func() { h.wants[model] = 5 })
+		h.After(time.Duration(i)*2*time.Second, func() {
+			if !abandoned {
+				h.wants[model] = 5
+			}
+		})
 	}
 	h.Run(60 * time.Second)
 	if len(h.wants) > 0 {
@@ -271,11 +276,19 @@
 // and no adapter is loaded where its base is not.
 func TestQuietHistory(t *testing.T) {
 	h := newHistory(true, 3, t.Fatalf)
+	ops := map[string]int{}
+	h.Faults = func(_ *placementtest.Controller, op string) placementtest.Fate {
+		ops[op]++
+		return placementtest.Fate{}
+	}
 	h.script(time.Hour)
 	h.Run(120 * time.Second)
 	if len(h.wants) > 0 || h.Baseless > 0 {
 		t.Fatalf("still waiting for %v, %d adapters loaded without base", h.wants, h.Baseless)
 	}
+	if n := ops["write.decided"]; n == 0 || ops["write."] != n || ops["load"] != n || ops["unload"] != n {
+		t.Errorf("each replica takes one operation of each kind: %v", ops)
+	}
 	h.noRowsLeft()
 }
 
--- a/placement/state.go
+++ b/placement/state.go
@@ -20,6 +20,7 @@
 	unloading              // an unload order is due or open
 	removing               // no copy was seen, an order may still be on its way
 	deleting               // no copy can appear any more, the row is being deleted
+	forgotten              // the row is deleted
 )
 
 // replica is one decided copy of a model. It exists from the decision until
--- a/placement/step.go
+++ b/placement/step.go
@@ -47,6 +47,7 @@
 	r.up.replicas = slices.DeleteFunc(r.up.replicas, same)
 	r.up.claimed -= r.row.MemoryMB
 	r.up.forgotten = p.now
+	r.state = forgotten
 	p.touch()
 }
 
@@ -72,6 +73,8 @@
 
 func (p *Planner) step(r *replica) {
 	switch r.state {
+	case forgotten:
+		return
 	case planned:
 		p.stepPlanned(r)
 	case decided:
@@ -279,7 +282,7 @@
 func (p *Planner) nextWrite(r *replica) *write {
 	want := r.rowState
 	switch r.state {
-	case planned:
+	case planned, forgotten:
 		return nil
 	case deciding:
 		want = RowDecided
