--- a/controller/placer/placer.go
+++ b/controller/placer/placer.go
@@ -240,7 +240,7 @@
 			sendBy := time.Now().Add(sendWithin)
 			p.workers.Go(func() { p.sendUnload(ctx, a, sendBy) })
 		case placement.ReadIndex:
-			p.pollNow(ctx, placement.Target{Pool: a.Pool, Upstream: a.Upstream, Address: a.Address})
+			p.pollNow(ctx, placement.Target(a))
 		case placement.Publish:
 			if p.cfg.Publish != nil && p.runner.Held() {
 				p.cfg.Publish(a.View)
--- a/placement/step.go
+++ b/placement/step.go
@@ -67,7 +67,7 @@
 	}
 	p.transit = slices.DeleteFunc(p.transit, func(r *replica) bool {
 		settled := r.state == ready && r.write == nil && r.rowState == RowLoaded
-		return settled || p.replicas[Key(r.up.pool.name, r.id)] != r
+		return settled || r.state == forgotten
 	})
 }
 
