--- a/processtest/process.go
+++ b/processtest/process.go
@@ -104,6 +104,9 @@
 	p.t.Logf("log of %s:\n%s", p.Name, log)
 }
 
+// PID returns the process ID, by which a benchmark reads what the process uses.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Log returns what the process has written to standard error.
 func (p *Process) Log() string { return p.stderr.String() }
 
