idempotency: keep ends of claims while the table is away

An outcome that could not be stored was lost, and repeats were told for as long as the instance lived that the request was running.

--- a/filter/claim.go
+++ b/filter/claim.go
@@ -85,7 +85,6 @@
 	if err := f.Store.Complete(ctx, claim, r.Attempt.Verdict(), outcome); err != nil {
 		r.Log.WithError(err).Warn("outcome of a claimed request not stored")
 	}
-	f.Store.Sweep(ctx)
 }
 
 // replay answers with a stored outcome.
--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -23,6 +23,12 @@
 	// maxAbandoned bounds the memory for claims given up without an answer of
 	// the table. A claim that is forgotten stays in doubt, which is safe.
 	maxAbandoned = 1024
+	// maxUnsaved bounds the ends of claims that wait for the table. With bodies
+	// of MaxInline they take 4 MB.
+	maxUnsaved = 64
+	// sweepInterval is the time between two looks at what the table did not
+	// answer to.
+	sweepInterval = 2 * time.Second
 	// abandonedFor bounds the time for which a late write is expected.
 	abandonedFor = 10 * time.Minute
 )
@@ -43,6 +49,7 @@
 
 	mu        sync.Mutex
 	running   map[string]bool      // rows of claims that this process may have forwarded
+	unsaved   map[string]*Claim    // by row, ended claims whose end is not in the table for sure
 	abandoned map[string]abandoned // by token, claims that may be in the table and were never forwarded
 }
 
@@ -74,6 +81,9 @@
 	if s.isRunning(key) {
 		return nil, nil, refuseDoubtful(verdict.RequestInProgress, "a request with this Idempotency-Key is running").After(activeRetryAfter)
 	}
+	if d, known := s.unsavedEnd(key, r.Digest); known {
+		return s.answer(ctx, d)
+	}
 	row := Row{State: Running, Instance: s.Instance, Incarnation: s.Incarnation, Digest: r.Digest, Started: s.Now().UTC()}
 	// Most keys are new, so that the first try writes without reading.
 	decision := Decision{Action: Take}
@@ -189,21 +199,34 @@
 }
 
 // Complete ends a claim. The verdict must come from the attempt; outcome is
-// nil if no complete answer was received. An error leaves the claim running
-// in the table, so that repeats are told that the request may have run.
+// nil if no complete answer was received. After an error the claim
+// stays running in the table, so that repeats at other instances are told that
+// the request may have run, until Sweep has stored the end.
 func (s *Store) Complete(ctx context.Context, c *Claim, v verdict.Verdict, outcome *Outcome) error {
 	defer s.setRunning(c.key, false)
-	row := Finish(c.row, v != verdict.NotRun, s.keepBody(ctx, outcome))
-	return s.end(ctx, c, row)
+	ended := &Claim{key: c.key, row: Finish(c.row, v != verdict.NotRun, s.keepBody(ctx, outcome)), revision: c.revision}
+	err := s.end(ctx, ended)
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.unsaved == nil {
+			s.unsaved = map[string]*Claim{}
+		}
+		if len(s.unsaved) < maxUnsaved {
+			s.unsaved[c.key] = ended
+		}
+	}
+	return err
 }
 
-func (s *Store) end(ctx context.Context, c *Claim, row Row) error {
-	value, err := row.encode()
+// end writes the row of an ended claim.
+func (s *Store) end(ctx context.Context, c *Claim) error {
+	value, err := c.row.encode()
 	if err != nil {
 		return err
 	}
 	return platform.Commit(ctx, s.Table, s.NewToken(), platform.Write{
-		Key: c.key, Value: value, Revision: c.revision, ExpiresAt: Expires(row, s.Now()),
+		Key: c.key, Value: value, Revision: c.revision, ExpiresAt: Expires(c.row, s.Now()),
 	})
 }
 
@@ -220,12 +243,35 @@
 	return &kept
 }
 
-// Sweep releases claims that this process gave up before forwarding and that
-// may have reached the table. It returns the number that is left.
+// Run sweeps until ctx ends.
+func (s *Store) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.Sweep(ctx)
+		}
+	}
+}
+
+// Sweep does what the table did not answer to before: it stores the ends of
+// claims, and releases claims that this process gave up before forwarding and
+// that may have reached the table. It returns the number that is left.
 func (s *Store) Sweep(ctx context.Context) int {
 	s.mu.Lock()
-	pending := maps.Clone(s.abandoned)
+	ends, pending := maps.Clone(s.unsaved), maps.Clone(s.abandoned)
 	s.mu.Unlock()
+	for key, c := range ends {
+		// After a conflict the row has moved on, at the latest by this end.
+		if err := s.end(ctx, c); err == nil || errors.Is(err, platform.ErrConflict) {
+			s.mu.Lock()
+			delete(s.unsaved, key)
+			s.mu.Unlock()
+		}
+	}
 	for token, claim := range pending {
 		// Where the row is absent or another's, a write that is still under
 		// way can arrive later, so that the token is remembered for a while.
@@ -237,7 +283,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.abandoned)
+	return len(s.abandoned) + len(s.unsaved)
 }
 
 func (s *Store) release(ctx context.Context, token, key string) bool {
@@ -246,7 +292,19 @@
 		return false
 	}
 	row, err := decodeRow(stored.Value)
-	return err == nil && s.end(ctx, &Claim{key: key, revision: stored.Revision}, Finish(row, false, nil)) == nil
+	return err == nil && s.end(ctx, &Claim{key: key, row: Finish(row, false, nil), revision: stored.Revision}) == nil
+}
+
+// unsavedEnd decides a repeat by an end that this process could not store.
+func (s *Store) unsavedEnd(key, digest string) (Decision, bool) {
+	s.mu.Lock()
+	c := s.unsaved[key]
+	s.mu.Unlock()
+	if c == nil {
+		return Decision{}, false
+	}
+	d := Begin(c.row, true, c.revision, digest, s.Gone, func(string) bool { return false })
+	return d, d.Action != Take
 }
 
 func (s *Store) isRunning(key string) bool {
--- a/idempotency/store_test.go
+++ b/idempotency/store_test.go
@@ -229,9 +229,20 @@
 		if _, _, refusal = h.stores[1].Claim(t.Context(), request); refusal.Reason != verdict.RequestInProgress || refusal.Verdict() != verdict.MayHaveRun {
 			t.Fatalf("repeat at the instance that runs the request: %v", refusal)
 		}
+		refuse := func(string, string) platformtest.Fault { return platformtest.Refuse }
+		h.table.SetHook(refuse)
+		if err := h.stores[1].Complete(t.Context(), claim, verdict.MayHaveRun, &Outcome{Status: 200}); err == nil {
+			t.Fatal("an outcome was stored during the outage")
+		}
+		if _, outcome, _ := h.stores[1].Claim(t.Context(), request); outcome == nil {
+			t.Fatal("the instance that ran the request does not know its outcome during the outage")
+		}
 		h.table.SetHook(nil)
-		if err := h.stores[1].Complete(t.Context(), claim, verdict.MayHaveRun, &Outcome{Status: 200}); err != nil {
-			t.Fatalf("the outcome of a claim that was taken over could not be stored: %v", err)
+		if left := h.stores[1].Sweep(t.Context()); left != 0 {
+			t.Fatalf("%d ends left after the table came back", left)
+		}
+		if _, outcome, refusal := h.stores[0].Claim(t.Context(), request); outcome == nil {
+			t.Fatalf("the outcome of a claim that was taken over was not stored: %v", refusal)
 		}
 	})
 }
--- a/instance.go
+++ b/instance.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscusyard/hibiscusyard/controller/catalogsync"
 	"github.com/hibiscusyard/hibiscusyard/controller/members"
 	"github.com/hibiscusyard/hibiscusyard/filter"
+	"github.com/hibiscusyard/hibiscusyard/idempotency"
 	"github.com/hibiscusyard/hibiscusyard/peer"
 	"github.com/hibiscusyard/hibiscusyard/platform"
 	"github.com/hibiscusyard/hibiscusyard/session"
@@ -48,6 +49,7 @@
 	quota     *quotaControl
 	forward   *filter.Forward
 	route     *filter.Route
+	claims    *idempotency.Store
 
 	listeners listeners
 	servers   servers
@@ -85,7 +87,7 @@
 	i.quota = newQuotaControl(i)
 	i.placement = newPlacementControl(i)
 	i.forward = &filter.Forward{Client: filter.NewClient(), Session: i.session, Observe: i.placement.observe}
-	i.route = newRoute(i)
+	i.route, i.claims = newRoute(i), newClaimStore(i)
 	return i, nil
 }
 
@@ -133,7 +135,7 @@
 	i.group, _ = errgroup.WithContext(i.state)
 	i.serve()
 	for _, run := range []func(context.Context) error{
-		i.session.Run, i.members.Run, i.catalog.Run, i.quota.run, i.placement.run, i.route.Run,
+		i.session.Run, i.members.Run, i.catalog.Run, i.quota.run, i.placement.run, i.route.Run, i.claims.Run,
 	} {
 		i.group.Go(func() error { return run(i.state) })
 	}
@@ -226,7 +228,7 @@
 		filter.Identify{Catalog: i.catalog},
 		filter.Authorise{Catalog: i.catalog},
 		filter.Admit{Limiter: i.quota},
-		filter.Claims{Store: newClaimStore(i)},
+		filter.Claims{Store: i.claims},
 		i.route,
 	)
 	handler := &filter.Handler{Chain: chain, Log: i.log, Metrics: i.metrics}
