--- a/shutdown.go
+++ b/shutdown.go
@@ -62,6 +62,7 @@
 func (i *Instance) release() {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
+	i.claims.Sweep(ctx)
 	i.quota.release(ctx)
 	if err := i.session.End(ctx); err != nil {
 		i.log.WithError(err).Warn("session not ended")
