--- a/fairqueue/queue_test.go
+++ b/fairqueue/queue_test.go
@@ -270,7 +270,8 @@
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				q.Push(epoch, Entry[int]{Workspace: names[i%workspaces], Weight: 1, Cost: 100})
+				// A deadline makes Push estimate the start of service.
+				q.Push(epoch, Entry[int]{Workspace: names[i%workspaces], Weight: 1, Cost: 100, Deadline: epoch.Add(time.Hour)})
 				q.Pop(epoch)
 			}
 		})
--- a/shutdown.go
+++ b/shutdown.go
@@ -62,11 +62,14 @@
 func (i *Instance) release() {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	i.claims.Sweep(ctx)
 	i.quota.release(ctx)
 	if err := i.session.End(ctx); err != nil {
 		i.log.WithError(err).Warn("session not ended")
 	}
+	// Last, since nobody waits for it and it can use up the time-out.
+	if left := i.claims.Sweep(ctx); left > 0 {
+		i.log.WithField("claims", left).Warn("ends of claims not stored")
+	}
 }
 
 // limitedListener bounds the connections that are open at once; more wait in
