Follow the platform's list of leaving upstreams

Cause: an upstream could only be taken out by an edit; the list of leaving upstreams was not read. Also, two versions adopted at once could call back in the wrong order, which would have left the quota or the routing on the older one; adoptions are now ordered with their callbacks. The marks are laid over the index in force and never written to the tables. The test of a data centre taken out was made stricter: it had taken a pause of all calls for the absence of new work; it now needs work at the other service in the same second.

--- a/admin/api.go
+++ b/admin/api.go
@@ -27,7 +27,8 @@
 
 // Tables reads and edits the two tables.
 type Tables interface {
-	Current() (*catalog.Index, <-chan struct{})
+	// Stored returns the tables as operators wrote them, nil before the first version.
+	Stored() *catalog.Index
 	Edit(ctx context.Context, base uint64, change func(*catalog.Catalog)) (catalogsync.Result, error)
 }
 
@@ -131,7 +132,7 @@
 
 func (s *Server) getTable(table string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
-		index, _ := s.Tables.Current()
+		index := s.Tables.Stored()
 		w.Header().Set("ETag", etag(index.Version()))
 		writeJSON(w, http.StatusOK, document(table, index))
 	}
@@ -194,7 +195,7 @@
 }
 
 func (s *Server) writeEditError(w http.ResponseWriter, err error) {
-	index, _ := s.Tables.Current()
+	index := s.Tables.Stored()
 	problem := Problem{Error: err.Error(), Version: index.Version()}
 	status := http.StatusInternalServerError
 	fields, invalid := catalog.AsErrors(err)
@@ -221,7 +222,7 @@
 			writeJSON(w, http.StatusBadRequest, Problem{Error: err.Error()})
 			return
 		}
-		index, _ := s.Tables.Current()
+		index := s.Tables.Stored()
 		next := &catalog.Catalog{}
 		if index != nil {
 			next.Routes = append(next.Routes, index.Catalog.Routes...)
--- a/catalog/index.go
+++ b/catalog/index.go
@@ -72,6 +72,23 @@
 	return x
 }
 
+// WithLeaving returns an index in which the upstreams at the given addresses
+// are marked as leaving.
+func (x *Index) WithLeaving(addresses map[string]bool) *Index {
+	if len(addresses) == 0 {
+		return x
+	}
+	marked := &Catalog{Version: x.Catalog.Version, Routes: x.Catalog.Routes, Pools: slices.Clone(x.Catalog.Pools)}
+	for p := range marked.Pools {
+		pool := &marked.Pools[p]
+		pool.Upstreams = slices.Clone(pool.Upstreams)
+		for u := range pool.Upstreams {
+			pool.Upstreams[u].Leaving = pool.Upstreams[u].Leaving || addresses[pool.Upstreams[u].Address]
+		}
+	}
+	return NewIndex(marked, x.Digest)
+}
+
 func (x *Index) addRoute(r *Route) {
 	for _, model := range r.Models {
 		x.models[model] = r
--- a/controller/catalogsync/controller.go
+++ b/controller/catalogsync/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -40,8 +41,12 @@
 	poll       time.Duration
 	log        log.Interface
 
+	adopting sync.Mutex // orders adoptions with their callbacks
+
 	mu      sync.Mutex
-	index   *catalog.Index
+	stored  *catalog.Index  // as operators wrote it
+	index   *catalog.Index  // with the upstreams that are leaving marked
+	leaving map[string]bool // addresses of upstreams
 	body    []byte
 	tracker freshness.Tracker
 	changed chan struct{}
@@ -157,7 +162,7 @@
 func (c *Controller) version() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.index.Version()
+	return c.stored.Version()
 }
 
 // adopt puts a newer version in force. Older and equal versions are ignored.
@@ -172,21 +177,47 @@
 	if index.Version() != version {
 		return errors.New("catalogue body holds another version than its row")
 	}
-	c.mu.Lock()
-	if version <= c.index.Version() {
-		c.mu.Unlock()
+	c.adopting.Lock()
+	defer c.adopting.Unlock()
+	if version <= c.version() {
 		return nil
 	}
-	c.index, c.body = index, body
+	c.mu.Lock()
+	c.stored, c.body = index, body
 	c.tracker.Adopted(version)
+	c.mu.Unlock()
+	c.log.WithFields(log.Fields{"version": version, "digest": digest}).Info("catalogue in force")
+	c.apply()
+	return nil
+}
+
+// SetLeaving marks the upstreams at the given addresses as leaving, as the
+// platform's list says, in the index in force. The tables stay as they are.
+func (c *Controller) SetLeaving(addresses map[string]bool) {
+	c.adopting.Lock()
+	defer c.adopting.Unlock()
+	c.mu.Lock()
+	same := maps.Equal(c.leaving, addresses)
+	c.leaving = addresses
+	held := c.stored != nil
+	c.mu.Unlock()
+	if !same && held {
+		c.apply()
+	}
+}
+
+// apply puts the stored index with the marks of leaving upstreams in force.
+// The caller holds adopting, so that callbacks see versions in order.
+func (c *Controller) apply() {
+	c.mu.Lock()
+	index := c.stored.WithLeaving(c.leaving)
+	c.index = index
 	close(c.changed)
 	c.changed = make(chan struct{})
 	c.mu.Unlock()
-	c.log.WithFields(log.Fields{"version": version, "digest": digest}).Info("catalogue in force")
 	for _, callback := range c.onAdopt {
 		callback(index)
 	}
-	return nil
 }
 
 // askPeers sends one round of freshness queries and fetches a newer version
--- a/controller/catalogsync/edit.go
+++ b/controller/catalogsync/edit.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return Result{}, errors.Join(platform.ErrNotApplied, err)
 	}
-	current, _ := c.Current()
+	current := c.Stored()
 	if head.Version != base || current.Version() != base {
 		return Result{}, ErrVersion
 	}
@@ -66,6 +66,14 @@
 	return c.confirm(ctx, Push{Version: next.Version, Digest: next.Digest, Body: body}), nil
 }
 
+// Stored returns the index of the tables as operators wrote them, nil before
+// the first version.
+func (c *Controller) Stored() *catalog.Index {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stored
+}
+
 func derive(current *catalog.Index, base uint64, change func(*catalog.Catalog)) (pointer, []byte, error) {
 	edited := &catalog.Catalog{}
 	if current != nil {
@@ -179,8 +187,8 @@
 func (c *Controller) handleFetch(context.Context, peer.Identity, []byte) (any, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.index == nil {
+	if c.stored == nil {
 		return nil, errors.New("no catalogue yet")
 	}
-	return Push{Version: c.index.Version(), Digest: c.index.Digest, Body: c.body}, nil
+	return Push{Version: c.stored.Version(), Digest: c.stored.Digest, Body: c.body}, nil
 }
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/hibiscusyard/hibiscusyard/duration"
 	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin"
+	"github.com/hibiscusyard/hibiscusyard/standin/instances"
 )
 
 // balancer sends callers to ready instances, as the platform's balancer does.
@@ -202,10 +204,26 @@
 	}
 }
 
-// Guards against new work at a data centre after it was taken out, against
-// running work that is cut by it, and against a centre that stays empty after
-// its return.
-func TestDataCentreTakenOut(t *testing.T) {
+// arrivals returns the new calls at each service within a second.
+func arrivals(services ...*processtest.Standin) []int {
+	counts := make([]int, len(services))
+	for k, s := range services {
+		counts[k] = -s.Service().Effects
+	}
+	<-time.After(time.Second)
+	for k, s := range services {
+		counts[k] += s.Service().Effects
+	}
+	return counts
+}
+
+// steady is the number of calls a second over which a service counts as in
+// use; the load makes over a thousand.
+const steady = 20
+
+// withTwoServices runs load over a service in each data centre, takes the
+// western one out and back, and checks that no call was refused or cut.
+func withTwoServices(t *testing.T, takeOut, bringBack func(s *scene, west *processtest.Standin)) {
 	s := newScene(t)
 	west := processtest.StartStandin(t, "service-west", "service")
 	s.pools.Pools[1].Upstreams = append(s.pools.Pools[1].Upstreams, catalog.Upstream{Name: "signup-2", Address: west.Address, DataCentre: "west"})
@@ -214,32 +232,56 @@
 	stop := make(chan struct{})
 	done := make(chan []answer)
 	go func() { done <- b.load(stop, 4, func(int) call { return signup() }) }()
-	arrives := func() bool {
-		before := west.Service().Effects
-		deadline := time.Now().Add(time.Second)
-		for time.Now().Before(deadline) {
-			if west.Service().Effects > before {
-				return true
-			}
-		}
-		return false
+	both := func() bool {
+		n := arrivals(west, s.service)
+		return n[0] > steady && n[1] > steady
 	}
-	processtest.Eventually(t, "the west gets work", arrives)
-	s.pools.Pools[1].DisabledDataCentres = []string{"west"}
-	s.two.MustPut("pools", s.pools)
-	processtest.Within(t, inForce, "the west gets no new work", func() bool { return !arrives() })
-	if arrives() {
-		t.Error("the west got work again while it was taken out")
+	processtest.Eventually(t, "both services get work", both)
+	takeOut(s, west)
+	processtest.Within(t, inForce, "the west gets no new work", func() bool {
+		n := arrivals(west, s.service)
+		return n[0] == 0 && n[1] > steady
+	})
+	if n := arrivals(west, s.service); n[0] != 0 || n[1] <= steady {
+		t.Errorf("calls at the west %d and at the east %d while the west was out", n[0], n[1])
 	}
-	s.pools.Pools[1].DisabledDataCentres = nil
-	s.one.MustPut("pools", s.pools)
-	processtest.Eventually(t, "the west gets work after its return", arrives)
+	bringBack(s, west)
+	processtest.Eventually(t, "both services get work after the return", both)
 	close(stop)
 	for _, a := range <-done {
 		if a.err != nil || a.status != http.StatusOK {
-			t.Errorf("while a data centre left and returned: status %d, error %v, body %q", a.status, a.err, a.body)
+			t.Errorf("while an upstream was out and back: status %d, error %v, body %q", a.status, a.err, a.body)
+		}
+	}
+}
+
+// Guards against new work at a data centre after it was taken out, against
+// running work that is cut by it, and against a centre that stays empty after
+// its return.
+func TestDataCentreTakenOut(t *testing.T) {
+	withTwoServices(t, func(s *scene, _ *processtest.Standin) {
+		s.pools.Pools[1].DisabledDataCentres = []string{"west"}
+		s.two.MustPut("pools", s.pools)
+	}, func(s *scene, _ *processtest.Standin) {
+		s.pools.Pools[1].DisabledDataCentres = nil
+		s.one.MustPut("pools", s.pools)
+	})
+}
+
+// Guards against new work at an upstream that the platform's list shows as
+// leaving, with a list that lags by 2 s.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	register := func(state string) func(*scene, *processtest.Standin) {
+		return func(s *scene, west *processtest.Standin) {
+			address := netip.MustParseAddrPort(west.Address)
+			s.fleet.List.Faults(standin.Faults{ListLag: duration.Duration(2 * time.Second)})
+			s.fleet.List.Register(instances.Registration{
+				ID: "signup-2", Service: processtest.UpstreamService, State: state,
+				IP: address.Addr().String(), Port: int(address.Port()), DataCentre: "west",
+			})
 		}
 	}
+	withTwoServices(t, register("leaving"), register("live"))
 }
 
 // Guards against refusing loaded models during a table outage, and against
--- a/instance.go
+++ b/instance.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscusyard/hibiscusyard/admin"
 	"github.com/hibiscusyard/hibiscusyard/controller/catalogsync"
 	"github.com/hibiscusyard/hibiscusyard/controller/members"
+	"github.com/hibiscusyard/hibiscusyard/controller/upstreams"
 	"github.com/hibiscusyard/hibiscusyard/filter"
 	"github.com/hibiscusyard/hibiscusyard/peer"
 	"github.com/hibiscusyard/hibiscusyard/platform"
@@ -39,6 +40,7 @@
 	table     platform.Table
 	objects   platform.Objects
 	instances platform.Instances
+	upstreams platform.Instances // nil if the list does not show upstreams
 
 	hub       *peer.Hub
 	session   *session.Session
@@ -113,6 +115,14 @@
 		return oops.In("platform").Wrapf(err, "instance list client")
 	}
 	i.instances = list
+	if p.UpstreamService == "" {
+		return nil
+	}
+	upstreams, err := platform.NewCloudMapInstances(endpoint(p.Instances), p.Namespace, p.UpstreamService)
+	if err != nil {
+		return oops.In("platform").Wrapf(err, "upstream list client")
+	}
+	i.upstreams = upstreams
 	return nil
 }
 
@@ -133,7 +143,8 @@
 	i.group, _ = errgroup.WithContext(i.state)
 	i.serve()
 	for _, run := range []func(context.Context) error{
-		i.session.Run, i.members.Run, i.catalog.Run, i.quota.run, i.placement.run, i.route.Run,
+		i.session.Run, i.members.Run, i.catalog.Run, i.quota.run, i.placement.run,
+		upstreams.Watch(i.upstreams, i.catalog.SetLeaving, i.log), i.route.Run,
 	} {
 		i.group.Go(func() error { return run(i.state) })
 	}
--- a/processtest/fleet.go
+++ b/processtest/fleet.go
@@ -25,6 +25,9 @@
 	PeerSecret = "peer-secret-of-the-tests"
 )
 
+// UpstreamService is the service under which the list shows upstreams.
+const UpstreamService = "upstreams"
+
 // Fleet is a set of instances with the stand-ins of their platform.
 type Fleet struct {
 	Table, Objects, List *Standin
@@ -63,6 +66,7 @@
 	s.DrainDelay = shortDrain
 	s.Platform.AccessKey, s.Platform.SecretKey = "access", "secret"
 	s.Platform.Table, s.Platform.Objects, s.Platform.Instances = f.Table.URL(), f.Objects.URL(), f.List.URL()
+	s.Platform.UpstreamService = UpstreamService
 	return s
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -74,6 +74,8 @@
 	// Namespace and Service name the entry instances in the list. Defaults "hibiscusyard" and "entry".
 	Namespace string `json:"namespace,omitempty"`
 	Service   string `json:"service,omitempty"`
+	// UpstreamService names the upstreams in the list; those in state "leaving" get no new work. Default empty: only edits take upstreams out.
+	UpstreamService string `json:"upstream_service,omitempty"`
 	// Weights is the base URL of the S3-compatible weight store. Empty: checkpoint sizes are not checked.
 	Weights string `json:"weights,omitempty"`
 	// WeightsBucket is the bucket of the checkpoints. Default "weights".
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -79,6 +79,9 @@
 	if p.Instances != "" || len(s.Peers) == 0 {
 		c.baseURL("platform.instances", p.Instances)
 	}
+	if p.UpstreamService != "" && p.Instances == "" {
+		c.fail("platform.upstream_service", "needs platform.instances")
+	}
 	if p.Weights != "" {
 		c.baseURL("platform.weights", p.Weights)
 	}
--- a/standin/instances/instances.go
+++ b/standin/instances/instances.go
@@ -30,6 +30,8 @@
 	Port        int    `json:"port"`
 	DataCentre  string `json:"data_centre"`
 	Incarnation string `json:"incarnation,omitempty"`
+	// Service is the service that lists the instance. Default: the service of the configuration.
+	Service string `json:"service,omitempty"`
 	// State is "live" or "leaving". Default "live".
 	State string `json:"state,omitempty"`
 }
@@ -95,6 +97,9 @@
 	if r.State == "" {
 		r.State = "live"
 	}
+	if r.Service == "" {
+		r.Service = l.config.Service
+	}
 	l.change(func(m map[string]Registration) { m[r.ID] = r })
 }
 
@@ -180,13 +185,25 @@
 		writeError(w, http.StatusBadRequest, "NamespaceNotFound", in.NamespaceName)
 		return
 	}
-	if in.ServiceName != l.config.Service {
+	if in.ServiceName != l.config.Service && !l.lists(in.ServiceName) {
 		writeError(w, http.StatusBadRequest, "ServiceNotFound", in.ServiceName)
 		return
 	}
 	standin.WriteJSON(w, contentType, http.StatusOK, l.discover(in))
 }
 
+// lists reports whether any instance is registered under the service.
+func (l *Instances) lists(service string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.current {
+		if r.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Instances) discover(in discoverInput) discoverOutput {
 	l.mu.Lock()
 	l.reads++
@@ -197,6 +214,9 @@
 	}
 	out := discoverOutput{Instances: []summary{}}
 	for _, reg := range sorted(l.shown.Get(l.config.Now(), l.Faults().ListLag.Std())) {
+		if reg.Service != in.ServiceName {
+			continue
+		}
 		if len(out.Instances) == limit {
 			break
 		}
