Look up new checkpoints in the weight store when pools are edited

Cause: the weight store client was configured but unused; a pool could name a checkpoint that no load can find. A store that does not answer refuses nothing. TestEditChecksCheckpoints covers both.

--- a/catalog_test.go
+++ b/catalog_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
+	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 )
 
@@ -164,3 +165,31 @@
 		t.Errorf("a request got %+v, want not_ready", a)
 	}
 }
+
+// Guards against a pool that names a checkpoint which the weight store does
+// not have, and against edits that a silent weight store stops.
+func TestEditChecksCheckpoints(t *testing.T) {
+	f := startFleet(t, 1)
+	pool := func(checkpoint string) []byte {
+		data, err := json.Marshal(admin.PoolsDocument{Pools: []catalog.Pool{{
+			Name: "drafting", Kind: catalog.Engine, Models: []catalog.Model{{Name: "m", MemoryMB: 1, Checkpoint: checkpoint}},
+		}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	ctx := context.Background()
+	eventually(t, waitCap, "a pool with a known checkpoint is accepted", func() bool {
+		_, err := f.admin(0).Put(ctx, "pools", pool(knownCheckpoint), 0)
+		return err == nil
+	})
+	var problem *admin.ProblemError
+	if _, err := f.admin(0).Put(ctx, "pools", pool("absent"), 1); !errors.As(err, &problem) || len(problem.Problem.Fields) != 1 {
+		t.Errorf("a checkpoint that does not exist gave %v", err)
+	}
+	f.weights.SetFaults(standin.Faults{Outage: standin.OutageClose})
+	if _, err := f.admin(0).Put(ctx, "pools", pool("absent"), 1); err != nil {
+		t.Errorf("an edit while the weight store is silent gave %v", err)
+	}
+}
--- a/controller/catalogsync/controller.go
+++ b/controller/catalogsync/controller.go
@@ -35,6 +35,7 @@
 // concurrent use.
 type Controller struct {
 	store      store
+	weights    platform.Weights
 	peers      Peers
 	members    func() int
 	staleAfter time.Duration
@@ -58,6 +59,8 @@
 type Config struct {
 	Table   platform.Table
 	Objects platform.Objects
+	// Weights is where edits look up new checkpoints; nil skips that.
+	Weights platform.Weights
 	Peers   Peers
 	// Members returns the number of members, this instance included.
 	Members    func() int
@@ -69,7 +72,7 @@
 // New returns a controller that holds no version yet.
 func New(c Config) *Controller {
 	return &Controller{
-		store: store{table: c.Table, objects: c.Objects}, peers: c.Peers, members: c.Members,
+		store: store{table: c.Table, objects: c.Objects}, weights: c.Weights, peers: c.Peers, members: c.Members,
 		staleAfter: c.StaleAfter, poll: c.Poll, log: c.Log,
 		changed: make(chan struct{}), known: map[string]uint64{},
 	}
--- a/controller/catalogsync/edit.go
+++ b/controller/catalogsync/edit.go
@@ -50,10 +50,18 @@
 	if head.Version != base || current.Version() != base {
 		return Result{}, ErrVersion
 	}
-	next, body, err := derive(current, base, change)
+	edited := apply(current, base, change)
+	if err := edited.Validate(); err != nil {
+		return Result{}, err
+	}
+	if err := c.checkCheckpoints(ctx, current, edited); err != nil {
+		return Result{}, err
+	}
+	body, err := edited.Encode()
 	if err != nil {
 		return Result{}, err
 	}
+	next := pointer{Version: edited.Version, Digest: catalog.Digest(body)}
 	if err := c.store.commit(ctx, revision, next, body); err != nil {
 		if errors.Is(err, platform.ErrConflict) {
 			return Result{}, ErrVersion
@@ -74,7 +82,8 @@
 	return c.stored
 }
 
-func derive(current *catalog.Index, base uint64, change func(*catalog.Catalog)) (pointer, []byte, error) {
+// apply returns the tables after a change, with defaults filled in.
+func apply(current *catalog.Index, base uint64, change func(*catalog.Catalog)) *catalog.Catalog {
 	edited := &catalog.Catalog{}
 	if current != nil {
 		edited.Routes = slices.Clone(current.Catalog.Routes)
@@ -83,14 +92,7 @@
 	change(edited)
 	edited.Version = base + 1
 	edited.ApplyDefaults()
-	if err := edited.Validate(); err != nil {
-		return pointer{}, nil, err
-	}
-	body, err := edited.Encode()
-	if err != nil {
-		return pointer{}, nil, err
-	}
-	return pointer{Version: edited.Version, Digest: catalog.Digest(body)}, body, nil
+	return edited
 }
 
 // confirm pushes a version to all peers and waits until a majority plus one
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -30,7 +30,9 @@
 	adminToken = "operator-token"
 	callerKey  = "caller-key"
 	inForce    = 8 * time.Second // the stated bound for edits and withdrawals
-	waitCap    = 30 * time.Second
+	// knownCheckpoint is in the weight store.
+	knownCheckpoint = "known"
+	waitCap         = 30 * time.Second
 )
 
 // fleet runs instances in this process against stand-ins of the platform.
@@ -39,6 +41,7 @@
 	table     *table.Table
 	gates     []*switchable // one table connection for each instance
 	list      *instances.Instances
+	weights   *objects.Objects
 	instances []*Instance
 }
 
@@ -57,18 +60,21 @@
 
 func startFleet(t *testing.T, n int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, table: table.New(table.Config{}), list: instances.New(instances.Config{Service: "entry"})}
+	f := &fleet{t: t, table: table.New(table.Config{}), list: instances.New(instances.Config{}), weights: objects.New()}
 	store := httptest.NewServer(objects.New())
 	t.Cleanup(store.Close)
 	list := httptest.NewServer(f.list)
 	t.Cleanup(list.Close)
+	weights := httptest.NewServer(f.weights)
+	t.Cleanup(weights.Close)
+	f.weights.SetSize("weights", knownCheckpoint, 1)
 	for k := range n {
-		f.start(k, store.URL, list.URL)
+		f.start(k, store.URL, list.URL, weights.URL)
 	}
 	return f
 }
 
-func (f *fleet) start(k int, store, list string) {
+func (f *fleet) start(k int, store, list, weights string) {
 	f.t.Helper()
 	gate := &switchable{next: f.table}
 	server := httptest.NewServer(gate)
@@ -81,6 +87,7 @@
 	s.DrainDelay = duration.Duration(10 * time.Millisecond)
 	s.Platform.AccessKey, s.Platform.SecretKey = "a", "b"
 	s.Platform.Table, s.Platform.Objects, s.Platform.Instances = server.URL, store, list
+	s.Platform.Weights = weights
 	if err := s.Validate(); err != nil {
 		f.t.Fatal(err)
 	}
--- a/instance.go
+++ b/instance.go
@@ -39,6 +39,7 @@
 
 	table     platform.Table
 	objects   platform.Objects
+	weights   platform.Weights // nil if checkpoints are not checked
 	instances platform.Instances
 	upstreams platform.Instances // nil if the list does not show upstreams
 
@@ -80,7 +81,7 @@
 		Self: self, List: i.instances, Static: s.Peers, Lag: s.ListLag.Std(), Hub: i.hub, Log: i.log,
 	})
 	i.catalog = catalogsync.New(catalogsync.Config{
-		Table: i.table, Objects: i.objects, Peers: i.hub, Members: i.members.Count,
+		Table: i.table, Objects: i.objects, Weights: i.weights, Peers: i.hub, Members: i.members.Count,
 		StaleAfter: s.StaleAfter.Std(), Poll: s.PollInterval.Std(), Log: i.log,
 	})
 	i.catalog.Register(i.hub)
@@ -107,6 +108,11 @@
 		return oops.In("platform").Wrapf(err, "object store client")
 	}
 	i.table, i.objects = table, objects
+	if p.Weights != "" {
+		if i.weights, err = platform.NewS3Bucket(endpoint(p.Weights), p.WeightsBucket); err != nil {
+			return oops.In("platform").Wrapf(err, "weight store client")
+		}
+	}
 	if p.Instances == "" {
 		return nil
 	}
