--- a/e2e/scene_test.go
+++ b/e2e/scene_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/duration"
 	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin/engine"
 )
@@ -59,6 +60,7 @@
 	s.one.MustPut("routes", s.routes)
 	for _, i := range []*processtest.Instance{s.one, s.two} {
 		processtest.Eventually(t, i.Name+" is ready", i.Ready)
+		processtest.Eventually(t, i.Name+" admits all workspaces", func() bool { return admits(i, "law") && admits(i, "sales") })
 	}
 	t.Cleanup(s.checkSecrets)
 	return s
@@ -82,6 +84,27 @@
 		{Name: "drafting", Pool: "drafting", Models: []string{"small", "large"}, Workspaces: []catalog.Workspace{law}},
 		{Name: "signup", Pool: "signup", Prefix: "/signup/", Workspaces: []catalog.Workspace{law, sales}},
 	}
+	s.pools.Pools = append(s.pools.Pools, catalog.Pool{Name: "probe", Kind: catalog.Service})
+	for _, w := range []catalog.Workspace{law, sales} {
+		w.Keys = nil
+		s.routes.Routes = append(s.routes.Routes, catalog.Route{
+			Name: "probe-" + w.Name, Pool: "probe", Prefix: "/probe-" + w.Name + "/", Workspaces: []catalog.Workspace{w},
+			Open: true, OpenWorkspace: w.Name, Timeout: duration.Duration(probeTimeout),
+		})
+	}
+}
+
+const probeTimeout = 100 * time.Millisecond
+
+// admits reports whether the instance admits requests of a workspace, which it
+// can't before it has found its share of the rate. The probe's pool has no
+// upstream, so that a probe that is admitted has no effect.
+// TestNewWorkspaceIsServedAtOnce covers the time before.
+func admits(i *processtest.Instance, workspace string) bool {
+	var r refusal
+	a := call{method: http.MethodGet, path: "/probe-" + workspace + "/"}.do(i)
+	err := json.Unmarshal([]byte(a.body), &r)
+	return err == nil && (r.Error.Code == "no_upstream" || r.Error.Code == "deadline_exceeded")
 }
 
 // checkSecrets guards against keys and secrets that reach an upstream or a log.
