--- a/placement/placementtest/world.go
+++ b/placement/placementtest/world.go
@@ -42,6 +42,8 @@
 	Check func()
 
 	LoadsBegun, MaxStoreLoads int
+	// Baseless counts adapter loads that found no base on the engine.
+	Baseless int
 	// Sends holds the times at which load orders of models left.
 	Sends      []time.Time
 	Views      int
@@ -56,6 +58,7 @@
 // Fate is what happens to one operation of a controller.
 type Fate struct {
 	Kill   bool          // the controller dies before the operation
+	Die    bool          // the controller dies after sending the operation
 	Freeze time.Duration // the controller is frozen before the operation
 	Refuse bool          // the operation fails without effect
 	Lose   bool          // the operation takes effect, its answer is lost
--- a/placement/step.go
+++ b/placement/step.go
@@ -47,6 +47,7 @@
 	r.up.replicas = slices.DeleteFunc(r.up.replicas, same)
 	r.up.claimed -= r.row.MemoryMB
 	r.up.forgotten = p.now
+	r.state = forgotten
 	p.touch()
 }
 
@@ -66,12 +67,14 @@
 	}
 	p.transit = slices.DeleteFunc(p.transit, func(r *replica) bool {
 		settled := r.state == ready && r.write == nil && r.rowState == RowLoaded
-		return settled || p.replicas[Key(r.up.pool.name, r.id)] != r
+		return settled || r.state == forgotten
 	})
 }
 
 func (p *Planner) step(r *replica) {
 	switch r.state {
+	case forgotten:
+		return
 	case planned:
 		p.stepPlanned(r)
 	case decided:
@@ -279,7 +282,7 @@
 func (p *Planner) nextWrite(r *replica) *write {
 	want := r.rowState
 	switch r.state {
-	case planned:
+	case planned, forgotten:
 		return nil
 	case deciding:
 		want = RowDecided
