--- a/instance.go
+++ b/instance.go
@@ -73,6 +73,7 @@
 	}
 	self := peer.Identity{Instance: s.Instance, Incarnation: i.incarnation, DataCentre: s.DataCentre}
 	i.hub = peer.NewHub(self, s.PeerSecret, i.log)
+	i.exposeTraffic()
 	i.session = session.New(i.table, s.Instance, i.incarnation, s.DataCentre)
 	i.members = members.New(members.Config{
 		Self: self, List: i.instances, Static: s.Peers, Lag: s.ListLag.Std(), Hub: i.hub, Log: i.log,
@@ -92,7 +93,7 @@
 // connectPlatform builds the clients of the platform's services.
 func (i *Instance) connectPlatform() error {
 	p := i.settings.Platform
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+	client := platformClient(i.metrics)
 	endpoint := func(url string) platform.Endpoint {
 		return platform.Endpoint{URL: url, Region: p.Region, AccessKey: p.AccessKey, SecretKey: p.SecretKey, HTTP: client}
 	}
