--- a/placement/history_test.go
+++ b/placement/history_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/placement"
 	"github.com/hibiscusyard/hibiscusyard/placement/placementtest"
+	"github.com/hibiscusyard/hibiscusyard/platform"
 	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
 )
 
@@ -45,8 +48,7 @@
 			}
 		}
 	}
-	h.Start(placement.Config{IdleTimeout: 8 * time.Second, Unload: placement.UnloadFixed})
-	h.Start(placement.Config{IdleTimeout: 8 * time.Second, Unload: placement.UnloadFixed})
+	h.keepTwo()
 	h.callers()
 	return h
 }
@@ -55,8 +57,8 @@
 func (h *history) callers() {
 	for i := range 3 {
 		var demands []placement.Demand
-		for model, n := range h.wants {
-			demands = append(demands, waiting(model, []string{"large", "small"}[i%2], n, 30*time.Second))
+		for _, model := range slices.Sorted(maps.Keys(h.wants)) {
+			demands = append(demands, waiting(model, []string{"large", "small"}[i%2], h.wants[model], 30*time.Second))
 		}
 		h.Report(fmt.Sprintf("i%d", i), demands)
 	}
@@ -72,14 +74,21 @@
 		}
 	}
 	for ; alive < 2; alive++ {
-		h.Start(placement.Config{IdleTimeout: 8 * time.Second, Unload: placement.UnloadFixed})
+		h.Start(placement.Config{IdleTimeout: 3 * time.Second, Unload: placement.UnloadFixed})
 	}
 }
 
 // script asks for more models than fit, in bursts that evict and unload.
-func (h *history) script() {
+// Callers give up after a while.
+func (h *history) script(patience time.Duration) {
 	for i, model := range []string{"m0", "m1", "a0", "m2", "m3", "m4", "m5", "m0", "a0", "m2"} {
-		h.After(time.Duration(i)*6*time.Second, func() { h.wants[model] = 20 })
+		at := time.Duration(i) * 6 * time.Second
+		h.After(at, func() { h.wants[model] = 20 })
+		h.After(at+patience, func() {
+			if !h.calm {
+				delete(h.wants, model)
+			}
+		})
 	}
 }
 
@@ -97,6 +106,18 @@
 	if h.wants["a0"] != 0 {
 		h.fail("a0 was not placed within 100s after the last fault; rows %v", h.Rows())
 	}
+	h.noRowsLeft()
+}
+
+// noRowsLeft requires that rows without a copy do not stay for ever.
+func (h *history) noRowsLeft() {
+	copies := 0
+	for _, e := range h.Engines {
+		copies += len(e.Copies)
+	}
+	if rows := h.Rows(); len(rows) != copies {
+		h.fail("%d copies, rows left behind: %v", copies, rows)
+	}
 }
 
 // Guards the promises of section 11, numbers 1 and 2: whatever happens between
@@ -127,7 +148,7 @@
 			return placementtest.Fate{}
 		}
 		fates[op] = list[1:]
-		if list[0].Kill {
+		if list[0].Kill || list[0].Die {
 			h.After(time.Second, h.keepTwo)
 		}
 		return list[0]
@@ -135,7 +156,7 @@
 	for range rapid.IntRange(0, 3).Draw(t, "upheavals") {
 		h.upheaval(t)
 	}
-	h.script()
+	h.script(time.Duration(rapid.IntRange(1, 30).Draw(t, "patience")) * time.Second)
 	h.Run(75 * time.Second)
 	h.settle()
 }
@@ -144,7 +165,7 @@
 // order life; an engine that checks tokens bears any freeze.
 func drawFate(t *rapid.T, op string) placementtest.Fate {
 	late := time.Duration(rapid.IntRange(1, 11_000).Draw(t, "late")) * time.Millisecond
-	kind := rapid.SampledFrom([]string{"kill", "freeze", "refuse", "lose", "repeat", "delay", "repeat and lose"}).Draw(t, op)
+	kind := rapid.SampledFrom([]string{"kill", "freeze", "refuse", "lose", "repeat", "delay", "repeat and lose", "die", "die and delay"}).Draw(t, op)
 	switch kind {
 	case "kill":
 		return placementtest.Fate{Kill: true}
@@ -158,6 +179,10 @@
 		return placementtest.Fate{Repeat: late}
 	case "delay":
 		return placementtest.Fate{Delay: late}
+	case "die":
+		return placementtest.Fate{Die: true}
+	case "die and delay":
+		return placementtest.Fate{Die: true, Delay: late}
 	}
 	return placementtest.Fate{Lose: true, Repeat: late}
 }
@@ -192,14 +217,16 @@
 // its lease, or loses an answer at each operation of a load and an unload.
 func TestFaultAtEveryStep(t *testing.T) {
 	fates := map[string]placementtest.Fate{
-		"kill": {Kill: true}, "freeze": {Freeze: 20 * time.Second}, "refuse": {Refuse: true},
+		"kill": {Kill: true}, "freeze": {Freeze: 30 * time.Second}, "refuse": {Refuse: true},
 		"lose": {Lose: true}, "repeat": {Repeat: 9 * time.Second}, "lose, late": {Lose: true, Delay: 9 * time.Second},
+		"die": {Die: true}, "die, late": {Die: true, Delay: 9 * time.Second},
 	}
 	for _, fencing := range []bool{true, false} {
 		for name, fate := range fates {
 			t.Run(fmt.Sprintf("fencing=%t/%s", fencing, name), func(t *testing.T) {
 				for step, total := 0, 1; step < total; step++ {
-					total = runStep(t, fencing, fate, step)
+					total = runStep(t, fencing, fate, step, false)
+					runStep(t, fencing, fate, step, true)
 				}
 			})
 		}
@@ -207,29 +234,101 @@
 }
 
 // runStep plays a short history with one fault at the given operation of the
-// holder and returns how many operations there are.
-func runStep(t *testing.T, fencing bool, fate placementtest.Fate, step int) int {
+// holder and returns how many operations there are. With abandon set, callers
+// give up at the fault.
+func runStep(t *testing.T, fencing bool, fate placementtest.Fate, step int, abandon bool) int {
 	h := newHistory(fencing, 7, func(format string, args ...any) {
 		t.Fatalf("step %d: %s", step, fmt.Sprintf(format, args...))
 	})
 	h.Run(2 * time.Second)
-	count := 0
+	count, abandoned := 0, false
 	h.Faults = func(c *placementtest.Controller, op string) placementtest.Fate {
 		if c != h.Controllers[0] || op == "index" || strings.HasPrefix(op, "lease.") {
 			return placementtest.Fate{}
 		}
 		if count++; count-1 == step {
 			h.After(time.Second, h.keepTwo)
+			if abandon {
+				clear(h.wants)
+				abandoned = true
+			}
 			return fate
 		}
 		return placementtest.Fate{}
 	}
 	for i, model := range []string{"m0", "a0", "m1"} {
-		h.After(time.Duration(i)*2*time.Second, func() { h.wants[model] = 5 })
+		h.After(time.Duration(i)*2*time.Second, func() {
+			if !abandoned {
+				h.wants[model] = 5
+			}
+		})
 	}
 	h.Run(60 * time.Second)
 	if len(h.wants) > 0 {
 		t.Fatalf("step %d: still waiting for %v", step, h.wants)
 	}
+	h.Run(30 * time.Second)
+	h.noRowsLeft()
 	return count
 }
+
+// Guards the ordinary run of a history: without faults every demand is met
+// and no adapter is loaded where its base is not.
+func TestQuietHistory(t *testing.T) {
+	h := newHistory(true, 3, t.Fatalf)
+	ops := map[string]int{}
+	h.Faults = func(_ *placementtest.Controller, op string) placementtest.Fate {
+		ops[op]++
+		return placementtest.Fate{}
+	}
+	h.script(time.Hour)
+	h.Run(120 * time.Second)
+	if len(h.wants) > 0 || h.Baseless > 0 {
+		t.Fatalf("still waiting for %v, %d adapters loaded without base", h.wants, h.Baseless)
+	}
+	if n := ops["write.decided"]; n == 0 || ops["write."] != n || ops["load"] != n || ops["unload"] != n {
+		t.Errorf("each replica takes one operation of each kind: %v", ops)
+	}
+	h.noRowsLeft()
+}
+
+// Guards the ledger while an unload is under way: its memory is not free yet.
+func TestMemoryWhileUnloading(t *testing.T) {
+	h := newHistory(true, 3, t.Fatalf)
+	for _, e := range h.Engines[1:] {
+		e.Down = true
+	}
+	h.Faults = func(_ *placementtest.Controller, op string) placementtest.Fate {
+		if op == "unload" {
+			return placementtest.Fate{Delay: 5 * time.Second}
+		}
+		return placementtest.Fate{}
+	}
+	for i, model := range []string{"m0", "m1", "m2"} {
+		h.After(time.Duration(3+5*i)*time.Second, func() { h.wants[model] = 1 })
+	}
+	h.Run(40 * time.Second)
+	if len(h.wants) > 0 || h.Engines[0].Loads["m2"] != 1 {
+		t.Fatalf("still waiting for %v, loads %v", h.wants, h.Engines[0].Loads)
+	}
+}
+
+// Guards the recovery from a row that is not what the holder believes.
+func TestForeignWrite(t *testing.T) {
+	h := newHistory(true, 3, t.Fatalf)
+	h.After(2*time.Second, func() { h.wants["m0"] = 1 })
+	h.Run(8 * time.Second)
+	for key := range h.Rows() {
+		row, err := h.Table.Get(t.Context(), key)
+		if err == nil {
+			err = h.Table.Transact(t.Context(), "other", platform.Write{Key: key, Value: row.Value, Revision: row.Revision})
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	h.Run(60 * time.Second)
+	if rows := h.Rows(); len(rows) != 0 {
+		t.Fatalf("rows left: %v", rows)
+	}
+}
--- a/placement/placementtest/world.go
+++ b/placement/placementtest/world.go
@@ -34,12 +34,16 @@
 	Published func(placement.View)
 	// Decided receives every decision.
 	Decided func(placement.Decision)
+	// Loaded is called when a copy has become ready.
+	Loaded func(*Engine, *Copy)
 	// Unloaded is called before a copy is dropped by an order.
 	Unloaded func(*Engine, *Copy)
 	// Check, if set, runs after every event that changed a copy or a row.
 	Check func()
 
 	LoadsBegun, MaxStoreLoads int
+	// Baseless counts adapter loads that found no base on the engine.
+	Baseless int
 	// Sends holds the times at which load orders of models left.
 	Sends      []time.Time
 	Views      int
@@ -54,6 +58,7 @@
 // Fate is what happens to one operation of a controller.
 type Fate struct {
 	Kill   bool          // the controller dies before the operation
+	Die    bool          // the controller dies after sending the operation
 	Freeze time.Duration // the controller is frozen before the operation
 	Refuse bool          // the operation fails without effect
 	Lose   bool          // the operation takes effect, its answer is lost
