Stop spending slots that the list says are lost

Cause: an instance that is alive but missing from the platform's list keeps spending until its next regular reading of the rows, up to 6 s (54 s with 860 members), while the slots pass on after the list's lag. Change: while the list lacks it, an instance reads the rows every second, below the 2.2 s for which a slot taken over stays empty, and spends nothing if it cannot read them. After an invalid session the rows are read as soon as the session is valid again, not at the next regular reading. Result: in TestSlotsPass slots have two holders for at most 2.2 s.

--- a/controller/quotasync/quotasync.go
+++ b/controller/quotasync/quotasync.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +65,9 @@
 	freezeGap = 3 * time.Second
 	// sendTimeout bounds a message; an answer is of use for up to the life of a grant.
 	sendTimeout = time.Second
+	// maxRowAge is how old the rows may be while the list lacks this instance. It is
+	// below the time for which a slot stays empty after it was taken over.
+	maxRowAge = 2 * time.Second
 )
 
 var (
@@ -99,6 +103,8 @@
 	listed       bool // the platform's list has been read
 	members      []Member
 	membersSince time.Time
+	unlisted     time.Time // since when the list lacks this run; zero while it is listed
+	rowsAt       time.Time // when the last successful reading of the rows began
 	owners       map[string][quota.Slots]string
 	rows         map[slotKey]stored
 	activated    map[slotKey]uint64
@@ -127,17 +133,24 @@
 	valid := s.config.Session.Valid(now)
 	if !valid || now.Sub(s.lastTick) > freezeGap {
 		s.losses++
-		if s.verified {
-			s.verified = false
-			s.wake()
-		}
+		s.verified = false
+	}
+	if valid && !s.verified {
+		s.wake()
 	}
 	at := now.Sub(s.start)
-	s.spending = valid && s.verified && !s.closing
+	s.spending = valid && s.verified && !s.closing && !s.doubtful(now)
 	s.ledger.SetActive(s.spending, at)
 	return at
 }
 
+// doubtful reports whether other instances may be taking the slots over,
+// because the list lacks this run, and the rows were not read recently enough
+// to notice it.
+func (s *Sync) doubtful(now time.Time) bool {
+	return !s.unlisted.IsZero() && now.Sub(s.unlisted) > s.config.ListLag/2 && now.Sub(s.rowsAt) > maxRowAge
+}
+
 func (s *Sync) wake() {
 	select {
 	case s.kick <- struct{}{}:
@@ -301,6 +314,9 @@
 	now := time.Now()
 	at := s.gate(now)
 	s.lastTick = now
+	if !s.unlisted.IsZero() {
+		s.wake()
+	}
 	s.ledger.Tick(at)
 	out := s.finish(at, false)
 	s.mu.Unlock()
@@ -332,6 +348,11 @@
 	now := time.Now()
 	changed := !s.listed || !sameMembers(s.members, members)
 	s.listed = true
+	if slices.ContainsFunc(members, func(m Member) bool { return m.shows(s.self()) }) {
+		s.unlisted = time.Time{}
+	} else if s.unlisted.IsZero() {
+		s.unlisted = now
+	}
 	if changed {
 		s.members, s.membersSince = members, now
 	}
--- a/controller/quotasync/quotasync_test.go
+++ b/controller/quotasync/quotasync_test.go
@@ -381,6 +381,45 @@
 			wait(20 * time.Second)
 			c.want(quota.Slots, "after the session's end")
 		}},
+		{"alive but gone from the list", func(t *testing.T, c *cluster) {
+			a := c.nodes["a"]
+			c.list("a", "")
+			const step = 100 * time.Millisecond
+			both := time.Duration(0) // while slots had two holders; the new one's were still empty
+			for range 30 * time.Second / step {
+				if held := c.slots(); held["a"]+held["b"]+held["c"] > quota.Slots {
+					both += step
+				}
+				wait(step)
+			}
+			c.want(quota.Slots, "after the takeover")
+			if c.slots()["a"] != 0 || both > 2200*time.Millisecond {
+				t.Errorf("slots %v; some had two holders for %v", c.slots(), both)
+			}
+			if total, _ := a.spend(t); total < 400 {
+				t.Errorf("spent %d of what the other holders lend", total)
+			}
+			a.cut.Store(true)
+			wait(3 * time.Second)
+			if total, refusal := a.spend(t); total != 0 || refusal.Reason != verdict.NotReady {
+				t.Errorf("spent %d without the list and the table: %v", total, refusal)
+			}
+		}},
+		{"session invalid", func(t *testing.T, c *cluster) {
+			a := c.nodes["a"]
+			a.session.invalid.Store(true)
+			if total, refusal := a.spend(t); total != 0 || refusal.Reason != verdict.NotReady {
+				t.Errorf("spent %d with an invalid session: %v", total, refusal)
+			}
+			if total, _ := c.nodes["b"].spend(t); total > 800-100*c.slots()["a"]+40 {
+				t.Errorf("another instance spent %d, with grants of an instance without a session", total)
+			}
+			a.session.invalid.Store(false)
+			wait(2 * time.Second)
+			if total, _ := a.spend(t); total == 0 {
+				t.Error("nothing was spent after the session was valid again")
+			}
+		}},
 		{"no ticks for more than 3 s", func(t *testing.T, c *cluster) {
 			c.nodes["a"].stop()
 			wait(3100 * time.Millisecond)
--- a/controller/quotasync/rules.go
+++ b/controller/quotasync/rules.go
@@ -91,6 +91,11 @@
 // holderKey is one run of a holder.
 type holderKey struct{ instance, incarnation string }
 
+// shows reports whether the member may be that run.
+func (m Member) shows(run holderKey) bool {
+	return m.Instance == run.instance && (m.Incarnation == "" || m.Incarnation == run.incarnation)
+}
+
 func (r SlotRow) holder() holderKey { return holderKey{r.Holder, r.Incarnation} }
 
 // action is what an instance does about a slot.
@@ -167,7 +172,7 @@
 	for key := range holders {
 		present, ended := false, false
 		for _, m := range members {
-			if m.Instance == key.instance && (m.Incarnation == "" || m.Incarnation == key.incarnation) {
+			if m.shows(key) {
 				present, ended = true, m.State == Ended && m.Incarnation == key.incarnation
 			}
 		}
--- a/controller/quotasync/slots.go
+++ b/controller/quotasync/slots.go
@@ -165,12 +165,14 @@
 	s.mu.Lock()
 	losses := s.losses
 	s.mu.Unlock()
+	began := time.Now()
 	rows, err := s.config.Table.List(ctx, kind)
 	if err != nil {
 		return oops.Wrapf(err, "read the slot rows")
 	}
 	s.mu.Lock()
 	s.load(rows)
+	s.rowsAt = began
 	now := time.Now()
 	at := s.gate(now)
 	takes, releases := s.reconcile(now, at)
