--- a/controller/quotasync/rules.go
+++ b/controller/quotasync/rules.go
@@ -164,10 +164,14 @@
 			delete(a.gone, key)
 		}
 	}
+	runs := make(map[string][]Member, len(members))
+	for _, m := range members {
+		runs[m.Instance] = append(runs[m.Instance], m)
+	}
 	for key := range holders {
 		present, ended := false, false
-		for _, m := range members {
-			if m.Instance == key.instance && (m.Incarnation == "" || m.Incarnation == key.incarnation) {
+		for _, m := range runs[key.instance] {
+			if m.Incarnation == "" || m.Incarnation == key.incarnation {
 				present, ended = true, m.State == Ended && m.Incarnation == key.incarnation
 			}
 		}
--- a/controller/quotasync/slots.go
+++ b/controller/quotasync/slots.go
@@ -1,12 +1,14 @@
 package quotasync
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
 	"maps"
 	mathrand "math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -68,7 +70,7 @@
 
 func sameMembers(a, b []Member) bool {
 	order := func(x, y Member) int {
-		return slices.Compare([]string{x.Instance, x.Address}, []string{y.Instance, y.Address})
+		return cmp.Or(strings.Compare(x.Instance, y.Instance), strings.Compare(x.Address, y.Address))
 	}
 	return slices.Equal(slices.SortedFunc(slices.Values(a), order), slices.SortedFunc(slices.Values(b), order))
 }
@@ -111,13 +113,13 @@
 	}
 }
 
-func (s *Sync) view(key slotKey) slotView {
+func (s *Sync) view(key slotKey, leaving bool) slotView {
 	row := s.rows[key]
 	_, known := s.limits[key.workspace]
 	return slotView{
 		row: row, self: s.self(), address: s.config.Session.Address(),
 		first: s.owners[key.workspace][key.index] == s.config.Session.Instance(),
-		known: known, leaving: s.leaving(), holding: s.ledger.Holds(key.workspace, key.index),
+		known: known, leaving: leaving, holding: s.ledger.Holds(key.workspace, key.index),
 		activated: s.activated[key], gone: s.absences.gone[row.holder()], full: s.ledger.Full(key.workspace),
 	}
 }
@@ -142,17 +144,15 @@
 		set[key] = true
 	}
 	return slices.SortedFunc(maps.Keys(set), func(a, b slotKey) int {
-		if a.workspace == b.workspace {
-			return a.index - b.index
-		}
-		return slices.Compare([]string{a.workspace}, []string{b.workspace})
+		return cmp.Or(strings.Compare(a.workspace, b.workspace), a.index-b.index)
 	})
 }
 
 // wants reports whether a refresh would take a slot, as far as known.
 func (s *Sync) wants() bool {
+	leaving := s.leaving()
 	return slices.ContainsFunc(s.keys(), func(key slotKey) bool {
-		what, _ := decide(s.view(key))
+		what, _ := decide(s.view(key, leaving))
 		return what == take
 	})
 }
@@ -200,8 +200,9 @@
 
 // reconcile compares the rows with the ledger and returns the writes to make.
 func (s *Sync) reconcile(now time.Time, at time.Duration) (takes, releases []change) {
+	leaving := s.leaving()
 	for _, key := range s.keys() {
-		view := s.view(key)
+		view := s.view(key, leaving)
 		what, start := decide(view)
 		switch what {
 		case take:
