--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -37,6 +37,8 @@
 	// Idle makes the processor time that of one second in which the state is
 	// left alone for so long, in place of an operation.
 	Idle time.Duration
+	// NoMemory leaves out the memory, where the state is not an instance's own.
+	NoMemory bool
 	// Encoded returns an encoded message or document of a size. It is set in
 	// place of Build.
 	Encoded func(size int) int
@@ -66,7 +68,9 @@
 		}
 		before := heap()
 		state, operation := s.Build(size)
-		p.Memory = max(heap()-before, 0)
+		if !s.NoMemory {
+			p.Memory = max(heap()-before, 0)
+		}
 		if operation != nil {
 			p.Micros = Time(operation)
 		}
--- a/capacity/messages.go
+++ b/capacity/messages.go
@@ -1,6 +1,9 @@
 package capacity
 
 import (
+	"bytes"
+	"compress/gzip"
+	"errors"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -41,6 +44,17 @@
 			Encoded: func(n int) int {
 				return length(catalogsync.Push{Version: 1, Digest: fmt.Sprintf("%064d", 0), Body: body(n)})
 			}},
+		{Name: "catalogue body, compressed with gzip", Per: "upstream (as above)", Sizes: upstreamSizes, Target: Upstreams,
+			Encoded: func(n int) int { return compressed(body(n)) }},
+		{Name: "placement view for one instance, encode and decode", Per: "upstream (as above)", Sizes: upstreamSizes, Target: Upstreams,
+			Build: func(n int) (any, func()) {
+				v := view(n)
+				return v, func() {
+					data, err := cbor.Marshal(v.For(instanceName(0)))
+					must(err)
+					must(cbor.Unmarshal(data, new(placement.View)))
+				}
+			}},
 		{Name: "placement view for one instance, CBOR", Per: "upstream (as above)", Sizes: upstreamSizes, Target: Upstreams,
 			Encoded: func(n int) int { return length(view(n).For(instanceName(0))) }},
 		{Name: "demand report, CBOR", Per: "entry (model and workspace)", Sizes: []int{1, 10, 50, 200}, Target: 50,
@@ -62,6 +76,14 @@
 	return data
 }
 
+func compressed(data []byte) int {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	_, err := w.Write(data)
+	must(errors.Join(err, w.Close()))
+	return out.Len()
+}
+
 func grantBytes(n int) int {
 	batch, answer := quota.GrantBatch{Epoch: 1 << 31}, quota.GrantAnswer{}
 	for i := range n {
--- a/capacity/plumbing.go
+++ b/capacity/plumbing.go
@@ -144,7 +144,7 @@
 func Plumbing() []Series {
 	log.SetHandler(discard.Default)
 	return []Series{
-		{Name: "instance list, one reading, client only", Per: "instance", Sizes: instanceSizes, Target: Instances,
+		{Name: "instance list, one reading, client only", Per: "instance", Sizes: instanceSizes, Target: Instances, NoMemory: true,
 			Build: func(n int) (any, func()) {
 				r, list := listReader(n)
 				return r, func() { _, err := list.List(context.Background()); must(err) }
@@ -156,7 +156,7 @@
 				must(err)
 				return r.bodies
 			}},
-		{Name: "slot rows, one reading, client only", Per: "workspace", Sizes: workspaceSizes, Target: Workspaces,
+		{Name: "slot rows, one reading, client only", Per: "workspace", Sizes: workspaceSizes, Target: Workspaces, NoMemory: true,
 			Build: func(n int) (any, func()) {
 				r, t := shareReader(n)
 				return r, func() { _, err := t.List(context.Background(), "share"); must(err) }
