placement: publish a view only when it says something new

Each report of demand made the placer publish, up to 50 views a second to every instance, although a report rarely changes what a view shows.

--- a/placement/message.go
+++ b/placement/message.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -95,6 +97,23 @@
 	return v.Token > old.Token || v.Token == old.Token && v.Seq > old.Seq
 }
 
+// Same reports whether two views of one placer say the same. Most reports of
+// demand change nothing that a view shows.
+func (v View) Same(old View) bool {
+	return v.Token == old.Token && slices.EqualFunc(v.Models, old.Models, ModelView.same) &&
+		slices.EqualFunc(v.Upstreams, old.Upstreams, UpstreamView.same)
+}
+
+func (m ModelView) same(old ModelView) bool {
+	return m.Pool == old.Pool && m.Model == old.Model && m.Expected == old.Expected && m.RetryAfter == old.RetryAfter &&
+		slices.Equal(m.Ready, old.Ready) && slices.Equal(m.Loading, old.Loading)
+}
+
+func (u UpstreamView) same(old UpstreamView) bool {
+	return u.Pool == old.Pool && u.Upstream == old.Upstream && u.Incarnation == old.Incarnation && u.Limit == old.Limit &&
+		u.RampLeft == old.RampLeft && u.Limited == old.Limited && maps.Equal(u.Allotments, old.Allotments)
+}
+
 // For returns the view with only the instance's own allotments.
 func (v View) For(instance string) View {
 	upstreams := make([]UpstreamView, len(v.Upstreams))
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -35,6 +35,8 @@
 	virtual                     map[string]float64 // virtual time by workspace
 	floor                       float64
 	lastTick, lastPublish       time.Time
+	lastView                    time.Time // when a view was last worked out
+	published                   View
 	nextRamp                    time.Time // when an allowance has grown
 	dirty                       bool      // the view has changed
 	changed                     bool      // the schedule may have changed
@@ -129,7 +131,7 @@
 		}
 	}
 	if p.dirty {
-		earlier(p.lastPublish.Add(p.cfg.PublishEvery))
+		earlier(p.lastView.Add(p.cfg.PublishEvery))
 	}
 	for _, r := range p.transit {
 		switch {
--- a/placement/view.go
+++ b/placement/view.go
@@ -23,17 +23,24 @@
 func (p *Planner) publish() {
 	age := p.now.Sub(p.lastPublish)
 	grows := !p.nextRamp.IsZero() && !p.now.Before(p.nextRamp)
-	if !p.dirty && !grows && age < p.cfg.HeartbeatEvery || age < p.cfg.PublishEvery {
+	if !p.dirty && !grows && age < p.cfg.HeartbeatEvery || p.now.Sub(p.lastView) < p.cfg.PublishEvery {
 		return
 	}
 	p.dirty, p.nextRamp = false, time.Time{}
+	p.lastView = p.now
+	v := p.view()
+	if age < p.cfg.HeartbeatEvery && v.Same(p.published) {
+		return
+	}
 	p.lastPublish = p.now
 	p.viewSeq++
-	p.emit(Publish{View: p.view()})
+	v.Seq = p.viewSeq
+	p.published = v
+	p.emit(Publish{View: v})
 }
 
 func (p *Planner) view() View {
-	v := View{Token: p.token, Seq: p.viewSeq}
+	v := View{Token: p.token}
 	for _, pl := range p.order {
 		for _, m := range pl.list {
 			if mv, ok := p.modelView(m); ok {
