--- a/controller/quotasync/rules.go
+++ b/controller/quotasync/rules.go
@@ -169,9 +169,13 @@
 			delete(a.gone, key)
 		}
 	}
+	runs := make(map[string][]Member, len(members))
+	for _, m := range members {
+		runs[m.Instance] = append(runs[m.Instance], m)
+	}
 	for key := range holders {
 		present, ended := false, false
-		for _, m := range members {
+		for _, m := range runs[key.instance] {
 			if m.shows(key) {
 				present, ended = true, m.State == Ended && m.Incarnation == key.incarnation
 			}
