--- a/controller/catalogsync/controller.go
+++ b/controller/catalogsync/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -34,14 +35,19 @@
 // concurrent use.
 type Controller struct {
 	store      store
+	weights    platform.Weights
 	peers      Peers
 	members    func() int
 	staleAfter time.Duration
 	poll       time.Duration
 	log        log.Interface
 
+	adopting sync.Mutex // orders adoptions with their callbacks
+
 	mu      sync.Mutex
-	index   *catalog.Index
+	stored  *catalog.Index  // as operators wrote it
+	index   *catalog.Index  // with the upstreams that are leaving marked
+	leaving map[string]bool // addresses of upstreams
 	body    []byte
 	tracker freshness.Tracker
 	changed chan struct{}
@@ -53,6 +59,8 @@
 type Config struct {
 	Table   platform.Table
 	Objects platform.Objects
+	// Weights is where edits look up new checkpoints; nil skips that.
+	Weights platform.Weights
 	Peers   Peers
 	// Members returns the number of members, this instance included.
 	Members    func() int
@@ -64,7 +72,7 @@
 // New returns a controller that holds no version yet.
 func New(c Config) *Controller {
 	return &Controller{
-		store: store{table: c.Table, objects: c.Objects}, peers: c.Peers, members: c.Members,
+		store: store{table: c.Table, objects: c.Objects}, weights: c.Weights, peers: c.Peers, members: c.Members,
 		staleAfter: c.StaleAfter, poll: c.Poll, log: c.Log,
 		changed: make(chan struct{}), known: map[string]uint64{},
 	}
@@ -157,7 +165,7 @@
 func (c *Controller) version() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.index.Version()
+	return c.stored.Version()
 }
 
 // adopt puts a newer version in force. Older and equal versions are ignored.
@@ -172,21 +180,47 @@
 	if index.Version() != version {
 		return errors.New("catalogue body holds another version than its row")
 	}
-	c.mu.Lock()
-	if version <= c.index.Version() {
-		c.mu.Unlock()
+	c.adopting.Lock()
+	defer c.adopting.Unlock()
+	if version <= c.version() {
 		return nil
 	}
-	c.index, c.body = index, body
+	c.mu.Lock()
+	c.stored, c.body = index, body
 	c.tracker.Adopted(version)
+	c.mu.Unlock()
+	c.log.WithFields(log.Fields{"version": version, "digest": digest}).Info("catalogue in force")
+	c.apply()
+	return nil
+}
+
+// SetLeaving marks the upstreams at the given addresses as leaving, as the
+// platform's list says, in the index in force. The tables stay as they are.
+func (c *Controller) SetLeaving(addresses map[string]bool) {
+	c.adopting.Lock()
+	defer c.adopting.Unlock()
+	c.mu.Lock()
+	same := maps.Equal(c.leaving, addresses)
+	c.leaving = addresses
+	held := c.stored != nil
+	c.mu.Unlock()
+	if !same && held {
+		c.apply()
+	}
+}
+
+// apply puts the stored index with the marks of leaving upstreams in force.
+// The caller holds adopting, so that callbacks see versions in order.
+func (c *Controller) apply() {
+	c.mu.Lock()
+	index := c.stored.WithLeaving(c.leaving)
+	c.index = index
 	close(c.changed)
 	c.changed = make(chan struct{})
 	c.mu.Unlock()
-	c.log.WithFields(log.Fields{"version": version, "digest": digest}).Info("catalogue in force")
 	for _, callback := range c.onAdopt {
 		callback(index)
 	}
-	return nil
 }
 
 // askPeers sends one round of freshness queries and fetches a newer version
--- a/controller/catalogsync/edit.go
+++ b/controller/catalogsync/edit.go
@@ -46,14 +46,22 @@
 	if err != nil {
 		return Result{}, errors.Join(platform.ErrNotApplied, err)
 	}
-	current, _ := c.Current()
+	current := c.Stored()
 	if head.Version != base || current.Version() != base {
 		return Result{}, ErrVersion
 	}
-	next, body, err := derive(current, base, change)
+	edited := apply(current, base, change)
+	if err := edited.Validate(); err != nil {
+		return Result{}, err
+	}
+	if err := c.checkCheckpoints(ctx, current, edited); err != nil {
+		return Result{}, err
+	}
+	body, err := edited.Encode()
 	if err != nil {
 		return Result{}, err
 	}
+	next := pointer{Version: edited.Version, Digest: catalog.Digest(body)}
 	if err := c.store.commit(ctx, revision, next, body); err != nil {
 		if errors.Is(err, platform.ErrConflict) {
 			return Result{}, ErrVersion
@@ -66,7 +74,16 @@
 	return c.confirm(ctx, Push{Version: next.Version, Digest: next.Digest, Body: body}), nil
 }
 
-func derive(current *catalog.Index, base uint64, change func(*catalog.Catalog)) (pointer, []byte, error) {
+// Stored returns the index of the tables as operators wrote them, nil before
+// the first version.
+func (c *Controller) Stored() *catalog.Index {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stored
+}
+
+// apply returns the tables after a change, with defaults filled in.
+func apply(current *catalog.Index, base uint64, change func(*catalog.Catalog)) *catalog.Catalog {
 	edited := &catalog.Catalog{}
 	if current != nil {
 		edited.Routes = slices.Clone(current.Catalog.Routes)
@@ -75,14 +92,7 @@
 	change(edited)
 	edited.Version = base + 1
 	edited.ApplyDefaults()
-	if err := edited.Validate(); err != nil {
-		return pointer{}, nil, err
-	}
-	body, err := edited.Encode()
-	if err != nil {
-		return pointer{}, nil, err
-	}
-	return pointer{Version: edited.Version, Digest: catalog.Digest(body)}, body, nil
+	return edited
 }
 
 // confirm pushes a version to all peers and waits until a majority plus one
@@ -179,8 +189,8 @@
 func (c *Controller) handleFetch(context.Context, peer.Identity, []byte) (any, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.index == nil {
+	if c.stored == nil {
 		return nil, errors.New("no catalogue yet")
 	}
-	return Push{Version: c.index.Version(), Digest: c.index.Digest, Body: c.body}, nil
+	return Push{Version: c.stored.Version(), Digest: c.stored.Digest, Body: c.body}, nil
 }
--- a/instance.go
+++ b/instance.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscusyard/hibiscusyard/admin"
 	"github.com/hibiscusyard/hibiscusyard/controller/catalogsync"
 	"github.com/hibiscusyard/hibiscusyard/controller/members"
+	"github.com/hibiscusyard/hibiscusyard/controller/upstreams"
 	"github.com/hibiscusyard/hibiscusyard/filter"
 	"github.com/hibiscusyard/hibiscusyard/idempotency"
 	"github.com/hibiscusyard/hibiscusyard/peer"
@@ -39,7 +40,9 @@
 
 	table     platform.Table
 	objects   platform.Objects
+	weights   platform.Weights // nil if checkpoints are not checked
 	instances platform.Instances
+	upstreams platform.Instances // nil if the list does not show upstreams
 
 	hub       *peer.Hub
 	session   *session.Session
@@ -75,12 +78,13 @@
 	}
 	self := peer.Identity{Instance: s.Instance, Incarnation: i.incarnation, DataCentre: s.DataCentre}
 	i.hub = peer.NewHub(self, s.PeerSecret, i.log)
+	i.exposeTraffic()
 	i.session = session.New(i.table, s.Instance, i.incarnation, s.DataCentre)
 	i.members = members.New(members.Config{
 		Self: self, List: i.instances, Static: s.Peers, Lag: s.ListLag.Std(), Hub: i.hub, Log: i.log,
 	})
 	i.catalog = catalogsync.New(catalogsync.Config{
-		Table: i.table, Objects: i.objects, Peers: i.hub, Members: i.members.Count,
+		Table: i.table, Objects: i.objects, Weights: i.weights, Peers: i.hub, Members: i.members.Count,
 		StaleAfter: s.StaleAfter.Std(), Poll: s.PollInterval.Std(), Log: i.log,
 	})
 	i.catalog.Register(i.hub)
@@ -94,7 +98,7 @@
 // connectPlatform builds the clients of the platform's services.
 func (i *Instance) connectPlatform() error {
 	p := i.settings.Platform
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+	client := platformClient(i.metrics)
 	endpoint := func(url string) platform.Endpoint {
 		return platform.Endpoint{URL: url, Region: p.Region, AccessKey: p.AccessKey, SecretKey: p.SecretKey, HTTP: client}
 	}
@@ -107,6 +111,11 @@
 		return oops.In("platform").Wrapf(err, "object store client")
 	}
 	i.table, i.objects = table, objects
+	if p.Weights != "" {
+		if i.weights, err = platform.NewS3Bucket(endpoint(p.Weights), p.WeightsBucket); err != nil {
+			return oops.In("platform").Wrapf(err, "weight store client")
+		}
+	}
 	if p.Instances == "" {
 		return nil
 	}
@@ -115,6 +124,14 @@
 		return oops.In("platform").Wrapf(err, "instance list client")
 	}
 	i.instances = list
+	if p.UpstreamService == "" {
+		return nil
+	}
+	upstreams, err := platform.NewCloudMapInstances(endpoint(p.Instances), p.Namespace, p.UpstreamService)
+	if err != nil {
+		return oops.In("platform").Wrapf(err, "upstream list client")
+	}
+	i.upstreams = upstreams
 	return nil
 }
 
@@ -135,7 +152,8 @@
 	i.group, _ = errgroup.WithContext(i.state)
 	i.serve()
 	for _, run := range []func(context.Context) error{
-		i.session.Run, i.members.Run, i.catalog.Run, i.quota.run, i.placement.run, i.route.Run, i.claims.Run,
+		i.session.Run, i.members.Run, i.catalog.Run, i.quota.run, i.placement.run,
+		upstreams.Watch(i.upstreams, i.catalog.SetLeaving, i.log), i.route.Run, i.claims.Run,
 	} {
 		i.group.Go(func() error { return run(i.state) })
 	}
