--- a/balance/pick.go
+++ b/balance/pick.go
@@ -73,15 +73,34 @@
 // OK reports whether an upstream was chosen.
 func (d *Decision) OK() bool { return d.Upstream != "" }
 
-// nearness orders the reasons for which waiting helps.
-var nearness = map[Reason]int{
-	DataCentreDisabled: 1, Leaving: 2, AlreadyTried: 3, ReplicaNotReady: 4,
-	Ejected: 5, ProbeInFlight: 6, Ramping: 7, OverAllotment: 8, AtConcurrency: 9,
+// nearness orders the reasons against an upstream by how near it is to being
+// eligible.
+func nearness(r Reason) int {
+	switch r {
+	case DataCentreDisabled:
+		return 1
+	case Leaving:
+		return 2
+	case AlreadyTried:
+		return 3
+	case ReplicaNotReady:
+		return 4
+	case Ejected:
+		return nearEjected
+	case ProbeInFlight:
+		return 6
+	case Ramping:
+		return 7
+	case OverAllotment:
+		return 8
+	case AtConcurrency:
+		return 9
+	}
+	return 0
 }
 
-// Nearness from which waiting helps. They are looked up once: the reasons of a
-// pool with thousands of upstreams are compared for each request.
-var nearEjected, nearProbe, nearAllotment = nearness[Ejected], nearness[ProbeInFlight], nearness[OverAllotment]
+// nearEjected is the nearness from which waiting helps.
+const nearEjected = 5
 
 // Pick chooses an upstream without changing the state.
 func (p *Picker) Pick(now time.Time, r Request) Decision {
@@ -154,10 +173,10 @@
 	if reason == LowerAffinity || reason == HigherLoad {
 		return // eligible; says nothing on when to come back
 	}
-	if nearness[reason] > nearness[d.Reason] {
+	if nearness(reason) > nearness(d.Reason) {
 		d.Reason = reason
 	}
-	d.Wait = d.Wait || nearness[reason] >= nearness[Ejected]
+	d.Wait = d.Wait || nearness(reason) >= nearEjected
 	d.Sooner = d.Sooner || s.sooner(u, reason)
 	if eligibleAt.After(s.now) {
 		if after := eligibleAt.Sub(s.now); d.RetryAfter == 0 || after < d.RetryAfter {
