--- a/admin/api.go
+++ b/admin/api.go
@@ -206,11 +206,11 @@
 	case errors.Is(err, catalogsync.ErrVersion):
 		w.Header().Set("ETag", etag(index.Version()))
 		status = http.StatusPreconditionFailed
-	case errors.Is(err, platform.ErrNotApplied):
-		status = http.StatusServiceUnavailable
 	case errors.Is(err, platform.ErrUnknown):
 		problem.Error = "the table did not answer: read the tables to see whether the edit is in effect"
 		status = http.StatusGatewayTimeout
+	case errors.Is(err, platform.ErrNotApplied):
+		status = http.StatusServiceUnavailable
 	}
 	writeJSON(w, status, problem)
 }
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -79,10 +79,6 @@
 	Ejected: 5, ProbeInFlight: 6, Ramping: 7, OverAllotment: 8, AtConcurrency: 9,
 }
 
-// Nearness from which waiting helps. They are looked up once: the reasons of a
-// pool with thousands of upstreams are compared for each request.
-var nearEjected, nearProbe, nearAllotment = nearness[Ejected], nearness[ProbeInFlight], nearness[OverAllotment]
-
 // Pick chooses an upstream without changing the state.
 func (p *Picker) Pick(now time.Time, r Request) Decision {
 	s := selection{picker: p, now: now, request: r, decision: Decision{Reason: EmptyPool}}
