Link new instances at once and keep them from callers until then

Cause: of two instances only the one with the lower address dialled, and it may see the new one on the list 2 s later. A new instance without share slots was ready with nobody to ask for tokens. Seen in TestRollingReplacementCutsNoRequest: entry-3 refused 22 calls as over their rate at 04:02:08.5, its link to entry-2 came up at 04:02:08.99. Now the other side dials after 300 ms, and readiness waits for the links, at most 3 s.

--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -16,6 +16,9 @@
 const (
 	listInterval = 2 * time.Second
 	listTimeout  = 1500 * time.Millisecond
+	// linkGrace is how long a new instance waits for links to all listed
+	// members before it takes callers without them.
+	linkGrace = 3 * time.Second
 )
 
 // Config holds what a controller needs.
@@ -38,6 +41,8 @@
 	mu       sync.Mutex
 	table    *membership.Table
 	listedAt time.Time
+	firstRun time.Time
+	settled  bool
 	onChange []func([]membership.Member)
 }
 
@@ -65,6 +70,9 @@
 
 // Run reads the list until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
+	c.mu.Lock()
+	c.firstRun = time.Now()
+	c.mu.Unlock()
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
 	for {
@@ -149,3 +157,21 @@
 	defer c.mu.Unlock()
 	return now.Sub(c.listedAt)
 }
+
+// Settled reports whether the links to all listed members have been up at once
+// since the start, or the time for that has passed. Before, an instance
+// without share slots of its own has nobody to ask for tokens.
+func (c *Controller) Settled(now time.Time) bool {
+	members := c.Members()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.settled || c.firstRun.IsZero() {
+		return c.settled
+	}
+	linked := !c.listedAt.IsZero() || c.config.List == nil
+	for _, m := range members {
+		linked = linked && (m.Connected || !m.Listed)
+	}
+	c.settled = linked || now.Sub(c.firstRun) > linkGrace
+	return c.settled
+}
--- a/instance.go
+++ b/instance.go
@@ -208,6 +208,9 @@
 	} else if !i.catalog.Fresh(time.Now()) {
 		reasons = append(reasons, "the catalogue can't be proved current")
 	}
+	if !i.members.Settled(time.Now()) {
+		reasons = append(reasons, "the links to the other instances are being set up")
+	}
 	if !i.session.Valid(time.Now()) {
 		reasons = append(reasons, "the session is not registered or has not been checked since a pause")
 	} else if !i.quota.sync.Ready() {
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -23,6 +23,11 @@
 const (
 	minRedial = 100 * time.Millisecond
 	maxRedial = 2 * time.Second
+	// secondDial is how long the instance with the higher address leaves the
+	// dialling to the other one.
+	secondDial = 300 * time.Millisecond
+	// linkCheck is how often a dialler looks whether its link is still up.
+	linkCheck = 500 * time.Millisecond
 )
 
 // Handler answers one message. The context ends with the link.
@@ -148,8 +153,10 @@
 }
 
 // SetTargets dials the given addresses and gives up those no longer listed.
-// Of two instances the one with the lower address dials, so that a pair has
-// one link. Links that others have opened stay.
+// Of two instances the one with the lower address dials first, so that a pair
+// usually has one link; the other one dials too if no link comes up soon,
+// because its partner may see it on the list later. Links that others have
+// opened stay.
 func (h *Hub) SetTargets(ctx context.Context, addresses []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -160,7 +167,7 @@
 		}
 	}
 	for _, address := range addresses {
-		if _, ok := h.targets[address]; ok || address <= h.self.Address {
+		if _, ok := h.targets[address]; ok || address == h.self.Address {
 			continue
 		}
 		dialCtx, cancel := context.WithCancel(ctx)
@@ -172,15 +179,42 @@
 func (h *Hub) keepDialled(ctx context.Context, address string) {
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = minRedial, maxRedial
+	if address < h.self.Address && !pause(ctx, secondDial) {
+		return
+	}
 	for ctx.Err() == nil {
-		if err := h.dial(ctx, address); err == nil {
-			delay.Reset()
+		wait := linkCheck
+		if !h.linkedTo(address) {
+			if err := h.dial(ctx, address); err == nil {
+				delay.Reset()
+			}
+			wait = delay.NextBackOff()
+		}
+		if !pause(ctx, wait) {
+			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(delay.NextBackOff()):
+	}
+}
+
+// linkedTo reports whether a link to the instance at an address is up.
+func (h *Hub) linkedTo(address string) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	for _, l := range h.links {
+		if l.remote.Address == address {
+			return true
 		}
 	}
+	return false
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
 }
 
 func (h *Hub) dial(ctx context.Context, address string) error {
