Tell a new instance how long upstreams have been running

Cause: an instance that replaced another one took every service in use for fresh and ramped it up again; with five members at concurrency 16 one of them would hold requests for up to 8 s (computed from the ramp rule). A new instance now asks its peers for the incarnations and ages that they know. With the age ignored, TestAgesOfPeers: u0: limit 0 of 16 after its age was taken over.

--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -270,3 +270,26 @@
 		})
 	}
 }
+
+// Guards against an instance that replaces another one and takes services in
+// use for fresh ones, and against taking over the age of another incarnation.
+func TestAgesOfPeers(t *testing.T) {
+	old, now := warm(catalog.Service, 2, 1), epoch
+	for _, name := range []string{"u0", "u1"} {
+		old.Observe(now, name, "first", now)
+	}
+	old.Observe(now, "u1", "restarted", now)
+	fresh := New(Config{Self: "new"})
+	fresh.SetMembers([]string{"a", "b", "c", "new"})
+	fresh.SetPool(now, pool(catalog.Service, 2, 16), 1)
+	for _, a := range old.Ages(now) {
+		fresh.Established(a.Upstream, a.Incarnation, now.Add(-a.Age))
+	}
+	for name, want := range map[string]bool{"u0": true, "u1": false} {
+		u := fresh.byName[name]
+		limit, _, _ := fresh.limit(now, u)
+		if full := limit == u.Concurrency; full != want {
+			t.Errorf("%s: limit %d of %d after its age was taken over", name, limit, u.Concurrency)
+		}
+	}
+}
--- a/filter/upstreams.go
+++ b/filter/upstreams.go
@@ -57,9 +57,15 @@
 	f.change(name, func(_ time.Time, p *balance.Picker) { p.Established(upstream, incarnation, since) })
 }
 
-// SetLeaving records that an upstream reports leaving, or that it is back.
-func (f *Route) SetLeaving(name, upstream string, leaving bool) {
-	f.change(name, func(now time.Time, p *balance.Picker) { p.SetLeaving(now, upstream, leaving) })
+// Ages returns by pool how long upstreams have been running.
+func (f *Route) Ages(now time.Time) map[string][]balance.Age {
+	ages := map[string][]balance.Age{}
+	f.each(func(name string, p *pool) {
+		if list := p.picker.Ages(now); len(list) > 0 {
+			ages[name] = list
+		}
+	})
+	return ages
 }
 
 // Backlog returns what waits, by pool and workspace.
--- a/instance.go
+++ b/instance.go
@@ -153,7 +153,7 @@
 	i.serve()
 	for _, run := range []func(context.Context) error{
 		i.session.Run, i.members.Run, i.catalog.Run, i.quota.run, i.placement.run,
-		upstreams.Watch(i.upstreams, i.catalog.SetLeaving, i.log), i.route.Run, i.claims.Run,
+		upstreams.Watch(i.upstreams, i.catalog.SetLeaving, i.log), i.route.Run, i.claims.Run, i.learnAges,
 	} {
 		i.group.Go(func() error { return run(i.state) })
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -25,6 +25,7 @@
 	KindDemand
 	KindPlacementView
 	KindUpstreamEvent
+	KindUpstreamAges
 )
 
 // envelope frames every message after the handshake. Replies repeat the ID of
