--- a/experiment/placement.go
+++ b/experiment/placement.go
@@ -84,14 +84,15 @@
 	fmt.Fprintf(c.out, "deployment %s: %d models, %d adapters, %d workers, %d days, seed %d, %d requests\n",
 		d.Name, d.Models, d.Adapters, d.Workers, c.Days, c.Seed, len(t.requests))
 	table := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "policy\twaited\tcold p50\tp95\tp99\tidle acc h\theld acc h\tloads\trefused\tmissed\tworst workspace\tits p99\tDC out: served\trefused\tmissed\tp99")
+	fmt.Fprintln(table, "policy\twaited\tcold p50\tp95\tp99\tidle acc h\theld acc h\tloads\trefused\tmissed\tworst served\tworst p99\tDC out: served\trefused\tmissed\tp99")
 	for i, p := range policies {
 		x := runs[i]
 		name, worst := x.worst()
-		fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%.1f\t%.1f\t%d\t%d\t%d\t%s %.2f%%\t%s\t%.2f%%\t%d\t%d\t%s\n", p.name,
+		slowest := x.slowest()
+		fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%.1f\t%.1f\t%d\t%d\t%d\t%s %.2f%%\t%s %s\t%.2f%%\t%d\t%d\t%s\n", p.name,
 			x.all.cold.TotalCount(), quantile(x.all.cold, 50), quantile(x.all.cold, 95), quantile(x.all.cold, 99),
 			x.idle.Hours(), x.held.Hours(), x.w.LoadsBegun, x.all.refused, x.all.missed,
-			name, 100*worst.servedFirst(), quantile(worst.cold, 99),
+			name, 100*worst.servedFirst(), slowest, quantile(x.byName[slowest].cold, 99),
 			100*x.away.servedFirst(), x.away.refused, x.away.missed, quantile(x.away.cold, 99))
 		if len(x.broken) > 0 {
 			return fmt.Errorf("policy %q broke a promise: %v", p.name, x.broken)
@@ -112,6 +113,17 @@
 	return name, x.byName[name]
 }
 
+// slowest returns the workspace with the longest p99 of the waits.
+func (x *run) slowest() string {
+	name := workspaces[0].name
+	for _, w := range workspaces {
+		if x.byName[w.name].cold.ValueAtQuantile(99) > x.byName[name].cold.ValueAtQuantile(99) {
+			name = w.name
+		}
+	}
+	return name
+}
+
 func quantile(h *hdrhistogram.Histogram, q float64) string {
 	return fmt.Sprintf("%.2fs", (time.Duration(h.ValueAtQuantile(q)) * time.Microsecond).Seconds())
 }
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -98,11 +98,29 @@
 	}
 	p.heat(m)
 	m.asked = m.workspace()
-	if first := m.earliest(); m.urgent.IsZero() || first.Before(m.urgent) {
+	if first := m.earliestFeasible(p.now.Add(p.bestEstimate(m))); m.urgent.IsZero() || first.Before(m.urgent) {
 		m.urgent = first
 	}
 }
 
+// earliestFeasible is the earliest deadline that a load that is complete at a
+// time meets, or that time if there is none: those who cannot be served in
+// time do not make the load more urgent.
+func (m *model) earliestFeasible(complete time.Time) time.Time {
+	var first time.Time
+	for _, e := range m.entries {
+		for _, deadline := range []time.Time{e.deadline, e.latest} {
+			if e.waiting > 0 && !deadline.Before(complete) && (first.IsZero() || deadline.Before(first)) {
+				first = deadline
+			}
+		}
+	}
+	if first.IsZero() {
+		return complete
+	}
+	return first
+}
+
 func (p *Planner) heat(m *model) {
 	if m.hot || m.service {
 		return
