--- /dev/null
+++ b/bench/request_test.go
@@ -0,0 +1,120 @@
+package bench
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hibiscusyard/hibiscusyard/processtest"
+)
+
+// streams at 5 ms between tokens make about 12,800 tokens a second, a little
+// over the 11,400 that the target asks of an instance.
+const (
+	streams      = 64
+	streamPace   = 5 * time.Millisecond
+	streamTokens = 220 // 11,400 tokens over 52 requests
+)
+
+// Measures the processor time of the instance for each relayed token against a
+// relay of bytes under the same load before it. In "paced" each token comes in
+// a packet of its own, as from engines; in "burst" the engine sends as fast as
+// it can, so that packets hold several.
+func BenchmarkRelayedToken(b *testing.B) {
+	for name, l := range map[string]load{"paced": {streams, streamPace, streamTokens}, "burst": {8, 0, 4000}} {
+		b.Run(name, func(b *testing.B) {
+			s := newScene(b, l.pace)
+			relay, relayPID := startRelay(b, s.engine.Address)
+			for b.Loop() {
+				least, count := s.tokens(l, relay, relayPID)
+				used, n := s.tokens(l, s.instance.Caller, s.instance.PID())
+				b.ReportMetric(micros(used.User)/n, "user-µs/token")
+				b.ReportMetric(micros(used.Total())/n, "µs/token")
+				b.ReportMetric(micros(least.Total())/count, "relay-µs/token")
+				b.ReportMetric(micros(used.Total())/n/(micros(least.Total())/count), "ratio")
+				b.ReportMetric(n/window.Seconds(), "tokens/s")
+			}
+		})
+	}
+}
+
+// load is a number of streams that run at the same time.
+type load struct {
+	streams int
+	pace    time.Duration
+	tokens  int // of one stream
+}
+
+func micros(d time.Duration) float64 { return d.Seconds() * 1e6 }
+
+// Measures how many requests with one token a core of the instance serves.
+func BenchmarkRequestsPerCore(b *testing.B) {
+	s := newScene(b, 0)
+	var requests atomic.Int64
+	stop := s.load(16, func(ctx context.Context) error {
+		_, err := s.call(ctx, s.instance.Caller, 1, false)
+		requests.Add(1)
+		return err
+	})
+	defer stop()
+	for b.Loop() {
+		used, n := measure(b, s.instance.PID(), &requests)
+		b.ReportMetric(n/used.Total().Seconds(), "requests/s/core")
+		b.ReportMetric(micros(used.Total())/n, "µs/request")
+		b.ReportMetric(n/window.Seconds(), "requests/s")
+	}
+}
+
+// Measures what the instance adds to the time of a request, against the same
+// request sent straight to the engine in turn with it.
+func BenchmarkAddedLatency(b *testing.B) {
+	s := newScene(b, 0)
+	const callers, rounds = 4, 500
+	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3) }
+	for b.Loop() {
+		direct, through := histogram(), histogram()
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for range callers {
+			wg.Go(func() {
+				for range rounds {
+					for address, into := range map[string]*hdrhistogram.Histogram{s.engine.Address: direct, s.instance.Caller: through} {
+						start := time.Now()
+						_, err := s.call(context.Background(), address, 1, true)
+						took := time.Since(start)
+						mu.Lock()
+						if err != nil || into.RecordValue(took.Microseconds()) != nil {
+							b.Errorf("request to %s: %v", address, err)
+						}
+						mu.Unlock()
+					}
+				}
+			})
+		}
+		wg.Wait()
+		for name, q := range map[string]float64{"p50": 50, "p99": 99} {
+			d, t := float64(direct.ValueAtQuantile(q)), float64(through.ValueAtQuantile(q))
+			b.ReportMetric(d, name+"-direct-µs")
+			b.ReportMetric(t-d, name+"-added-µs")
+			b.ReportMetric(t/d, name+"-ratio")
+		}
+	}
+}
+
+// tokens keeps the streams running through an address and returns what the
+// process used in the window, and the tokens that arrived in it.
+func (s *scene) tokens(l load, address string, pid int) (used Usage, count float64) {
+	s.b.Helper()
+	var tokens atomic.Int64
+	stop := s.load(l.streams, func(ctx context.Context) error {
+		_, err := s.follow(ctx, address, l.tokens, true, &tokens)
+		return err
+	})
+	defer stop()
+	processtest.Eventually(s.b, "all streams run", func() bool { return s.engine.Engine().Running >= l.streams*3/4 })
+	return measure(s.b, pid, &tokens)
+}
--- a/catalog/index.go
+++ b/catalog/index.go
@@ -72,6 +72,23 @@
 	return x
 }
 
+// WithLeaving returns an index in which the upstreams at the given addresses
+// are marked as leaving.
+func (x *Index) WithLeaving(addresses map[string]bool) *Index {
+	if len(addresses) == 0 {
+		return x
+	}
+	marked := &Catalog{Version: x.Catalog.Version, Routes: x.Catalog.Routes, Pools: slices.Clone(x.Catalog.Pools)}
+	for p := range marked.Pools {
+		pool := &marked.Pools[p]
+		pool.Upstreams = slices.Clone(pool.Upstreams)
+		for u := range pool.Upstreams {
+			pool.Upstreams[u].Leaving = pool.Upstreams[u].Leaving || addresses[pool.Upstreams[u].Address]
+		}
+	}
+	return NewIndex(marked, x.Digest)
+}
+
 func (x *Index) addRoute(r *Route) {
 	for _, model := range r.Models {
 		x.models[model] = r
@@ -140,3 +157,15 @@
 	slices.Sort(names)
 	return names
 }
+
+// MaxChatBody returns the largest body that a model route which the key hash
+// opens accepts, 0 if there is none.
+func (x *Index) MaxChatBody(hash string) int64 {
+	limit := int64(0)
+	for i := range x.Catalog.Routes {
+		if r := &x.Catalog.Routes[i]; len(r.Models) > 0 && (r.Open || x.Allows(r, hash)) {
+			limit = max(limit, r.MaxBody)
+		}
+	}
+	return limit
+}
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -1,7 +1,8 @@
-// Command experiment runs policies on virtual time against baselines.
+// Command experiment runs policies on virtual time against their baselines.
 package main
 
 import (
+	"errors"
 	"os"
 
 	"github.com/jessevdk/go-flags"
@@ -9,20 +10,30 @@
 	"github.com/hibiscusyard/hibiscusyard/experiment"
 )
 
+// commands lists the subcommands; each is a flags.Commander with its own options.
+var commands = []struct {
+	name, short string
+	command     flags.Commander
+}{
+	{"placement", "Compares placement policies on arrival traces", &experiment.Placement{}},
+	{"quota", "Compares ways to limit rates over several instances", experiment.NewQuota(os.Stdout)},
+}
+
 func main() {
-	parser := flags.NewParser(nil, flags.Default)
-	add(parser, "placement", "placement of models and adapters against baselines", &experiment.Placement{})
+	parser := flags.NewNamedParser("experiment", flags.Default)
+	for _, c := range commands {
+		if _, err := parser.AddCommand(c.name, c.short, "", c.command); err != nil {
+			panic(err)
+		}
+	}
 	if _, err := parser.Parse(); err != nil {
-		if flags.WroteHelp(err) {
+		var usage *flags.Error
+		switch {
+		case flags.WroteHelp(err):
 			return
+		case errors.As(err, &usage):
+			os.Exit(2)
 		}
 		os.Exit(1)
 	}
 }
-
-// add registers a subcommand; data has an Execute method.
-func add(parser *flags.Parser, name, description string, data any) {
-	if _, err := parser.AddCommand(name, description, "", data); err != nil {
-		panic(err) // the options of a command are malformed
-	}
-}
