placement: send no more than two reports without demand in a row

An idle instance repeated an empty report every 3 s, which the placer has to read and which made it work out a view. Reports expire by themselves.

--- a/placement.go
+++ b/placement.go
@@ -23,6 +23,9 @@
 	reportEvery = 3 * time.Second
 	// reportGap bounds the reports that changes of demand cause.
 	reportGap = 20 * time.Millisecond
+	// emptyReports is how many reports without demand are sent in a row: one
+	// that ends the demand, and one in case it was lost.
+	emptyReports = 2
 	// sendTimeout bounds a report or a view on its way.
 	sendTimeout = 2 * time.Second
 )
@@ -46,6 +49,7 @@
 	directory *directory.Directory
 	placer    *placer.Placer
 	done      chan struct{}
+	empty     int // reports without demand in a row; only used by reportDemand
 
 	views     sync.Mutex // orders the views on their way to the routing filter
 	published chan placement.View
@@ -163,6 +167,11 @@
 func (p *placementControl) sendDemand(ctx context.Context) {
 	holder := p.placer.Holder().Holder
 	demands := p.directory.Report(time.Now())
+	if len(demands) > 0 {
+		p.empty = 0
+	} else if p.empty++; p.empty > emptyReports {
+		return
+	}
 	if holder == p.instance.settings.Instance {
 		p.placer.Report(holder, demands)
 		return
