--- a/bench/request_test.go
+++ b/bench/request_test.go
@@ -29,6 +29,10 @@
 		b.Run(name, func(b *testing.B) {
 			s := newScene(b, l.pace)
 			relay, relayPID := startRelay(b, s.engine.Address)
+			idle, err := ResidentMemory(s.instance.PID())
+			if err != nil {
+				b.Fatal(err)
+			}
 			for b.Loop() {
 				least, count := s.tokens(l, relay, relayPID)
 				used, n := s.tokens(l, s.instance.Caller, s.instance.PID())
@@ -37,6 +41,11 @@
 				b.ReportMetric(micros(least.Total())/count, "relay-µs/token")
 				b.ReportMetric(micros(used.Total())/n/(micros(least.Total())/count), "ratio")
 				b.ReportMetric(n/window.Seconds(), "tokens/s")
+				busy, err := ResidentMemory(s.instance.PID())
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(busy.Total-idle.Total)/1024/float64(l.streams), "KB/stream")
 			}
 		})
 	}
--- a/bench/usage.go
+++ b/bench/usage.go
@@ -46,17 +46,31 @@
 	return Usage{User: time.Duration(user) * clockTick, System: time.Duration(system) * clockTick}, err
 }
 
-// ResidentMemory returns the resident memory of a process in bytes.
-func ResidentMemory(pid int) (int64, error) {
+// Memory is the resident memory of a process in bytes.
+type Memory struct {
+	Total     int64
+	Anonymous int64 // without the pages of the program file
+}
+
+// ResidentMemory returns the resident memory of a process.
+func ResidentMemory(pid int) (Memory, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		return 0, err
+		return Memory{}, err
 	}
-	for line := range strings.Lines(string(data)) {
-		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+	var m Memory
+	for field, into := range map[string]*int64{"VmRSS:": &m.Total, "RssAnon:": &m.Anonymous} {
+		for line := range strings.Lines(string(data)) {
+			value, ok := strings.CutPrefix(line, field)
+			if !ok {
+				continue
+			}
 			kilobytes, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
-			return kilobytes << 10, err
+			if err != nil {
+				return m, err
+			}
+			*into = kilobytes << 10
 		}
 	}
-	return 0, fmt.Errorf("/proc/%d/status has no VmRSS", pid)
+	return m, nil
 }
--- a/capacity/fleet_test.go
+++ b/capacity/fleet_test.go
@@ -127,19 +127,21 @@
 		<-time.After(fleetWindow)
 		after := f.read(b)
 		n, seconds := float64(len(f.instances)), fleetWindow.Seconds()
-		var cores, memory []float64
+		var cores, memory, anonymous []float64
 		for k, i := range f.instances {
 			cores = append(cores, 100*after.used[k].Sub(before.used[k]).Total().Seconds()/seconds)
 			resident, err := bench.ResidentMemory(i.PID())
 			if err != nil {
 				b.Fatal(err)
 			}
-			memory = append(memory, float64(resident)/(1<<20))
+			memory = append(memory, float64(resident.Total)/(1<<20))
+			anonymous = append(anonymous, float64(resident.Anonymous)/(1<<20))
 		}
 		b.ReportMetric(mean(cores), "%core")
 		b.ReportMetric(slices.Max(cores), "max-%core")
 		b.ReportMetric(mean(memory), "MB")
 		b.ReportMetric(slices.Max(memory), "max-MB")
+		b.ReportMetric(mean(anonymous), "anon-MB")
 		b.ReportMetric(float64(after.table[0]-before.table[0])/seconds/n, "table-reads/s")
 		b.ReportMetric(float64(after.table[1]-before.table[1])/seconds/n, "table-writes/s")
 		rate := func(names ...string) float64 {
