--- a/instance.go
+++ b/instance.go
@@ -21,6 +21,7 @@
 	"github.com/hibiscusyard/hibiscusyard/controller/members"
 	"github.com/hibiscusyard/hibiscusyard/controller/upstreams"
 	"github.com/hibiscusyard/hibiscusyard/filter"
+	"github.com/hibiscusyard/hibiscusyard/idempotency"
 	"github.com/hibiscusyard/hibiscusyard/peer"
 	"github.com/hibiscusyard/hibiscusyard/platform"
 	"github.com/hibiscusyard/hibiscusyard/session"
@@ -39,6 +40,7 @@
 
 	table     platform.Table
 	objects   platform.Objects
+	weights   platform.Weights // nil if checkpoints are not checked
 	instances platform.Instances
 	upstreams platform.Instances // nil if the list does not show upstreams
 
@@ -50,6 +52,7 @@
 	quota     *quotaControl
 	forward   *filter.Forward
 	route     *filter.Route
+	claims    *idempotency.Store
 
 	listeners listeners
 	servers   servers
@@ -81,14 +84,14 @@
 		Self: self, List: i.instances, Static: s.Peers, Lag: s.ListLag.Std(), Hub: i.hub, Log: i.log,
 	})
 	i.catalog = catalogsync.New(catalogsync.Config{
-		Table: i.table, Objects: i.objects, Peers: i.hub, Members: i.members.Count,
+		Table: i.table, Objects: i.objects, Weights: i.weights, Peers: i.hub, Members: i.members.Count,
 		StaleAfter: s.StaleAfter.Std(), Poll: s.PollInterval.Std(), Log: i.log,
 	})
 	i.catalog.Register(i.hub)
 	i.quota = newQuotaControl(i)
 	i.placement = newPlacementControl(i)
 	i.forward = &filter.Forward{Client: filter.NewClient(), Session: i.session, Observe: i.placement.observe}
-	i.route = newRoute(i)
+	i.route, i.claims = newRoute(i), newClaimStore(i)
 	return i, nil
 }
 
@@ -108,6 +111,11 @@
 		return oops.In("platform").Wrapf(err, "object store client")
 	}
 	i.table, i.objects = table, objects
+	if p.Weights != "" {
+		if i.weights, err = platform.NewS3Bucket(endpoint(p.Weights), p.WeightsBucket); err != nil {
+			return oops.In("platform").Wrapf(err, "weight store client")
+		}
+	}
 	if p.Instances == "" {
 		return nil
 	}
@@ -145,7 +153,7 @@
 	i.serve()
 	for _, run := range []func(context.Context) error{
 		i.session.Run, i.members.Run, i.catalog.Run, i.quota.run, i.placement.run,
-		upstreams.Watch(i.upstreams, i.catalog.SetLeaving, i.log), i.route.Run,
+		upstreams.Watch(i.upstreams, i.catalog.SetLeaving, i.log), i.route.Run, i.claims.Run,
 	} {
 		i.group.Go(func() error { return run(i.state) })
 	}
@@ -238,7 +246,7 @@
 		filter.Identify{Catalog: i.catalog},
 		filter.Authorise{Catalog: i.catalog},
 		filter.Admit{Limiter: i.quota},
-		filter.Claims{Store: newClaimStore(i)},
+		filter.Claims{Store: i.claims},
 		i.route,
 	)
 	handler := &filter.Handler{Chain: chain, Log: i.log, Metrics: i.metrics}
