quotasync: look at all slots only after a change

Each reading of the members, every 2 s, decided about every slot again. It now does so only if the members, the rows, the limits or what is known of absent holders have changed since it found nothing to take.

--- a/controller/quotasync/quotasync.go
+++ b/controller/quotasync/quotasync.go
@@ -107,6 +107,7 @@
 	rowsAt       time.Time // when the last successful reading of the rows began
 	owners       map[string][quota.Slots]string
 	rows         map[slotKey]stored
+	unsettled    bool // rows, members or limits have changed since no slot was there to take
 	activated    map[slotKey]uint64
 	parked       map[slotKey]parkedSlot
 	absences     absences
@@ -334,9 +335,8 @@
 	s.limits = limits
 	s.ledger.SetLimits(limits, s.gate(time.Now()))
 	s.place()
-	if s.wants() {
-		s.wake()
-	}
+	s.unsettled = true
+	s.settle()
 }
 
 // SetMembers takes one reading of the platform's instance list. It is to be
@@ -356,12 +356,25 @@
 	if changed {
 		s.members, s.membersSince = members, now
 	}
-	s.absences.observe(s.foreignHolders(), members, now)
+	news := s.absences.observe(s.foreignHolders(), members, now)
 	if changed {
 		s.place()
 		s.updateHolders()
 	}
-	if s.wants() {
+	if changed || news {
+		s.unsettled = true
+	}
+	s.settle()
+}
+
+// settle asks for a refresh if it would take a slot. Looking at all slots took
+// most of the time of a reading, so it is left out while nothing has changed
+// since it found nothing to take.
+func (s *Sync) settle() {
+	if !s.unsettled {
+		return
+	}
+	if s.unsettled = s.wants(); s.unsettled {
 		s.wake()
 	}
 }
--- a/controller/quotasync/rules.go
+++ b/controller/quotasync/rules.go
@@ -161,8 +161,13 @@
 
 // observe notes one reading of the list. A run is gone once readings over more
 // than the list's lag lacked it, all of them after its row was first seen; so a
-// run that the list does not show yet is not taken for a dead one.
-func (a *absences) observe(holders map[holderKey]bool, members []Member, now time.Time) {
+// run that the list does not show yet is not taken for a dead one. It reports
+// whether it says of any run something else than before.
+func (a *absences) observe(holders map[holderKey]bool, members []Member, now time.Time) (changed bool) {
+	set := func(key holderKey, gone bool) {
+		changed = changed || a.gone[key] != gone
+		a.gone[key] = gone
+	}
 	for key := range a.since {
 		if !holders[key] {
 			delete(a.since, key)
@@ -184,11 +189,12 @@
 		switch {
 		case present:
 			delete(a.since, key)
-			a.gone[key] = ended
+			set(key, ended)
 		case !absent:
 			a.since[key] = now
 		case now.Sub(first) > a.lag:
-			a.gone[key] = true
+			set(key, true)
 		}
 	}
+	return changed
 }
--- a/controller/quotasync/slots.go
+++ b/controller/quotasync/slots.go
@@ -187,7 +187,7 @@
 }
 
 func (s *Sync) load(rows []platform.Row) {
-	s.rows = map[slotKey]stored{}
+	s.rows, s.unsettled = map[slotKey]stored{}, true
 	for _, r := range rows {
 		key, ok := parseSlotKey(r.Key)
 		row, err := DecodeSlotRow(r.Value)
@@ -293,6 +293,7 @@
 func (s *Sync) taken(c change, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.unsettled = true
 	if err != nil {
 		return
 	}
@@ -310,6 +311,7 @@
 func (s *Sync) released(c change, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.unsettled = true
 	slot := s.parked[c.key]
 	refused := errors.Is(err, platform.ErrNotApplied) && !errors.Is(err, platform.ErrUnknown)
 	switch {
