--- a/balance/pick.go
+++ b/balance/pick.go
@@ -237,8 +237,5 @@
 	if u.inFlight >= limit {
 		return cause, grows
 	}
-	if cause == AtConcurrency && float64(u.inFlight)+p.others(now, u) >= float64(u.Concurrency) {
-		return AtConcurrency, u.report.at.Add(p.config.ReportMaxAge)
-	}
 	return "", time.Time{}
 }
--- a/balance/ramp.go
+++ b/balance/ramp.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -129,12 +130,15 @@
 // what sets the limit, and when it grows, if that is known.
 func (p *Picker) limit(now time.Time, u *upstream) (limit int, cause Reason, grows time.Time) {
 	if a := u.ramp.allotment; a != nil && !u.ramp.suspect(now, p.config.Ramp) && a.Incarnation != "" && a.Incarnation == u.ramp.incarnation {
-		return min(a.Limit, u.Concurrency), OverAllotment, time.Time{}
+		if a.Limit >= u.Concurrency {
+			return p.unreserved(now, u), AtConcurrency, time.Time{}
+		}
+		return a.Limit, OverAllotment, time.Time{}
 	}
 	since := u.freshSince()
 	end := since.Add(p.config.Ramp)
 	if !now.Before(end) {
-		return u.Concurrency, AtConcurrency, time.Time{}
+		return p.unreserved(now, u), AtConcurrency, time.Time{}
 	}
 	rank := p.rank(u)
 	if rank < 0 {
@@ -152,6 +156,19 @@
 	return share, Ramping, since.Add(reaches(u.Concurrency, rank+share*members+1, p.config.Ramp))
 }
 
+// unreserved is the part of an upstream's concurrency that other instances do
+// not use by its last report, at least an equal part if there are others that
+// may report it in use by this one. Without it, instances
+// that each count only their own requests send several times what the upstream
+// bears as soon as they are busy together.
+func (p *Picker) unreserved(now time.Time, u *upstream) int {
+	equal := 0
+	if n := len(p.members); n > 1 {
+		equal = max(u.Concurrency/n, 1)
+	}
+	return max(u.Concurrency-int(math.Ceil(p.others(now, u))), equal)
+}
+
 // allowance is the number of requests that all instances together may have at
 // an upstream of that age.
 func allowance(concurrency int, age, ramp time.Duration) int {
--- a/filter/forward.go
+++ b/filter/forward.go
@@ -86,7 +86,7 @@
 		return t.fail(errForeign)
 	}
 	if t.disowned(resp) {
-		return t.r.Attempt.Refuse(verdict.UpstreamFailed, "upstream %s takes no requests for the model now", t.upstream.Name)
+		return t.r.Attempt.Refuse(verdict.UpstreamOverloaded, "upstream %s takes no requests for the model now", t.upstream.Name)
 	}
 	if err := t.relay(resp); err != nil {
 		return t.fail(err)
--- a/filter/pool.go
+++ b/filter/pool.go
@@ -21,6 +21,7 @@
 	pool   *catalog.Pool
 	picker *balance.Picker
 	queue  *fairqueue.Queue[*waiter]
+	times  map[string]*serviceTime // by model
 }
 
 // waiter is a request in the queue.
@@ -65,7 +66,7 @@
 	r := w.request
 	item, shed := p.queue.Push(now, fairqueue.Entry[*waiter]{
 		Workspace: r.Workspace.Name, Class: r.Model(), Weight: r.Workspace.Weight,
-		Cost: r.Cost, Deadline: r.Deadline, Value: w,
+		Cost: r.Cost, Deadline: p.time(r.Model()).latestStart(r.Arrived, r.Deadline), Value: w,
 	})
 	p.shed(shed)
 	p.dispatch(now)
@@ -166,6 +167,23 @@
 	p.dispatch(now)
 }
 
+// served records how long an upstream took for a complete request.
+func (p *pool) served(model string, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.time(model).observe(took)
+}
+
+// time returns the estimate of a model; the caller holds the lock.
+func (p *pool) time(model string) *serviceTime {
+	s, ok := p.times[model]
+	if !ok {
+		s = &serviceTime{}
+		p.times[model] = s
+	}
+	return s
+}
+
 // last returns the latest decision on a waiting request.
 func (p *pool) last(w *waiter) balance.Decision {
 	p.mu.Lock()
--- a/filter/route.go
+++ b/filter/route.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,7 +60,7 @@
 	defer f.mu.Unlock()
 	p, ok := f.pools[name]
 	if !ok {
-		p = &pool{name: name, directory: f.Directory, picker: balance.New(f.Balance), queue: fairqueue.New[*waiter](f.Queue)}
+		p = &pool{name: name, directory: f.Directory, picker: balance.New(f.Balance), queue: fairqueue.New[*waiter](f.Queue), times: map[string]*serviceTime{}}
 		p.picker.SetMembers(f.members)
 		if f.pools == nil {
 			f.pools = map[string]*pool{}
@@ -83,17 +84,26 @@
 func (f *Route) Serve(ctx context.Context, r *Request, _ Next) error {
 	f.withBudget(func(b *balance.Budget) bool { b.Request(); return true })
 	p, delays := f.pool(r.Pool.Name), balance.NewBackoff()
-	var tried []string
+	var failed, full []string // upstreams that are not tried again, and not before others
 	var last error
 	for {
-		g, err := f.acquire(ctx, r, p, tried, last)
-		if err != nil {
+		g, err := f.acquire(ctx, r, p, slices.Concat(failed, full), last)
+		if err == nil {
+			err = f.forward(ctx, r, p, g)
+			if err == nil || !f.mayRetry(ctx, r, err) {
+				return err
+			}
+			if turnedAway(err) {
+				full = append(full, g.upstream.Name)
+			} else {
+				failed = append(failed, g.upstream.Name)
+			}
+			last = err
+		} else if err == last && len(full) > 0 {
+			full = nil // no other upstream has room: ask these again
+		} else {
 			return err
 		}
-		if err = f.forward(ctx, r, p, g); err == nil || !f.mayRetry(ctx, r, err) {
-			return err
-		}
-		tried, last = append(tried, g.upstream.Name), err
 		if !pause(ctx, delays.NextBackOff()) {
 			return last
 		}
@@ -122,7 +132,11 @@
 	}
 	ctx, stop := watchKey(ctx, f.Catalog, r)
 	defer stop()
+	started := time.Now()
 	result, header, err := f.Forward.Try(ctx, r, g.upstream)
+	if result.Kind == balance.Success {
+		p.served(r.Model(), time.Since(started))
+	}
 	if header != nil {
 		requests, reported = reportedRequests(header, g.upstream.Concurrency)
 	}
@@ -149,9 +163,21 @@
 	return nil
 }
 
+// turnedAway reports whether an upstream took nothing of a request because it
+// had no room or the model was not loaded. The request waits for room like one
+// that was not sent yet: several instances share an upstream, and each learns
+// of the others' requests from reports that lag. It costs the upstream nothing
+// that would have to be kept in the retry budget.
+func turnedAway(err error) bool {
+	return verdict.From(err).Reason == verdict.UpstreamOverloaded
+}
+
 // mayRetry decides whether a request is tried again at another upstream.
 func (f *Route) mayRetry(ctx context.Context, r *Request, err error) bool {
 	refusal := verdict.From(err)
+	if turnedAway(err) {
+		return !r.Writer.Begun() && ctx.Err() == nil
+	}
 	switch refusal.Reason {
 	case verdict.UpstreamFailed, verdict.UpstreamTruncated, verdict.UpstreamInvalidAnswer:
 	default:
@@ -280,7 +306,7 @@
 		return nil
 	case d.Wait && (d.Sooner || d.RetryAfter <= left):
 		return nil
-	case last != nil:
+	case last != nil && !(d.Wait && turnedAway(last)):
 		return last
 	case d.Wait:
 		return r.Attempt.Refuse(verdict.DeadlineTooShort, "no upstream becomes free before the deadline").After(d.RetryAfter)
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -53,6 +53,7 @@
 	NotReady              Reason = "not_ready"
 	Draining              Reason = "draining"
 	UpstreamFailed        Reason = "upstream_failed"
+	UpstreamOverloaded    Reason = "upstream_overloaded"
 	UpstreamInvalidAnswer Reason = "upstream_invalid_answer"
 	UpstreamTruncated     Reason = "upstream_truncated"
 	ClaimUnavailable      Reason = "claim_unavailable"
@@ -86,6 +87,7 @@
 	NotReady:              http.StatusServiceUnavailable,
 	Draining:              http.StatusServiceUnavailable,
 	UpstreamFailed:        http.StatusBadGateway,
+	UpstreamOverloaded:    http.StatusServiceUnavailable,
 	UpstreamInvalidAnswer: http.StatusBadGateway,
 	UpstreamTruncated:     http.StatusBadGateway,
 	ClaimUnavailable:      http.StatusServiceUnavailable,
