--- a/capacity/plumbing.go
+++ b/capacity/plumbing.go
@@ -180,11 +180,19 @@
 			}},
 		{Name: "peer link, both ends, a second of idling", Per: "link", Sizes: []int{8, 32, 128}, Target: Instances - 1, Idle: 6 * time.Second,
 			Build: func(n int) (any, func()) { return newStar(n), nil }},
+		{Name: "peer call and its answer, both ends", Per: "byte of the message", Sizes: []int{50, 500, 5000, 50000}, Target: 100, NoMemory: true,
+			Build: func(n int) (any, func()) {
+				s, message := newStar(1), make([]byte, n)
+				return s, func() {
+					must(s.centre.Call(context.Background(), instanceName(0), peer.KindGrant, message, new(int)))
+				}
+			}},
 	}
 }
 
 // star is a hub with links from n other hubs in this process.
 type star struct {
+	centre *peer.Hub
 	cancel context.CancelFunc
 	server *http.Server
 }
@@ -204,10 +212,11 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, centre)
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &star{cancel: cancel, server: &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}}
+	s := &star{centre: centre, cancel: cancel, server: &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}}
 	go s.server.Serve(l) //nolint:errcheck // it ends with Close.
 	for i := range n {
 		hub := peer.NewHub(peer.Identity{Instance: instanceName(i), Incarnation: incarnation(i)}, "secret", quiet)
+		hub.Handle(peer.KindGrant, func(context.Context, peer.Identity, []byte) (any, error) { return 1, nil })
 		hub.SetAddress(address(i)) // lower than the centre's, so that this side dials
 		hub.SetTargets(ctx, []string{l.Addr().String()})
 	}
