--- a/bench/reference_test.go
+++ b/bench/reference_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"strings"
@@ -14,49 +12,6 @@
 // the address that it holds.
 const relayVariable = "HIBISCUSYARD_BENCH_RELAY"
 
-// runRelay copies bytes between callers and an upstream. It neither reads HTTP
-// nor checks anything: the least that a Go process spends on a relayed token.
-func runRelay(upstream string) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	fmt.Println(l.Addr())
-	for {
-		caller, err := l.Accept()
-		if err != nil {
-			return err
-		}
-		go func() {
-			defer caller.Close()
-			server, err := net.Dial("tcp", upstream)
-			if err != nil {
-				return
-			}
-			defer server.Close()
-			go copyBytes(server, caller)
-			copyBytes(caller, server)
-		}()
-	}
-}
-
-// copyBytes is io.Copy without splice, which only bare sockets can use.
-func copyBytes(to, from net.Conn) {
-	defer to.Close()
-	buffer := make([]byte, 16<<10)
-	for {
-		n, err := from.Read(buffer)
-		if n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
-				return
-			}
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
 // startRelay starts the reference relay and returns its address and process ID.
 func startRelay(b *testing.B, upstream string) (address string, pid int) {
 	b.Helper()
--- a/bench/usage.go
+++ b/bench/usage.go
@@ -4,7 +4,9 @@
 package bench
 
 import (
+	"bufio"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -74,3 +76,23 @@
 	}
 	return m, nil
 }
+
+// Metrics reads the metrics without labels of the instance whose
+// administration API listens at the address.
+func Metrics(address string) (map[string]float64, error) {
+	resp, err := http.Get("http://" + address + "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	values := map[string]float64{}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if name, value, ok := strings.Cut(lines.Text(), " "); ok && !strings.Contains(name, "{") {
+			if v, err := strconv.ParseFloat(value, 64); err == nil {
+				values[name] = v
+			}
+		}
+	}
+	return values, lines.Err()
+}
--- a/capacity/fleet_test.go
+++ b/capacity/fleet_test.go
@@ -1,13 +1,11 @@
 package capacity
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -92,7 +90,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		values, err := scrape(i.Admin)
+		values, err := bench.Metrics(i.Admin)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -101,25 +99,6 @@
 	return r
 }
 
-// scrape reads the metrics without labels.
-func scrape(address string) (map[string]float64, error) {
-	resp, err := http.Get("http://" + address + "/metrics")
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	values := map[string]float64{}
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		if name, value, ok := strings.Cut(lines.Text(), " "); ok && !strings.Contains(name, "{") {
-			if v, err := strconv.ParseFloat(value, 64); err == nil {
-				values[name] = v
-			}
-		}
-	}
-	return values, lines.Err()
-}
-
 // observe reports means over the instances, and the most that one used.
 func (f *fleet) observe(b *testing.B) {
 	for b.Loop() {
