--- a/instance.go
+++ b/instance.go
@@ -153,7 +153,7 @@
 	i.serve()
 	for _, run := range []func(context.Context) error{
 		i.session.Run, i.members.Run, i.catalog.Run, i.quota.run, i.placement.run,
-		upstreams.Watch(i.upstreams, i.catalog.SetLeaving, i.log), i.route.Run, i.claims.Run,
+		upstreams.Watch(i.upstreams, i.catalog.SetLeaving, i.log), i.route.Run, i.claims.Run, i.learnAges,
 	} {
 		i.group.Go(func() error { return run(i.state) })
 	}
@@ -208,6 +208,9 @@
 	} else if !i.catalog.Fresh(time.Now()) {
 		reasons = append(reasons, "the catalogue can't be proved current")
 	}
+	if !i.members.Settled(time.Now()) {
+		reasons = append(reasons, "the links to the other instances are being set up")
+	}
 	if !i.session.Valid(time.Now()) {
 		reasons = append(reasons, "the session is not registered or has not been checked since a pause")
 	} else if !i.quota.sync.Ready() {
