--- a/catalog_test.go
+++ b/catalog_test.go
@@ -26,6 +26,7 @@
 		if value := r.Header.Get("Authorization"); value != "" {
 			*seen = append(*seen, value)
 		}
+		w.Header().Set("X-Upstream-Incarnation", "1")
 		w.Write([]byte("done")) //nolint:errcheck // the test reads the answer.
 	}))
 	t.Cleanup(server.Close)
@@ -193,3 +194,20 @@
 		t.Errorf("an edit while the weight store is silent gave %v", err)
 	}
 }
+
+// Guards against a new instance that takes a service in use for a fresh one
+// and ramps it up again.
+func TestNewInstanceLearnsAges(t *testing.T) {
+	f, _ := serveSignup(t, 1)
+	eventually(t, waitCap, "a call is served", func() bool { return f.call(0, "/signup/x", callerKey).status == http.StatusOK })
+	known := f.instances[0].route.Ages(time.Now())["signup"]
+	if len(known) != 1 {
+		t.Fatalf("the first instance knows %v", known)
+	}
+	began := time.Now().Add(-known[0].Age)
+	f.start(1)
+	eventually(t, waitCap, "the new instance knows how long the service runs", func() bool {
+		ages := f.instances[1].route.Ages(time.Now())["signup"]
+		return len(ages) == 1 && time.Now().Add(-ages[0].Age).Sub(began) < 50*time.Millisecond
+	})
+}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -42,6 +42,7 @@
 	gates     []*switchable // one table connection for each instance
 	list      *instances.Instances
 	weights   *objects.Objects
+	urls      [3]string // of the object store, the instance list and the weight store
 	instances []*Instance
 }
 
@@ -68,13 +69,14 @@
 	weights := httptest.NewServer(f.weights)
 	t.Cleanup(weights.Close)
 	f.weights.SetSize("weights", knownCheckpoint, 1)
+	f.urls = [3]string{store.URL, list.URL, weights.URL}
 	for k := range n {
-		f.start(k, store.URL, list.URL, weights.URL)
+		f.start(k)
 	}
 	return f
 }
 
-func (f *fleet) start(k int, store, list, weights string) {
+func (f *fleet) start(k int) {
 	f.t.Helper()
 	gate := &switchable{next: f.table}
 	server := httptest.NewServer(gate)
@@ -86,8 +88,8 @@
 	s.StaleAfter, s.PollInterval = duration.Duration(2*time.Second), duration.Duration(200*time.Millisecond)
 	s.DrainDelay = duration.Duration(10 * time.Millisecond)
 	s.Platform.AccessKey, s.Platform.SecretKey = "a", "b"
-	s.Platform.Table, s.Platform.Objects, s.Platform.Instances = server.URL, store, list
-	s.Platform.Weights = weights
+	s.Platform.Table, s.Platform.Objects, s.Platform.Instances = server.URL, f.urls[0], f.urls[1]
+	s.Platform.Weights = f.urls[2]
 	if err := s.Validate(); err != nil {
 		f.t.Fatal(err)
 	}
--- a/instance.go
+++ b/instance.go
@@ -92,6 +92,7 @@
 	i.placement = newPlacementControl(i)
 	i.forward = &filter.Forward{Client: filter.NewClient(), Session: i.session, Observe: i.placement.observe}
 	i.route, i.claims = newRoute(i), newClaimStore(i)
+	i.hub.Handle(peer.KindUpstreamAges, i.handleAges)
 	return i, nil
 }
 
