Read the catalogue row through two relays in each data centre

Cause: every instance read the row each second; at 860 instances that is 860 of the table's 2,000 reads a second (docs/CAPACITY.md). Followers now ask their relays and read the row once at their start, so that they have a vote, and while no relay has a fresh proof.

--- a/controller/catalogsync/controller.go
+++ b/controller/catalogsync/controller.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +40,8 @@
 	weights    platform.Weights
 	peers      Peers
 	members    func() int
+	self       string
+	relays     func() []string
 	staleAfter time.Duration
 	poll       time.Duration
 	log        log.Interface
@@ -63,7 +67,11 @@
 	Weights platform.Weights
 	Peers   Peers
 	// Members returns the number of members, this instance included.
-	Members    func() int
+	Members func() int
+	// Self is this instance's name, and Relays names the instances of its data
+	// centre that read the table for the others.
+	Self       string
+	Relays     func() []string
 	StaleAfter time.Duration
 	Poll       time.Duration
 	Log        log.Interface
@@ -72,7 +80,7 @@
 // New returns a controller that holds no version yet.
 func New(c Config) *Controller {
 	return &Controller{
-		store: store{table: c.Table, objects: c.Objects}, weights: c.Weights, peers: c.Peers, members: c.Members,
+		store: store{table: c.Table, objects: c.Objects}, weights: c.Weights, peers: c.Peers, members: c.Members, self: c.Self, relays: c.Relays,
 		staleAfter: c.StaleAfter, poll: c.Poll, log: c.Log,
 		changed: make(chan struct{}), known: map[string]uint64{},
 	}
@@ -110,10 +118,7 @@
 	ticker := time.NewTicker(c.poll)
 	defer ticker.Stop()
 	for {
-		if err := c.readTable(ctx); err != nil {
-			c.log.WithError(err).Debug("catalogue row not read")
-			c.askPeers(ctx)
-		}
+		c.round(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -122,6 +127,28 @@
 	}
 }
 
+// round proves once that the version is current. An instance that is no relay
+// asks the relays of its data centre, so that the table's reads do not grow
+// with the number of instances; it reads the table itself once after its
+// start, which makes it a voter, and whenever the relays have no fresh proof.
+func (c *Controller) round(ctx context.Context) {
+	if relays := c.relays(); c.answer().Voter && !slices.Contains(relays, c.self) {
+		relayed := c.ask(ctx, relays)
+		// A newer version that could not be fetched leaves the own proof old.
+		if own, ok := c.Age(time.Now()); ok && max(own, relayed) <= relayedAge*c.poll {
+			return
+		}
+	}
+	if err := c.readTable(ctx); err != nil {
+		c.log.WithError(err).Debug("catalogue row not read")
+		c.askPeers(ctx)
+	}
+}
+
+// relayedAge is the greatest age of a relay's proof, in polls: a relay reads
+// the table once a poll, with room for one lost answer.
+const relayedAge = 2
+
 // readTable reads the row and adopts a newer version.
 func (c *Controller) readTable(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -223,18 +250,32 @@
 	}
 }
 
-// askPeers sends one round of freshness queries and fetches a newer version
-// from a peer that has one.
+// askPeers sends a round of freshness queries to all connected instances.
 func (c *Controller) askPeers(ctx context.Context) {
+	var all []string
+	for _, id := range c.peers.Connected() {
+		all = append(all, id.Instance)
+	}
+	c.ask(ctx, all)
+}
+
+// ask sends one round of freshness queries and fetches a newer version from an
+// instance that has one. It returns the age of the youngest proof among the
+// answers, or the longest duration without one.
+func (c *Controller) ask(ctx context.Context, instances []string) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	sent := time.Now()
-	answers := c.collect(ctx)
+	answers := c.collect(ctx, instances)
 	list := make([]freshness.Answer, 0, len(answers))
 	var newest string
 	var highest uint64
+	youngest := time.Duration(math.MaxInt64)
 	for instance, a := range answers {
 		list = append(list, a)
+		if a.Proved {
+			youngest = min(youngest, a.Age)
+		}
 		if a.Version > highest {
 			newest, highest = instance, a.Version
 		}
@@ -245,21 +286,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tracker.Answers(sent, c.members(), list)
+	return youngest
 }
 
-func (c *Controller) collect(ctx context.Context) map[string]freshness.Answer {
+func (c *Controller) collect(ctx context.Context, instances []string) map[string]freshness.Answer {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	answers := map[string]freshness.Answer{}
-	for _, id := range c.peers.Connected() {
+	for _, instance := range instances {
 		wg.Go(func() {
 			var a freshness.Answer
-			if c.peers.Call(ctx, id.Instance, peer.KindFreshness, Fetch{}, &a) != nil {
+			if c.peers.Call(ctx, instance, peer.KindFreshness, Fetch{}, &a) != nil {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			answers[id.Instance] = a
+			answers[instance] = a
 		})
 	}
 	wg.Wait()
--- a/controller/catalogsync/edit.go
+++ b/controller/catalogsync/edit.go
@@ -162,7 +162,11 @@
 // Versions asks every connected peer for the version that it serves.
 func (c *Controller) Versions(ctx context.Context) map[string]uint64 {
 	versions := map[string]uint64{}
-	for instance, a := range c.collect(ctx) {
+	var all []string
+	for _, id := range c.peers.Connected() {
+		all = append(all, id.Instance)
+	}
+	for instance, a := range c.collect(ctx, all) {
 		versions[instance] = a.Version
 	}
 	return versions
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -151,6 +151,12 @@
 	return names
 }
 
+// Relays names the instances of this data centre that read the platform for
+// the others.
+func (c *Controller) Relays() []string {
+	return membership.Relays(c.Members(), c.config.Self.DataCentre)
+}
+
 // ListAge returns the time since the list was last read.
 func (c *Controller) ListAge(now time.Time) time.Duration {
 	c.mu.Lock()
--- a/instance.go
+++ b/instance.go
@@ -85,6 +85,7 @@
 	})
 	i.catalog = catalogsync.New(catalogsync.Config{
 		Table: i.table, Objects: i.objects, Weights: i.weights, Peers: i.hub, Members: i.members.Count,
+		Self: s.Instance, Relays: i.members.Relays,
 		StaleAfter: s.StaleAfter.Std(), Poll: s.PollInterval.Std(), Log: i.log,
 	})
 	i.catalog.Register(i.hub)
--- /dev/null
+++ b/membership/relay.go
@@ -0,0 +1,25 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// RelaysPerDataCentre is the number of instances in each data centre that
+// read the platform for the others: with two, one can fail.
+const RelaysPerDataCentre = 2
+
+// Relays returns the instances of a data centre that read the platform for
+// the others, chosen by hash among the members that are there and not leaving.
+func Relays(members []Member, dataCentre string) []string {
+	var names []string
+	for _, m := range members {
+		if m.DataCentre == dataCentre && !m.Leaving && (m.Listed || m.Connected) {
+			names = append(names, m.Instance)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	return names[:min(len(names), RelaysPerDataCentre)]
+}
