faultmatrix: name existing tests that prove cells and promises

Cause: tests of quota, quotasync, filter, lease and e2e proved cells that the matrix showed as not proved. Change: each test was read; it is named only for faults that it injects. Measured: go test ./faultmatrix passes (named tests exist, page is current).

--- a/faultmatrix/cells.go
+++ b/faultmatrix/cells.go
@@ -14,6 +14,12 @@
 	editLostAnswer     Test = "hibiscusyard.TestEditWithLostAnswer"
 	racingOperators    Test = "hibiscusyard.TestRacingOperators"
 	rampSum            Test = "balance.TestRampSum"
+	noOverAdmission    Test = "quota.TestNoOverAdmission"
+	tokensExistOnce    Test = "quota.TestTokensExistOnce"
+	slotsPass          Test = "controller/quotasync.TestSlotsPass"
+	upstreamFaults     Test = "filter.TestUpstreamFaults"
+	killedInstance     Test = "e2e.TestKilledInstanceLeavesOutcomeUnknown"
+	leavingUpstream    Test = "e2e.TestLeavingUpstreamGetsNoNewWork"
 )
 
 // Reasons why a cell can't occur.
@@ -29,7 +35,7 @@
 // cells holds what is known of the matrix; a cell that is missing here is not
 // proved.
 var cells = []Cell{
-	{Fault: Kill, Step: Claim, Tests: []Test{runsAtMostOnce}},
+	{Fault: Kill, Step: Claim, Tests: []Test{runsAtMostOnce, killedInstance}},
 	{Fault: LostAnswer, Step: Claim, Tests: []Test{runsAtMostOnce}},
 	{Fault: TableDown, Step: Claim, Tests: []Test{runsAtMostOnce, "idempotency.TestTableOutage"}},
 	{Fault: Race, Step: Claim, Tests: []Test{runsAtMostOnce, keyedOverProcesses}},
@@ -37,13 +43,18 @@
 	{Fault: ColdRestart, Step: Claim, Impossible: noUpstream},
 	{Fault: SlowWeights, Step: Claim, Impossible: noWeights},
 
-	{Fault: LostAnswer, Step: Forward, Tests: []Test{serviceVerdicts}},
-	{Fault: Cut, Step: Forward, Tests: []Test{serviceVerdicts}},
+	{Fault: Kill, Step: Forward, Tests: []Test{killedInstance, serviceVerdicts}},
+	{Fault: LostAnswer, Step: Forward, Tests: []Test{serviceVerdicts, upstreamFaults}},
+	{Fault: Cut, Step: Forward, Tests: []Test{serviceVerdicts, upstreamFaults}},
+	{Fault: LaggingList, Step: Forward, Tests: []Test{leavingUpstream}},
 	{Fault: Duplicate, Step: Forward, Impossible: "TCP delivers each byte of a request once"},
 	{Fault: TableDown, Step: Forward, Tests: []Test{tableOutage}},
 	{Fault: Race, Step: Forward, Impossible: noRace},
 	{Fault: SlowWeights, Step: Forward, Impossible: noWeights},
 
+	{Fault: Cut, Step: Stream, Tests: []Test{upstreamFaults}},
+	{Fault: LostAnswer, Step: Stream, Tests: []Test{upstreamFaults}},
+	{Fault: ColdRestart, Step: Stream, Tests: []Test{"e2e.TestEngineRestartsDuringStream"}},
 	{Fault: Duplicate, Step: Stream, Impossible: wholeStream},
 	{Fault: Race, Step: Stream, Impossible: noRace},
 	{Fault: SlowWeights, Step: Stream, Impossible: noWeights},
@@ -72,11 +83,19 @@
 	{Fault: ColdRestart, Step: Unload, Tests: []Test{placementHistories}},
 	{Fault: SlowWeights, Step: Unload, Impossible: noWeights},
 
+	{Fault: Kill, Step: ShareMove, Tests: []Test{noOverAdmission, slotsPass, "e2e.TestFloodStaysWithinRateAndBurst"}},
+	{Fault: Freeze, Step: ShareMove, Tests: []Test{noOverAdmission, tokensExistOnce, slotsPass}},
+	{Fault: Cut, Step: ShareMove, Tests: []Test{slotsPass}},
+	{Fault: Delay, Step: ShareMove, Tests: []Test{noOverAdmission, tokensExistOnce}},
+	{Fault: LostAnswer, Step: ShareMove, Tests: []Test{noOverAdmission, tokensExistOnce, slotsPass}},
+	{Fault: Duplicate, Step: ShareMove, Tests: []Test{noOverAdmission, tokensExistOnce}},
+	{Fault: TableDown, Step: ShareMove, Tests: []Test{slotsPass}},
+	{Fault: LaggingList, Step: ShareMove, Tests: []Test{slotsPass}},
 	{Fault: ColdRestart, Step: ShareMove, Impossible: noUpstream},
 	{Fault: SlowWeights, Step: ShareMove, Impossible: noWeights},
 
-	{Fault: Kill, Step: Renew, Tests: []Test{placementHistories}},
-	{Fault: Freeze, Step: Renew, Tests: []Test{oneHolder}},
+	{Fault: Kill, Step: Renew, Tests: []Test{placementHistories, "lease.TestHandOver"}},
+	{Fault: Freeze, Step: Renew, Tests: []Test{oneHolder, "e2e.TestFrozenPlacerIsReplaced"}},
 	{Fault: Delay, Step: Renew, Tests: []Test{oneHolder}},
 	{Fault: LostAnswer, Step: Renew, Tests: []Test{oneHolder}},
 	{Fault: TableDown, Step: Renew, Tests: []Test{"controller/placer.TestTableOutage"}},
@@ -101,17 +120,17 @@
 var Promises = []Promise{
 	{Text: "No more replicas are loaded than were decided", Tests: []Test{placementSteps, placementHistories, "placement.TestOneBurstMakesOneLoad"}},
 	{Text: "Memory is never overcommitted", Tests: []Test{placementSteps, placementHistories}},
-	{Text: "A waiting request is served or refused in time, never dropped", Tests: []Test{"fairqueue.TestEveryEntryLeavesOnce", "fairqueue.TestDeadlineShedding"}},
+	{Text: "A waiting request is served or refused in time, never dropped", Tests: []Test{"fairqueue.TestEveryEntryLeavesOnce", "fairqueue.TestDeadlineShedding", "filter.TestQueueing"}},
 	{Text: "Except on open routes, a request runs only for the workspace whose key came with it", Tests: []Test{"e2e.TestRefusedBeforeForwarding"}},
 	{Text: "No upstream sees a caller's key", Tests: []Test{editEverywhere, "e2e.TestServiceCallArrivesExactlyOnce"}},
-	{Text: "A withdrawn key stops working within seconds", Tests: []Test{editEverywhere, "e2e.TestWithdrawnKeyIsRefusedEverywhere", freshnessProof}},
-	{Text: "No workspace gets more than its rate and burst across all instances together", Tests: []Test{"quota.TestBucketBoundHoldsInHindsight"}},
+	{Text: "A withdrawn key stops working within seconds", Tests: []Test{editEverywhere, "e2e.TestWithdrawnKeyIsRefusedEverywhere", "e2e.TestWithdrawnKeyEndsRunningStream", "filter.TestKeyWithdrawn", freshnessProof}},
+	{Text: "No workspace gets more than its rate and burst across all instances together", Tests: []Test{"quota.TestBucketBoundHoldsInHindsight", noOverAdmission, tokensExistOnce, "e2e.TestFloodStaysWithinRateAndBurst"}},
 	{Text: "A freshly started upstream gets no more than it can bear", Tests: []Test{rampSum, "balance.TestAllotments", "placement.TestRampAllotments"}},
-	{Text: "A data centre taken out gets no new work after a few seconds", Tests: []Test{"placement.TestTakeOut", "balance.TestEligibility"}},
-	{Text: "A caller receives the whole answer to its own request, also when answers are late or crossed"},
-	{Text: "A refusal that says not run is true", Tests: []Test{serviceVerdicts, runsAtMostOnce}},
-	{Text: "A request that must not be repeated runs at most once", Tests: []Test{runsAtMostOnce, keyedOverProcesses, "e2e.TestServiceCallArrivesExactlyOnce"}},
-	{Text: "A leaving upstream gets no new work after a few seconds", Tests: []Test{"balance.TestEligibility"}},
-	{Text: "A graceful shutdown cuts no request"},
+	{Text: "A data centre taken out gets no new work after a few seconds", Tests: []Test{"placement.TestTakeOut", "balance.TestEligibility", "e2e.TestDataCentreTakenOut"}},
+	{Text: "A caller receives the whole answer to its own request, also when answers are late or crossed", Tests: []Test{upstreamFaults, "e2e.TestServiceCallArrivesExactlyOnce"}},
+	{Text: "A refusal that says not run is true", Tests: []Test{serviceVerdicts, runsAtMostOnce, upstreamFaults}},
+	{Text: "A request that must not be repeated runs at most once", Tests: []Test{runsAtMostOnce, keyedOverProcesses, "e2e.TestServiceCallArrivesExactlyOnce", "filter.TestTransportNeverRepeats", "filter.TestClaims"}},
+	{Text: "A leaving upstream gets no new work after a few seconds", Tests: []Test{"balance.TestEligibility", leavingUpstream}},
+	{Text: "A graceful shutdown cuts no request", Tests: []Test{"e2e.TestRollingReplacementCutsNoRequest"}},
 	{Text: "An accepted configuration is in force everywhere within seconds and never reverts", Tests: []Test{editEverywhere, freshnessProof, "e2e.TestEditIsInForceAtOtherInstance"}},
 }
