--- /dev/null
+++ b/e2e/requests_test.go
@@ -0,0 +1,279 @@
+package e2e
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/standin"
+)
+
+// pauseLimit is the pause after which an instance checks its session before
+// it forwards.
+const pauseLimit = 3 * time.Second
+
+func keyed(key string) call {
+	return call{method: http.MethodPost, path: "/signup/new", key: lawKey, body: "x", header: map[string]string{"Idempotency-Key": key}}
+}
+
+// Guards against a second run, and against a false not_run, when the claim of
+// a keyed call is late, cut off, or followed by a freeze, or when the instance
+// list does not show the instance that runs it.
+func TestClaimUnderFaults(t *testing.T) {
+	s := proxiedScene(t, loadTime)
+	j := &journal{}
+	toTable := s.proxies.table[s.one]
+	runs := func(key string) int { return s.service.Service().ByKey[key] }
+	mayHaveRun := func(what string, a answer) {
+		t.Helper()
+		if a.status != http.StatusOK && !strings.Contains(a.body, `"verdict":"may_have_run"`) {
+			t.Errorf("%s: %d %q", what, a.status, a.body)
+		}
+	}
+	atBoth := func(key string) (answers [2]answer) {
+		var wg sync.WaitGroup
+		for n, i := range []*processtest.Instance{s.one, s.two} {
+			wg.Go(func() { answers[n] = j.add(keyed(key).do(i)) })
+		}
+		wg.Wait()
+		return answers
+	}
+
+	toTable.Delay(300 * time.Millisecond)
+	for _, a := range atBoth("delay") {
+		mayHaveRun("claims that are delayed at one instance", a)
+	}
+	toTable.Heal()
+
+	toTable.Cut()
+	j.add(keyed("cut").do(s.one)).wantRefusal(t, "cut from the table", http.StatusServiceUnavailable, "claim_unavailable", "not_run")
+	if n := runs("cut"); n != 0 {
+		t.Errorf("the call ran %d times without a claim", n)
+	}
+	toTable.Heal()
+	processtest.Eventually(t, "a repeat after the cut is served", func() bool { return j.add(keyed("cut").do(s.one)).status == http.StatusOK })
+
+	// The row of the claim is in the table, its answer is under way.
+	toTable.Delay(time.Second)
+	items := s.fleet.Table.Table().Items
+	frozen := make(chan answer, 1)
+	go func() { frozen <- j.add(keyed("freeze").do(s.one)) }()
+	processtest.Eventually(t, "the claim is in the table", func() bool { return s.fleet.Table.Table().Items > items })
+	s.one.Freeze()
+	start := time.Now()
+	mayHaveRun("repeat while the claiming instance is frozen", j.add(keyed("freeze").do(s.two)))
+	pass(t, start, pauseLimit+time.Second)
+	toTable.Heal()
+	s.one.Thaw()
+	<-frozen
+	processtest.Eventually(t, "the key is settled after the thaw", func() bool {
+		return j.add(keyed("freeze").do(s.two)).status == http.StatusOK
+	})
+
+	processtest.Eventually(t, "the instance serves after its check of the session", func() bool {
+		return j.add(keyed("thawed").do(s.one)).status == http.StatusOK
+	})
+
+	s.service.Faults(standin.Faults{AnswerLatency: duration.Duration(2 * testListLag)})
+	slow := make(chan answer, 1)
+	go func() { slow <- j.add(keyed("list").do(s.one)) }()
+	processtest.Eventually(t, "the service has run the call", func() bool { return runs("list") == 1 })
+	s.fleet.List.Deregister(s.one.Name)
+	start = time.Now()
+	processtest.Eventually(t, "the list has not shown the instance for longer than its lag", func() bool {
+		mayHaveRun("repeat while the list lacks the instance", j.add(keyed("list").do(s.two)))
+		return time.Since(start) > testListLag
+	})
+	<-slow
+	for _, key := range []string{"delay", "cut", "freeze", "thawed", "list"} {
+		if n := runs(key); n != 1 {
+			t.Errorf("the call with key %s ran %d times", key, n)
+		}
+	}
+	j.check(s)
+}
+
+// requestFault is a fault while calls run at both instances.
+type requestFault struct {
+	name       string
+	start, end func(s *scene)
+}
+
+func requestFaults() []requestFault {
+	set := func(pick func(*scene) *processtest.Standin, f standin.Faults) (start, end func(*scene)) {
+		return func(s *scene) { pick(s).Faults(f) }, func(s *scene) { pick(s).Faults(standin.Faults{}) }
+	}
+	service := func(s *scene) *processtest.Standin { return s.service }
+	engine := func(s *scene) *processtest.Standin { return s.engine }
+	var list []requestFault
+	add := func(name string, start, end func(*scene)) {
+		list = append(list, requestFault{name: name, start: start, end: end})
+	}
+	standinFault := func(name string, pick func(*scene) *processtest.Standin, f standin.Faults) {
+		start, end := set(pick, f)
+		add(name, start, end)
+	}
+	add("upstreams frozen", func(s *scene) { s.service.Freeze(); s.engine.Freeze() }, func(s *scene) { s.service.Thaw(); s.engine.Thaw() })
+	add("upstreams cut off", func(s *scene) { s.proxies.service.Cut(); s.proxies.engine.Cut() },
+		func(s *scene) { s.proxies.service.Heal(); s.proxies.engine.Heal() })
+	add("upstreams silent", func(s *scene) { s.proxies.service.Blackhole(); s.proxies.engine.Blackhole() },
+		func(s *scene) { s.proxies.service.Heal(); s.proxies.engine.Heal() })
+	add("upstreams delayed", func(s *scene) {
+		s.proxies.service.Delay(200 * time.Millisecond)
+		s.proxies.engine.Delay(200 * time.Millisecond)
+	}, func(s *scene) { s.proxies.service.Heal(); s.proxies.engine.Heal() })
+	add("answers lost on the way", func(s *scene) { s.proxies.service.LoseAnswers(); s.proxies.engine.LoseAnswers() },
+		func(s *scene) { s.proxies.service.Heal(); s.proxies.engine.Heal() })
+	standinFault("answers lost after the effect", service, standin.Faults{LoseAnswers: 5})
+	standinFault("reset before the effect", service, standin.Faults{ResetBefore: 5})
+	standinFault("streams truncated", engine, standin.Faults{TruncateAfter: 3})
+	standinFault("streams hang", engine, standin.Faults{HangAfter: 3})
+	standinFault("answers of another request", engine, standin.Faults{ForeignID: true})
+	standinFault("answers are garbage", engine, standin.Faults{Garbage: true})
+	standinFault("engine refuses", engine, standin.Faults{Refuse: true})
+	add("upstreams restart cold before the first byte", func(s *scene) {
+		late := standin.Faults{AnswerLatency: duration.Duration(500 * time.Millisecond)}
+		s.service.Faults(late)
+		s.engine.Faults(late)
+		processtest.Eventually(s.t, "calls wait for their first byte", func() bool {
+			return s.service.Service().Running > 0 && s.engine.Engine().Running > 0
+		})
+		s.service.Restart()
+		s.engine.Restart()
+	}, func(s *scene) { s.service.Faults(standin.Faults{}); s.engine.Faults(standin.Faults{}) })
+	add("instance frozen", func(s *scene) {
+		s.two.Freeze()
+		pass(s.t, time.Now(), pauseLimit+500*time.Millisecond)
+	}, func(s *scene) { s.two.Thaw() })
+	return list
+}
+
+// Guards against calls that run twice, false not_run verdicts, answers to
+// other requests and incomplete answers that look whole, while upstreams and
+// instances fail under calls and streams, and against faults that last after
+// their cause has ended.
+func TestCallsAndStreamsUnderFaults(t *testing.T) {
+	s := proxiedScene(t, 300*time.Millisecond)
+	const tokens = 10
+	stream := chat("small", lawKey, tokens, true)
+	stream.do(s.one).wantStream(t, "first request", tokens)
+	plain := call{method: http.MethodPost, path: "/signup/new", key: lawKey, body: "x"}
+	for _, c := range []*call{&stream, &plain} {
+		c.header = map[string]string{"X-Request-Timeout": "1"}
+	}
+	all := &journal{}
+	for _, f := range requestFaults() {
+		stop, calls, streams := make(chan struct{}), &journal{}, &journal{}
+		var wg sync.WaitGroup
+		for _, i := range []*processtest.Instance{s.one, s.two} {
+			calls.run(&wg, stop, i, plain)
+			streams.run(&wg, stop, i, stream)
+		}
+		f.start(s)
+		nCalls, nStreams := calls.len(), streams.len()
+		processtest.Eventually(t, f.name+": calls and streams end", func() bool {
+			return calls.len() >= nCalls+6 && streams.len() >= nStreams+6
+		})
+		f.end(s)
+		for _, i := range []*processtest.Instance{s.one, s.two} {
+			processtest.Eventually(t, f.name+": calls are served again at "+i.Name, func() bool { return all.add(plain.do(i)).status == http.StatusOK })
+			processtest.Eventually(t, f.name+": streams are served again at "+i.Name, func() bool {
+				a := all.add(stream.do(i))
+				return a.status == http.StatusOK && strings.Contains(a.body, "[DONE]")
+			})
+		}
+		close(stop)
+		wg.Wait()
+		t.Logf("%s: %d calls, %d streams", f.name, calls.len(), streams.len())
+		for _, a := range streams.answers {
+			switch {
+			case a.err != nil || a.status != http.StatusOK || strings.Contains(a.body, "event: error"):
+				if strings.Contains(a.body, "[DONE]") {
+					t.Errorf("%s: a stream failed and looks whole: %q", f.name, a.body)
+				}
+			default:
+				a.wantStream(t, f.name, tokens)
+			}
+			if strings.Contains(a.body, "request-of-another-caller") {
+				t.Errorf("%s: an answer of another request was shown", f.name)
+			}
+		}
+		all.answers = append(append(all.answers, calls.answers...), streams.answers...)
+		if t.Failed() {
+			break
+		}
+	}
+	all.check(s)
+	if state := s.engine.Engine(); state.MaxReplicas["small"] > 1 {
+		t.Errorf("most replicas %v", state.MaxReplicas)
+	}
+}
+
+// Guards against a stream that is shown as whole, or runs again, when the
+// instance or the engine is killed in it, and against one that is cut because
+// its caller reads slowly or because the list shows its engine as leaving.
+func TestStreamAndKills(t *testing.T) {
+	s := proxiedScene(t, 300*time.Millisecond)
+	chat("small", lawKey, 1, true).do(s.one).wantStream(t, "first request", 1)
+	j := &journal{}
+	begin := func(i *processtest.Instance, tokens int) chan answer {
+		before, result := s.engine.Engine().TokensSent, make(chan answer, 1)
+		go func() { result <- j.add(chat("small", lawKey, tokens, true).do(i)) }()
+		processtest.Eventually(t, "the stream runs", func() bool { return s.engine.Engine().TokensSent > before+5 })
+		return result
+	}
+
+	const slowTokens = 400
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.one.Caller+"/v1/chat/completions", strings.NewReader(chat("small", lawKey, slowTokens, true).body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+lawKey)
+	resp, err := callers.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	slow := answer{status: resp.StatusCode, header: resp.Header}
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		slow.body += lines.Text() + "\n"
+		if strings.Count(slow.body, "data:") == 10 { // reads nothing until the engine has sent all
+			processtest.Eventually(t, "the engine has completed the slow caller's stream", func() bool { return s.engine.Engine().Running == 0 })
+		}
+	}
+	slow.wantStream(t, "slow caller", slowTokens)
+
+	leaving := begin(s.one, 200)
+	s.registerUpstream("worker-1", s.proxies.engine.Address, "leaving", time.Second)
+	(<-leaving).wantStream(t, "stream while its engine is shown as leaving", 200)
+	s.registerUpstream("worker-1", s.proxies.engine.Address, "live", 0)
+
+	frozen := begin(s.one, 100)
+	s.one.Freeze()
+	pass(t, time.Now(), pauseLimit+500*time.Millisecond)
+	s.one.Thaw()
+	(<-frozen).wantStream(t, "stream through a frozen instance", 100)
+
+	cut := begin(s.two, 5000)
+	s.one.Kill()
+	s.proxies.engine.Cut()
+	if a := <-cut; !strings.Contains(a.body, "may_have_run") || strings.Contains(a.body, "[DONE]") {
+		t.Errorf("stream of a cut engine: %v %q", a.err, tail(a.body))
+	}
+	s.proxies.engine.Heal()
+	processtest.Eventually(t, "served after the cut and the other instance's end", func() bool {
+		return j.add(chat("small", lawKey, 3, true).do(s.two)).status == http.StatusOK
+	})
+	dead := begin(s.two, 5000)
+	s.two.Kill()
+	if a := <-dead; a.err == nil || strings.Contains(a.body, "[DONE]") {
+		t.Errorf("stream of a killed instance: %v %q", a.err, tail(a.body))
+	}
+	processtest.Eventually(t, "the engine stops the stream", func() bool { return s.engine.Engine().Running == 0 })
+	j.check(s)
+}
--- a/e2e/scene_test.go
+++ b/e2e/scene_test.go
@@ -43,17 +43,26 @@
 	engine, service *processtest.Standin
 	routes          admin.RoutesDocument
 	pools           admin.PoolsDocument
+	proxies         *proxies // nil if nothing stands between the processes
 }
 
 func newScene(t *testing.T) *scene {
 	t.Helper()
-	s := &scene{t: t, fleet: processtest.NewFleet(t)}
-	s.engine = processtest.StartStandin(t, "engine", "engine", "--fencing", "--load-remote", loadTime.String())
+	return buildScene(t, nil, loadTime)
+}
+
+func buildScene(t *testing.T, p *proxies, load time.Duration) *scene {
+	t.Helper()
+	s := &scene{t: t, fleet: processtest.NewFleet(t), proxies: p}
+	s.engine = processtest.StartStandin(t, "engine", "engine", "--fencing", "--load-remote", load.String())
 	s.service = processtest.StartStandin(t, "service", "service")
 	for _, upstream := range []*processtest.Standin{s.engine, s.service} {
 		upstream.WatchSecrets(lawKey, salesKey, processtest.AdminToken, processtest.PeerSecret)
 	}
-	s.one, s.two = s.fleet.StartInstance("entry-1", "east"), s.fleet.StartInstance("entry-2", "west")
+	if p != nil {
+		p.engine, p.service = processtest.NewProxy(t, s.engine.Address), processtest.NewProxy(t, s.service.Address)
+	}
+	s.one, s.two = s.start("entry-1", "east"), s.start("entry-2", "west")
 	processtest.AwaitMembers(t, 2, s.one, s.two)
 	s.tables()
 	s.one.MustPut("pools", s.pools)
@@ -67,15 +76,19 @@
 }
 
 func (s *scene) tables() {
+	engineAddress, serviceAddress := s.engine.Address, s.service.Address
+	if s.proxies != nil {
+		engineAddress, serviceAddress = s.proxies.engine.Address, s.proxies.service.Address
+	}
 	s.pools.Pools = []catalog.Pool{
 		{
 			Name: "drafting", Kind: catalog.Engine,
-			Upstreams: []catalog.Upstream{{Name: "worker-1", Address: s.engine.Address, DataCentre: "east", MemoryMB: 16000, Fencing: true}},
+			Upstreams: []catalog.Upstream{{Name: "worker-1", Address: engineAddress, DataCentre: "east", MemoryMB: 16000, Fencing: true}},
 			Models:    []catalog.Model{{Name: "small", MemoryMB: 800}, {Name: "large", MemoryMB: 8000}},
 		},
 		{
 			Name: "signup", Kind: catalog.Service,
-			Upstreams: []catalog.Upstream{{Name: "signup-1", Address: s.service.Address, DataCentre: "east"}},
+			Upstreams: []catalog.Upstream{{Name: "signup-1", Address: serviceAddress, DataCentre: "east"}},
 		},
 	}
 	law := catalog.Workspace{Name: "law", Keys: []string{catalog.HashKey(lawKey)}, Rate: 10000, Burst: 100000}
@@ -134,6 +147,7 @@
 	body    string
 	elapsed time.Duration
 	err     error // the answer broke off
+	keyed   bool  // the call had an Idempotency-Key
 }
 
 type refusal struct {
@@ -167,7 +181,7 @@
 	defer resp.Body.Close()
 	var body bytes.Buffer
 	_, err = io.Copy(&body, resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: body.String(), elapsed: time.Since(start), err: err}
+	return answer{status: resp.StatusCode, header: resp.Header, body: body.String(), elapsed: time.Since(start), err: err, keyed: c.header["Idempotency-Key"] != ""}
 }
 
 // wantRefusal checks that an answer is a refusal with its verdict.
--- a/faultmatrix/cells.go
+++ b/faultmatrix/cells.go
@@ -19,6 +19,13 @@
 	slotsPass          Test = "controller/quotasync.TestSlotsPass"
 	upstreamFaults     Test = "filter.TestUpstreamFaults"
 	killedInstance     Test = "e2e.TestKilledInstanceLeavesOutcomeUnknown"
+	claimFaults        Test = "e2e.TestClaimUnderFaults"
+	requestFaults      Test = "e2e.TestCallsAndStreamsUnderFaults"
+	streamKills        Test = "e2e.TestStreamAndKills"
+	shareFaults        Test = "e2e.TestSharesUnderFaults"
+	editFaults         Test = "e2e.TestEditUnderFaults"
+	drainFaults        Test = "e2e.TestDrainUnderFaults"
+	endedEarly         Test = "e2e.TestShutdownEndedEarly"
 	leavingUpstream    Test = "e2e.TestLeavingUpstreamGetsNoNewWork"
 )
 
@@ -40,21 +47,32 @@
 	{Fault: TableDown, Step: Claim, Tests: []Test{runsAtMostOnce, "idempotency.TestTableOutage"}},
 	{Fault: Race, Step: Claim, Tests: []Test{runsAtMostOnce, keyedOverProcesses}},
 	{Fault: Duplicate, Step: Claim, Tests: []Test{keyedOverProcesses, "idempotency.TestConflictWithOwnWrite"}},
+	{Fault: Freeze, Step: Claim, Tests: []Test{claimFaults}},
+	{Fault: Cut, Step: Claim, Tests: []Test{claimFaults}},
+	{Fault: Delay, Step: Claim, Tests: []Test{claimFaults}},
+	{Fault: LaggingList, Step: Claim, Tests: []Test{claimFaults}},
 	{Fault: ColdRestart, Step: Claim, Impossible: noUpstream},
 	{Fault: SlowWeights, Step: Claim, Impossible: noWeights},
 
 	{Fault: Kill, Step: Forward, Tests: []Test{killedInstance, serviceVerdicts}},
-	{Fault: LostAnswer, Step: Forward, Tests: []Test{serviceVerdicts, upstreamFaults}},
-	{Fault: Cut, Step: Forward, Tests: []Test{serviceVerdicts, upstreamFaults}},
+	{Fault: LostAnswer, Step: Forward, Tests: []Test{serviceVerdicts, upstreamFaults, requestFaults}},
+	{Fault: Cut, Step: Forward, Tests: []Test{serviceVerdicts, upstreamFaults, requestFaults}},
+	{Fault: Freeze, Step: Forward, Tests: []Test{requestFaults}},
+	{Fault: Delay, Step: Forward, Tests: []Test{requestFaults}},
+	{Fault: ColdRestart, Step: Forward, Tests: []Test{requestFaults}},
 	{Fault: LaggingList, Step: Forward, Tests: []Test{leavingUpstream}},
 	{Fault: Duplicate, Step: Forward, Impossible: "TCP delivers each byte of a request once"},
 	{Fault: TableDown, Step: Forward, Tests: []Test{tableOutage}},
 	{Fault: Race, Step: Forward, Impossible: noRace},
 	{Fault: SlowWeights, Step: Forward, Impossible: noWeights},
 
-	{Fault: Cut, Step: Stream, Tests: []Test{upstreamFaults}},
-	{Fault: LostAnswer, Step: Stream, Tests: []Test{upstreamFaults}},
-	{Fault: ColdRestart, Step: Stream, Tests: []Test{"e2e.TestEngineRestartsDuringStream"}},
+	{Fault: Cut, Step: Stream, Tests: []Test{upstreamFaults, streamKills}},
+	{Fault: LostAnswer, Step: Stream, Tests: []Test{upstreamFaults, requestFaults}},
+	{Fault: ColdRestart, Step: Stream, Tests: []Test{"e2e.TestEngineRestartsDuringStream", requestFaults}},
+	{Fault: Kill, Step: Stream, Tests: []Test{streamKills}},
+	{Fault: Freeze, Step: Stream, Tests: []Test{streamKills, requestFaults}},
+	{Fault: Delay, Step: Stream, Tests: []Test{streamKills, requestFaults}},
+	{Fault: LaggingList, Step: Stream, Tests: []Test{streamKills}},
 	{Fault: Duplicate, Step: Stream, Impossible: wholeStream},
 	{Fault: Race, Step: Stream, Impossible: noRace},
 	{Fault: SlowWeights, Step: Stream, Impossible: noWeights},
@@ -68,6 +86,7 @@
 	{Fault: Duplicate, Step: Load, Tests: []Test{placementSteps, placementHistories}},
 	{Fault: TableDown, Step: Load, Tests: []Test{placementHistories, "controller/placer.TestTableOutage"}},
 	{Fault: Race, Step: Load, Tests: []Test{placementHistories}},
+	{Fault: SlowWeights, Step: Load, Tests: []Test{"e2e.TestSlowWeightStore", "placement.TestInfeasibleDeadline"}},
 	{Fault: LaggingList, Step: Load, Impossible: noList},
 	{Fault: ColdRestart, Step: Load, Tests: []Test{placementHistories}},
 
@@ -83,14 +102,14 @@
 	{Fault: ColdRestart, Step: Unload, Tests: []Test{placementHistories}},
 	{Fault: SlowWeights, Step: Unload, Impossible: noWeights},
 
-	{Fault: Kill, Step: ShareMove, Tests: []Test{noOverAdmission, slotsPass, "e2e.TestFloodStaysWithinRateAndBurst"}},
-	{Fault: Freeze, Step: ShareMove, Tests: []Test{noOverAdmission, tokensExistOnce, slotsPass}},
-	{Fault: Cut, Step: ShareMove, Tests: []Test{slotsPass}},
-	{Fault: Delay, Step: ShareMove, Tests: []Test{noOverAdmission, tokensExistOnce}},
-	{Fault: LostAnswer, Step: ShareMove, Tests: []Test{noOverAdmission, tokensExistOnce, slotsPass}},
+	{Fault: Kill, Step: ShareMove, Tests: []Test{noOverAdmission, slotsPass, "e2e.TestFloodStaysWithinRateAndBurst", shareFaults}},
+	{Fault: Freeze, Step: ShareMove, Tests: []Test{noOverAdmission, tokensExistOnce, slotsPass, shareFaults}},
+	{Fault: Cut, Step: ShareMove, Tests: []Test{slotsPass, shareFaults}},
+	{Fault: Delay, Step: ShareMove, Tests: []Test{noOverAdmission, tokensExistOnce, shareFaults}},
+	{Fault: LostAnswer, Step: ShareMove, Tests: []Test{noOverAdmission, tokensExistOnce, slotsPass, shareFaults}},
 	{Fault: Duplicate, Step: ShareMove, Tests: []Test{noOverAdmission, tokensExistOnce}},
-	{Fault: TableDown, Step: ShareMove, Tests: []Test{slotsPass}},
-	{Fault: LaggingList, Step: ShareMove, Tests: []Test{slotsPass}},
+	{Fault: TableDown, Step: ShareMove, Tests: []Test{slotsPass, shareFaults}},
+	{Fault: LaggingList, Step: ShareMove, Tests: []Test{slotsPass, shareFaults}},
 	{Fault: ColdRestart, Step: ShareMove, Impossible: noUpstream},
 	{Fault: SlowWeights, Step: ShareMove, Impossible: noWeights},
 
@@ -100,6 +119,7 @@
 	{Fault: LostAnswer, Step: Renew, Tests: []Test{oneHolder}},
 	{Fault: TableDown, Step: Renew, Tests: []Test{"controller/placer.TestTableOutage"}},
 	{Fault: Race, Step: Renew, Tests: []Test{oneHolder}},
+	{Fault: Cut, Step: Renew, Tests: []Test{"e2e.TestPlacerIsCutFromTable"}},
 	{Fault: LaggingList, Step: Renew, Impossible: noList},
 	{Fault: ColdRestart, Step: Renew, Impossible: noUpstream},
 	{Fault: SlowWeights, Step: Renew, Impossible: noWeights},
@@ -109,9 +129,21 @@
 	{Fault: LostAnswer, Step: Edit, Tests: []Test{editLostAnswer}},
 	{Fault: TableDown, Step: Edit, Tests: []Test{tableOutage}},
 	{Fault: Race, Step: Edit, Tests: []Test{racingOperators}},
+	{Fault: Freeze, Step: Edit, Tests: []Test{"e2e.TestKeyWithdrawnWhileInstanceIsFrozen"}},
+	{Fault: Delay, Step: Edit, Tests: []Test{editFaults}},
+	{Fault: Duplicate, Step: Edit, Tests: []Test{editFaults}},
+	{Fault: LaggingList, Step: Edit, Tests: []Test{editFaults}},
 	{Fault: ColdRestart, Step: Edit, Impossible: noUpstream},
 	{Fault: SlowWeights, Step: Edit, Impossible: noWeights},
 
+	{Fault: Kill, Step: Drain, Tests: []Test{endedEarly}},
+	{Fault: Freeze, Step: Drain, Tests: []Test{drainFaults}},
+	{Fault: Cut, Step: Drain, Tests: []Test{drainFaults}},
+	{Fault: Delay, Step: Drain, Tests: []Test{drainFaults}},
+	{Fault: LostAnswer, Step: Drain, Tests: []Test{drainFaults}},
+	{Fault: TableDown, Step: Drain, Tests: []Test{drainFaults}},
+	{Fault: LaggingList, Step: Drain, Tests: []Test{drainFaults}},
+	{Fault: ColdRestart, Step: Drain, Tests: []Test{drainFaults}},
 	{Fault: Race, Step: Drain, Impossible: noRace},
 	{Fault: SlowWeights, Step: Drain, Impossible: noWeights},
 }
@@ -120,17 +152,17 @@
 var Promises = []Promise{
 	{Text: "No more replicas are loaded than were decided", Tests: []Test{placementSteps, placementHistories, "placement.TestOneBurstMakesOneLoad"}},
 	{Text: "Memory is never overcommitted", Tests: []Test{placementSteps, placementHistories}},
-	{Text: "A waiting request is served or refused in time, never dropped", Tests: []Test{"fairqueue.TestEveryEntryLeavesOnce", "fairqueue.TestDeadlineShedding", "filter.TestQueueing"}},
+	{Text: "A waiting request is served or refused in time, never dropped", Tests: []Test{"fairqueue.TestEveryEntryLeavesOnce", "fairqueue.TestDeadlineShedding", "filter.TestQueueing", "e2e.TestSlowWeightStore"}},
 	{Text: "Except on open routes, a request runs only for the workspace whose key came with it", Tests: []Test{"e2e.TestRefusedBeforeForwarding"}},
 	{Text: "No upstream sees a caller's key", Tests: []Test{editEverywhere, "e2e.TestServiceCallArrivesExactlyOnce"}},
-	{Text: "A withdrawn key stops working within seconds", Tests: []Test{editEverywhere, "e2e.TestWithdrawnKeyIsRefusedEverywhere", "e2e.TestWithdrawnKeyEndsRunningStream", "filter.TestKeyWithdrawn", freshnessProof}},
-	{Text: "No workspace gets more than its rate and burst across all instances together", Tests: []Test{"quota.TestBucketBoundHoldsInHindsight", noOverAdmission, tokensExistOnce, "e2e.TestFloodStaysWithinRateAndBurst"}},
+	{Text: "A withdrawn key stops working within seconds", Tests: []Test{editEverywhere, "e2e.TestWithdrawnKeyIsRefusedEverywhere", "e2e.TestWithdrawnKeyEndsRunningStream", "filter.TestKeyWithdrawn", "e2e.TestKeyWithdrawnWhileInstanceIsFrozen", freshnessProof}},
+	{Text: "No workspace gets more than its rate and burst across all instances together", Tests: []Test{"quota.TestBucketBoundHoldsInHindsight", noOverAdmission, tokensExistOnce, "e2e.TestFloodStaysWithinRateAndBurst", shareFaults}},
 	{Text: "A freshly started upstream gets no more than it can bear", Tests: []Test{rampSum, "balance.TestAllotments", "placement.TestRampAllotments"}},
 	{Text: "A data centre taken out gets no new work after a few seconds", Tests: []Test{"placement.TestTakeOut", "balance.TestEligibility", "e2e.TestDataCentreTakenOut"}},
-	{Text: "A caller receives the whole answer to its own request, also when answers are late or crossed", Tests: []Test{upstreamFaults, "e2e.TestServiceCallArrivesExactlyOnce"}},
-	{Text: "A refusal that says not run is true", Tests: []Test{serviceVerdicts, runsAtMostOnce, upstreamFaults}},
-	{Text: "A request that must not be repeated runs at most once", Tests: []Test{runsAtMostOnce, keyedOverProcesses, "e2e.TestServiceCallArrivesExactlyOnce", "filter.TestTransportNeverRepeats", "filter.TestClaims"}},
+	{Text: "A caller receives the whole answer to its own request, also when answers are late or crossed", Tests: []Test{upstreamFaults, "e2e.TestServiceCallArrivesExactlyOnce", requestFaults, streamKills}},
+	{Text: "A refusal that says not run is true", Tests: []Test{serviceVerdicts, runsAtMostOnce, upstreamFaults, requestFaults, claimFaults}},
+	{Text: "A request that must not be repeated runs at most once", Tests: []Test{runsAtMostOnce, keyedOverProcesses, "e2e.TestServiceCallArrivesExactlyOnce", "filter.TestTransportNeverRepeats", "filter.TestClaims", claimFaults, requestFaults}},
 	{Text: "A leaving upstream gets no new work after a few seconds", Tests: []Test{"balance.TestEligibility", leavingUpstream}},
-	{Text: "A graceful shutdown cuts no request", Tests: []Test{"e2e.TestRollingReplacementCutsNoRequest"}},
-	{Text: "An accepted configuration is in force everywhere within seconds and never reverts", Tests: []Test{editEverywhere, freshnessProof, "e2e.TestEditIsInForceAtOtherInstance"}},
+	{Text: "A graceful shutdown cuts no request", Tests: []Test{"e2e.TestRollingReplacementCutsNoRequest", drainFaults}},
+	{Text: "An accepted configuration is in force everywhere within seconds and never reverts", Tests: []Test{editEverywhere, freshnessProof, "e2e.TestEditIsInForceAtOtherInstance", editFaults}},
 }
--- a/processtest/fleet.go
+++ b/processtest/fleet.go
@@ -79,6 +79,18 @@
 	return i
 }
 
+// StartBehind starts an instance that other instances reach through a proxy
+// only, and puts the proxy's address on the list.
+func (f *Fleet) StartBehind(s settings.Settings, peer *Proxy) *Instance {
+	f.t.Helper()
+	s.PeerAddress = peer.Address
+	i := f.launch(s)
+	peer.Redirect(i.Peer)
+	address := netip.MustParseAddrPort(peer.Address)
+	f.List.Register(instances.Registration{ID: s.Instance, IP: address.Addr().String(), Port: int(address.Port()), DataCentre: s.DataCentre})
+	return i
+}
+
 // StartInstance starts an instance with the settings of the fleet.
 func (f *Fleet) StartInstance(name, dataCentre string) *Instance {
 	f.t.Helper()
--- a/processtest/proxy.go
+++ b/processtest/proxy.go
@@ -38,6 +38,16 @@
 	return p
 }
 
+// Redirect moves the proxy in front of another address and keeps its own.
+func (p *Proxy) Redirect(upstream string) {
+	p.t.Helper()
+	p.proxy.Stop()
+	p.proxy.Upstream = upstream
+	if err := p.proxy.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
 // URL returns the base URL of the proxy.
 func (p *Proxy) URL() string { return "http://" + p.Address }
 
