quotasync: log in JSON with the instance's fields; race and repeat tests

Cause: quotasync logged through the package-wide apex logger, so "slot gained" and five other lines of an instance were plain text without its name, against the stated JSON log. A test log showed it. Change: Config.Log, set by the instance; every scene of e2e now checks that all log lines are JSON. TestSlotsPass has two instances that do not see each other and write the same slots at once; TestOneHolder repeats earlier writes.

--- a/controller/quotasync/quotasync.go
+++ b/controller/quotasync/quotasync.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/oops"
 
@@ -51,12 +52,14 @@
 	// RebalanceAfter is how long the members must be unchanged before a slot is
 	// released to the member that ranks first. Default 10s.
 	RebalanceAfter time.Duration
+	// Log takes the log lines. Default log.Log.
+	Log log.Interface
 }
 
 // DefaultConfig returns the defaults; Table, Transport and Session are unset.
 func DefaultConfig() Config {
 	return Config{ListLag: 10 * time.Second, Wait: 250 * time.Millisecond,
-		Refresh: 5 * time.Second, RebalanceAfter: 10 * time.Second}
+		Refresh: 5 * time.Second, RebalanceAfter: 10 * time.Second, Log: log.Log}
 }
 
 const (
--- a/controller/quotasync/quotasync_test.go
+++ b/controller/quotasync/quotasync_test.go
@@ -54,7 +54,20 @@
 // cutTable is the table as one instance reaches it.
 type cutTable struct {
 	platform.Table
-	cut *atomic.Bool
+	cut       *atomic.Bool
+	alone     *atomic.Bool  // the instance sees no other member, and its writes are late
+	conflicts *atomic.Int64 // writes that another instance's write preceded
+}
+
+func (t cutTable) Transact(ctx context.Context, token string, writes ...platform.Write) error {
+	if t.alone.Load() {
+		pause(ctx, time.Second)
+	}
+	err := t.Table.Transact(ctx, token, writes...)
+	if errors.Is(err, platform.ErrConflict) {
+		t.conflicts.Add(1)
+	}
+	return err
 }
 
 func (t cutTable) List(ctx context.Context, kind string) ([]platform.Row, error) {
@@ -109,7 +122,7 @@
 }
 
 func (c *cluster) start(name, incarnation string) *testNode {
-	n := &testNode{cluster: c, cutTable: cutTable{c.table, new(atomic.Bool)}, session: &fakeSession{instance: name, incarnation: incarnation, address: "addr-" + name}}
+	n := &testNode{cluster: c, cutTable: cutTable{c.table, new(atomic.Bool), new(atomic.Bool), new(atomic.Int64)}, session: &fakeSession{instance: name, incarnation: incarnation, address: "addr-" + name}}
 	config := DefaultConfig()
 	config.Table, config.Transport, config.Session = n.cutTable, n, n.session
 	n.Sync = New(config)
@@ -122,6 +135,9 @@
 			c.mu.Lock()
 			members := c.members
 			c.mu.Unlock()
+			if n.alone.Load() {
+				members = slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Instance != name })
+			}
 			n.SetMembers(members)
 			pause(ctx, time.Second)
 		}
@@ -405,6 +421,32 @@
 				t.Errorf("spent %d without the list and the table: %v", total, refusal)
 			}
 		}},
+		{"two instances that do not see each other take the same slots", func(t *testing.T, c *cluster) {
+			began, spent := time.Now(), 0
+			c.crash("a")
+			c.list("a", "")
+			for _, n := range c.nodes {
+				n.alone.Store(true)
+			}
+			for range 60 {
+				for _, name := range []string{"b", "c"} {
+					total, _ := c.nodes[name].spend(t)
+					spent += total
+				}
+				wait(500 * time.Millisecond)
+			}
+			if limit := 800 + 80*time.Since(began).Seconds(); float64(spent) > limit {
+				t.Errorf("spent %d, the limit is %.0f", spent, limit)
+			}
+			if c.nodes["b"].conflicts.Load()+c.nodes["c"].conflicts.Load() == 0 {
+				t.Error("the instances did not race")
+			}
+			for _, n := range c.nodes {
+				n.alone.Store(false)
+			}
+			wait(2 * time.Minute) // rebalancing moves one slot after another
+			c.want(quota.Slots, "after the members see each other")
+		}},
 		{"session invalid", func(t *testing.T, c *cluster) {
 			a := c.nodes["a"]
 			a.session.invalid.Store(true)
--- a/controller/quotasync/slots.go
+++ b/controller/quotasync/slots.go
@@ -192,7 +192,7 @@
 		key, ok := parseSlotKey(r.Key)
 		row, err := DecodeSlotRow(r.Value)
 		if !ok || err != nil {
-			log.WithField("key", r.Key).Error("slot row is not readable")
+			s.config.Log.WithField("key", r.Key).Error("slot row is not readable")
 			continue
 		}
 		s.rows[key] = stored{SlotRow: row, exists: true, revision: r.Revision}
@@ -216,7 +216,7 @@
 			s.activate(key, view.row.SlotRow, at)
 		case drop:
 			s.ledger.GiveUp(key.workspace, key.index, at)
-			log.WithField("slot", key.String()).WithField("holder", view.row.Holder).Warn("slot has passed to another instance")
+			s.config.Log.WithField("slot", key.String()).WithField("holder", view.row.Holder).Warn("slot has passed to another instance")
 		case free:
 			releases = append(releases, s.release(key, at))
 		case keep:
@@ -249,7 +249,7 @@
 func (s *Sync) activate(key slotKey, row SlotRow, at time.Duration) {
 	if s.ledger.Gain(key.workspace, key.index, row.start(), at) {
 		s.activated[key] = row.Generation
-		log.WithFields(log.Fields{"slot": key.String(), "generation": row.Generation, "level": row.Level, "empty": row.Empty}).Info("slot gained")
+		s.config.Log.WithFields(log.Fields{"slot": key.String(), "generation": row.Generation, "level": row.Level, "empty": row.Empty}).Info("slot gained")
 	}
 }
 
@@ -325,7 +325,7 @@
 		return
 	}
 	s.rows[c.key] = stored{SlotRow: c.row, exists: true, revision: c.revision + 1}
-	log.WithFields(log.Fields{"slot": c.key.String(), "level": c.row.Level}).Info("slot released")
+	s.config.Log.WithFields(log.Fields{"slot": c.key.String(), "level": c.row.Level}).Info("slot released")
 	owner := s.owners[c.key.workspace][c.key.index]
 	if owner == "" || owner == s.config.Session.Instance() {
 		return
@@ -334,7 +334,7 @@
 		ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
 		defer cancel()
 		if _, err := s.config.Transport.Send(ctx, owner, &quota.SlotReleased{Workspace: c.key.workspace}); err != nil {
-			log.WithError(err).WithField("instance", owner).Debug("release was not announced")
+			s.config.Log.WithError(err).WithField("instance", owner).Debug("release was not announced")
 		}
 	})
 }
@@ -367,7 +367,7 @@
 		wait := s.interval()
 		if err != nil && ctx.Err() == nil {
 			wait = retry.NextBackOff()
-			log.WithError(err).Warn("slots were not refreshed")
+			s.config.Log.WithError(err).Warn("slots were not refreshed")
 		} else {
 			retry.Reset()
 		}
--- a/e2e/scene_test.go
+++ b/e2e/scene_test.go
@@ -120,7 +120,8 @@
 	return err == nil && (r.Error.Code == "no_upstream" || r.Error.Code == "deadline_exceeded")
 }
 
-// checkSecrets guards against keys and secrets that reach an upstream or a log.
+// checkSecrets guards against keys and secrets that reach an upstream or a
+// log, and against log lines in another form than JSON.
 func (s *scene) checkSecrets() {
 	if s.t.Failed() {
 		return // upstreams may have ended
@@ -131,6 +132,12 @@
 				s.t.Errorf("the log of %s holds a key or secret", i.Name)
 			}
 		}
+		for line := range strings.Lines(i.Log()) {
+			if !json.Valid([]byte(line)) && strings.HasSuffix(line, "\n") {
+				s.t.Errorf("the log of %s has a line that is not JSON: %s", i.Name, line)
+				break
+			}
+		}
 	}
 	if !s.engine.Ended() && s.engine.Engine().Credential > 0 {
 		s.t.Error("a key reached the engine")
--- a/faultmatrix/cells.go
+++ b/faultmatrix/cells.go
@@ -110,6 +110,7 @@
 	{Fault: Duplicate, Step: ShareMove, Tests: []Test{noOverAdmission, tokensExistOnce}},
 	{Fault: TableDown, Step: ShareMove, Tests: []Test{slotsPass, shareFaults}},
 	{Fault: LaggingList, Step: ShareMove, Tests: []Test{slotsPass, shareFaults}},
+	{Fault: Race, Step: ShareMove, Tests: []Test{slotsPass}},
 	{Fault: ColdRestart, Step: ShareMove, Impossible: noUpstream},
 	{Fault: SlowWeights, Step: ShareMove, Impossible: noWeights},
 
@@ -120,6 +121,7 @@
 	{Fault: TableDown, Step: Renew, Tests: []Test{"controller/placer.TestTableOutage"}},
 	{Fault: Race, Step: Renew, Tests: []Test{oneHolder}},
 	{Fault: Cut, Step: Renew, Tests: []Test{"e2e.TestPlacerIsCutFromTable"}},
+	{Fault: Duplicate, Step: Renew, Tests: []Test{oneHolder}},
 	{Fault: LaggingList, Step: Renew, Impossible: noList},
 	{Fault: ColdRestart, Step: Renew, Impossible: noUpstream},
 	{Fault: SlowWeights, Step: Renew, Impossible: noWeights},
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -36,7 +36,8 @@
 	lose   bool
 	err    error
 	rows   [2]platform.Row
-	stale  bool // the fence taken as known was not the one in the table
+	stale  bool   // the fence taken as known was not the one in the table
+	sent   []Step // writes that may be delivered once more
 }
 
 func (c *contender) clock(now time.Duration) time.Time {
@@ -74,6 +75,7 @@
 	ctx := context.Background()
 	if !c.step.Read {
 		c.err = table.Transact(ctx, c.step.Token, c.step.Writes...)
+		c.sent = append(c.sent, c.step)
 		return
 	}
 	c.err = nil
@@ -91,9 +93,22 @@
 	}
 }
 
+// repeat delivers an earlier write once more, with its token or, as after the
+// table has forgotten the token, with another one.
+func (c *contender) repeat(r *rand.Rand, table *platformtest.Table) {
+	if len(c.sent) == 0 || r.IntN(20) > 0 {
+		return
+	}
+	step := c.sent[r.IntN(len(c.sent))]
+	if r.IntN(2) == 0 {
+		step.Token = fmt.Sprint("forgotten", r.Uint64())
+	}
+	table.Transact(context.Background(), step.Token, step.Writes...) //nolint:errcheck // nobody waits for the answer.
+}
+
 // Guards against two holders at the same time, against a holder whose
 // transactions outlive its reign, and against a fencing token that does not
-// grow, with drifting clocks, freezes, late and lost answers.
+// grow, with drifting clocks, freezes, late and lost answers, and repeated writes.
 func TestOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := platformtest.NewTable()
@@ -113,6 +128,7 @@
 					c.frozen = now + time.Duration(r.IntN(12))*time.Second
 				}
 				c.advance(r, table, now)
+				c.repeat(r, table)
 				if c.stale {
 					t.Fatalf("%s: a fence was taken as known after the holder had changed", now)
 				}
