e2e: repeated messages in a shutdown; each request fault must be felt

Cause: the cell of duplicated messages in a drain had no test, and a fault that did not reach any call would have counted as survived. Change: TestSharesUnderFaults repeats the announcement of released slots during and after a shutdown; TestCallsAndStreamsUnderFaults wants failed calls under every fault but a delay.

--- a/e2e/edit_test.go
+++ b/e2e/edit_test.go
@@ -95,6 +95,18 @@
 	}
 }
 
+// sender returns a hub in the test process that is linked to an instance and
+// sends what a peer could send.
+func sender(t *testing.T, to *processtest.Instance) (*peer.Hub, context.Context) {
+	t.Helper()
+	hub := peer.NewHub(peer.Identity{Instance: "sender", Incarnation: "1", DataCentre: "east", Address: "127.0.0.1:1"},
+		processtest.PeerSecret, &log.Logger{Handler: discard.New()})
+	t.Cleanup(hub.Close)
+	hub.SetTargets(t.Context(), []string{to.Peer})
+	processtest.Eventually(t, "the sender is linked", func() bool { return len(hub.Connected()) == 1 })
+	return hub, t.Context()
+}
+
 // Guards against an edit that is not in force in time when links and table are
 // slow, or at an instance that the list does not show yet, and against late and
 // repeated pushes that bring an old version back.
@@ -120,13 +132,7 @@
 	}
 
 	// A third hub holds the old version back and sends it late and repeatedly.
-	hub := peer.NewHub(peer.Identity{Instance: "sender", Incarnation: "1", DataCentre: "east", Address: "127.0.0.1:1"},
-		processtest.PeerSecret, &log.Logger{Handler: discard.New()})
-	defer hub.Close()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	hub.SetTargets(ctx, []string{s.two.Peer})
-	processtest.Eventually(t, "the sender is linked", func() bool { return len(hub.Connected()) == 1 })
+	hub, ctx := sender(t, s.two)
 	fetch := func() (push catalogsync.Push) {
 		t.Helper()
 		if err := hub.Call(ctx, s.two.Name, peer.KindCatalogFetch, catalogsync.Fetch{}, &push); err != nil {
--- a/e2e/requests_test.go
+++ b/e2e/requests_test.go
@@ -104,6 +104,9 @@
 	start, end func(s *scene)
 }
 
+// delayed names the one fault under which all calls may succeed.
+const delayed = "upstreams delayed"
+
 func requestFaults() []requestFault {
 	set := func(pick func(*scene) *processtest.Standin, f standin.Faults) (start, end func(*scene)) {
 		return func(s *scene) { pick(s).Faults(f) }, func(s *scene) { pick(s).Faults(standin.Faults{}) }
@@ -123,7 +126,7 @@
 		func(s *scene) { s.proxies.service.Heal(); s.proxies.engine.Heal() })
 	add("upstreams silent", func(s *scene) { s.proxies.service.Blackhole(); s.proxies.engine.Blackhole() },
 		func(s *scene) { s.proxies.service.Heal(); s.proxies.engine.Heal() })
-	add("upstreams delayed", func(s *scene) {
+	add(delayed, func(s *scene) {
 		s.proxies.service.Delay(200 * time.Millisecond)
 		s.proxies.engine.Delay(200 * time.Millisecond)
 	}, func(s *scene) { s.proxies.service.Heal(); s.proxies.engine.Heal() })
@@ -189,7 +192,15 @@
 		}
 		close(stop)
 		wg.Wait()
-		t.Logf("%s: %d calls, %d streams", f.name, calls.len(), streams.len())
+		failed := 0
+		for _, a := range append(calls.answers, streams.answers...) {
+			if a.err != nil || a.status != http.StatusOK || strings.Contains(a.body, "event: error") {
+				failed++
+			}
+		}
+		if t.Logf("%s: %d calls, %d streams, %d failed", f.name, calls.len(), streams.len(), failed); failed == 0 && f.name != delayed {
+			t.Errorf("%s: nothing failed, so that the fault was not there", f.name)
+		}
 		for _, a := range streams.answers {
 			switch {
 			case a.err != nil || a.status != http.StatusOK || strings.Contains(a.body, "event: error"):
--- a/e2e/shares_test.go
+++ b/e2e/shares_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/peer"
 	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/quota"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 )
 
@@ -88,7 +90,28 @@
 		flood(i)
 	}
 	served("after the kill", append(newcomers, s.one)...)
-	pass(t, time.Now(), 2*testListLag)
+	pass(t, time.Now(), testListLag)
+	take("shutdown with repeated messages")
+	hub, ctx := sender(t, s.one)
+	released := quota.SlotReleased{Workspace: "sales"}
+	newcomers[1].Terminate()
+	processtest.Eventually(t, "the shutdown ends while its messages are repeated", func() bool {
+		if err := hub.Call(ctx, s.one.Name, peer.KindSlotReleased, released, nil); err != nil {
+			t.Errorf("repeated message: %v", err)
+		}
+		return newcomers[1].Ended()
+	})
+	if code := newcomers[1].ExitCode(); code != 0 {
+		t.Errorf("the shutdown ended with %d", code)
+	}
+	take("end of the shutdown")
+	for range 20 {
+		if err := hub.Call(ctx, s.one.Name, peer.KindSlotReleased, released, nil); err != nil {
+			t.Errorf("repeated message after the shutdown: %v", err)
+		}
+	}
+	served("after the shutdown", newcomers[0], s.one)
+	pass(t, time.Now(), testListLag)
 	take("end")
 	close(stop)
 	wg.Wait()
--- a/faultmatrix/cells.go
+++ b/faultmatrix/cells.go
@@ -146,6 +146,7 @@
 	{Fault: TableDown, Step: Drain, Tests: []Test{drainFaults}},
 	{Fault: LaggingList, Step: Drain, Tests: []Test{drainFaults}},
 	{Fault: ColdRestart, Step: Drain, Tests: []Test{drainFaults}},
+	{Fault: Duplicate, Step: Drain, Tests: []Test{shareFaults}},
 	{Fault: Race, Step: Drain, Impossible: noRace},
 	{Fault: SlowWeights, Step: Drain, Impossible: noWeights},
 }
