processtest: keep the port of a cut proxy; e2e: no repeat at a second upstream

Cause: a trial run failed with "listen tcp 127.0.0.1:46129: bind: address already in use", because the port of a proxy that was cut or redirected went to an outgoing connection. TestCallsAndStreamsUnderFaults stayed green without the retry rule, because its pool has one upstream only. Change: a cut proxy holds its port by a socket that is bound and does not listen. TestCallIsNotRepeatedElsewhere has two services.

--- a/e2e/proxied_test.go
+++ b/e2e/proxied_test.go
@@ -111,10 +111,15 @@
 // check compares the callers' answers with the upstreams' counts by request
 // ID: no request ran twice, one that was answered ran, and one that was told
 // not_run did not.
-func (j *journal) check(s *scene) {
+func (j *journal) check(s *scene, more ...*processtest.Standin) {
 	s.t.Helper()
-	services, engines := s.service.Service(), s.engine.Engine()
-	ran := services.ByRequest
+	engines := s.engine.Engine()
+	ran := map[string]int{}
+	for _, upstream := range append(more, s.service) {
+		for id, n := range upstream.Service().ByRequest {
+			ran[id] += n
+		}
+	}
 	for id, n := range engines.ChatsByID {
 		ran[id] += n
 	}
--- a/e2e/requests_test.go
+++ b/e2e/requests_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/duration"
 	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin"
@@ -225,6 +226,43 @@
 	}
 }
 
+// Guards against a call that runs at a second upstream after the first one has
+// run it and its answer was lost, or after a connection broke.
+func TestCallIsNotRepeatedElsewhere(t *testing.T) {
+	s := proxiedScene(t, loadTime)
+	second := processtest.StartStandin(t, "service-2", "service")
+	s.pools.Pools[1].Upstreams = append(s.pools.Pools[1].Upstreams, catalog.Upstream{Name: "signup-2", Address: second.Address, DataCentre: "east"})
+	s.one.MustPut("pools", s.pools)
+	j := &journal{}
+	for _, faults := range []standin.Faults{{LoseAnswers: 2}, {ResetBefore: 2}} {
+		s.service.Faults(faults)
+		before := s.service.Service()
+		processtest.Eventually(t, "the fault is over", func() bool {
+			for _, i := range []*processtest.Instance{s.one, s.two} {
+				a := j.add(call{method: http.MethodPost, path: "/signup/new", key: lawKey, body: "x"}.do(i))
+				if a.status != http.StatusOK {
+					a.wantRefusal(t, "failed call", http.StatusBadGateway, "upstream_failed", "may_have_run")
+				}
+			}
+			now := s.service.Service()
+			return now.Lost+now.Reset-before.Lost-before.Reset == 2
+		})
+	}
+	if second.Service().Effects == 0 {
+		t.Error("the second upstream got no call")
+	}
+	failed := 0
+	for _, a := range j.answers {
+		if a.status != http.StatusOK {
+			failed++
+		}
+	}
+	if failed != 4 {
+		t.Errorf("%d calls failed, want the 4 whose answers or connections were lost", failed)
+	}
+	j.check(s, second)
+}
+
 // Guards against a stream that is shown as whole, or runs again, when the
 // instance or the engine is killed in it, and against one that is cut because
 // its caller reads slowly or because the list shows its engine as leaving.
--- a/processtest/proxy.go
+++ b/processtest/proxy.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,6 +23,8 @@
 	proxy  *toxiproxy.Proxy
 	toxics []string
 	cut    bool
+	// reserved is the socket that keeps the port while the proxy is cut.
+	reserved int
 }
 
 // NewProxy starts a proxy without faults in front of an address.
@@ -41,11 +45,9 @@
 // Redirect moves the proxy in front of another address and keeps its own.
 func (p *Proxy) Redirect(upstream string) {
 	p.t.Helper()
-	p.proxy.Stop()
+	p.Cut()
 	p.proxy.Upstream = upstream
-	if err := p.proxy.Start(); err != nil {
-		p.t.Fatal(err)
-	}
+	p.Heal()
 }
 
 // URL returns the base URL of the proxy.
@@ -53,8 +55,33 @@
 
 // Cut closes all connections and refuses new ones.
 func (p *Proxy) Cut() {
+	p.t.Helper()
 	p.proxy.Stop()
 	p.cut = true
+	var err error
+	if p.reserved, err = reserve(p.Address); err != nil {
+		p.t.Fatalf("reserve the port of a cut proxy: %v", err)
+	}
+}
+
+// reserve binds a socket to the port without listening, so that connections
+// are refused and the system gives the port to nobody else. Under load, ports
+// of cut proxies were given to outgoing connections.
+func reserve(address string) (socket int, err error) {
+	port := netip.MustParseAddrPort(address)
+	socket, err = syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		return -1, err
+	}
+	syscall.CloseOnExec(socket)
+	if err = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err == nil {
+		err = syscall.Bind(socket, &syscall.SockaddrInet4{Port: int(port.Port()), Addr: port.Addr().As4()})
+	}
+	if err != nil {
+		syscall.Close(socket)
+		return -1, err
+	}
+	return socket, nil
 }
 
 // Blackhole lets connections stand but passes no data in either direction.
@@ -96,6 +123,7 @@
 	p.toxics = nil
 	if p.cut {
 		p.cut = false
+		defer syscall.Close(p.reserved)
 		if err := p.proxy.Start(); err != nil {
 			p.t.Fatal(err)
 		}
