e2e: a frozen instance that is also cut off must not serve a withdrawn key

Cause: with the session check, the staleness bound and the freeze check of the quota all removed, TestKeyWithdrawnWhileInstanceIsFrozen stayed green, because a push in the socket's buffer tells the thawed instance of the edit. Change: a third round cuts the frozen instance from the table and its peers before the edit. Measured: with the three guards removed on a scratch copy it fails with "the key was served 8.401586929s after its withdrawal"; as it stands it passes with -race.

--- a/e2e/edit_test.go
+++ b/e2e/edit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -66,24 +67,44 @@
 func TestKeyWithdrawnWhileInstanceIsFrozen(t *testing.T) {
 	s := proxiedScene(t, 300*time.Millisecond)
 	all := fiveInstances(s)
-	frozen := all[4]
-	for _, thawAfter := range []time.Duration{pauseLimit + time.Second, inForce} {
-		s.setSalesKey(s.one, true)
+	// The others dial the instance with the highest address, so that cutting its
+	// own proxy cuts all its links.
+	frozen := slices.MaxFunc(all, func(a, b *processtest.Instance) int {
+		return strings.Compare(s.proxies.peer[a].Address, s.proxies.peer[b].Address)
+	})
+	editor := all[0]
+	if editor == frozen {
+		editor = all[1]
+	}
+	for _, c := range []struct {
+		thawAfter time.Duration
+		cut       bool // from table and peers, so that nothing tells it of the edit
+	}{{pauseLimit + time.Second, false}, {inForce, false}, {inForce, true}} {
+		s.setSalesKey(editor, true)
 		processtest.Eventually(t, "the key is served", func() bool { return salesCall.do(frozen).status == http.StatusOK })
 		frozen.Freeze()
-		accepted := s.setSalesKey(s.one, false)
+		if c.cut {
+			s.proxies.table[frozen].Cut()
+			s.proxies.peer[frozen].Cut()
+		}
+		accepted := s.setSalesKey(editor, false)
 		waiting := make(chan answer, 1)
 		go func() { waiting <- salesCall.do(frozen) }()
-		pass(t, accepted, thawAfter)
+		pass(t, accepted, c.thawAfter)
 		effects := s.service.Service().Effects
 		frozen.Thaw()
 		a := <-waiting
-		if thawAfter >= inForce {
+		if c.thawAfter >= inForce {
 			wantWithdrawn(t, "call that waited in the socket", a)
 			if n := s.service.Service().Effects; n != effects {
 				t.Errorf("the withdrawn key had %d effects after the thaw", n-effects)
 			}
 		}
+		if c.cut {
+			wantWithdrawn(t, "call after the thaw while cut off", salesCall.do(frozen))
+			s.proxies.table[frozen].Heal()
+			s.proxies.peer[frozen].Heal()
+		}
 		processtest.Eventually(t, "the key is refused for good", func() bool {
 			asked := time.Now()
 			a := salesCall.do(frozen)
