placement: let cached loads go outside the weight store's limits

Cause: every model load counted against the limits of the weight store (one each 350 ms, 4 at once), also loads from an upstream's memory or disk, which do not touch it.

Change: a load counts against the store unless an index read within 6 s says that the checkpoint is in memory or on disk. Cached loads have a bound of one in flight per upstream and no spacing. The same flag decides the room and the simulated slots of the schedule, the charge for fairness, the gate before an order or its repeat is sent, and the next tick. The choice of an upstream adds the wait for a slot to a candidate's cost, and the expected time uses the tier of the chosen upstream instead of the best tier anywhere. A load under way that the index shows to be remote counts from then on; recovered loads count until they are sent again. Remote loads keep weighted fairness: a job planned as cached that needs the store after all waits for its turn.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -23,7 +23,9 @@
 	tier    Tier
 	cost    float64 // seconds
 	victims []*replica
-	pending bool // room is yet to be made
+	pending bool          // room is yet to be made
+	store   bool          // the load reads from the weight store
+	wait    time.Duration // until a load slot is free
 }
 
 // fullness remembers within one run of the schedule that a pool has no room.
@@ -32,21 +34,26 @@
 	until time.Time
 }
 
-// place decides on which upstream a model is loaded. It returns false if no
-// upstream can take it now.
-func (p *Planner) place(m *model, workspace string, start time.Time) bool {
-	if f, ok := p.full[m.pool]; ok && m.base == nil && m.need() >= f.need {
-		return false // a smaller model has found no room in this run
-	}
-	best, refused := p.choose(m)
-	if best == nil {
-		if m.base == nil {
-			p.full[m.pool] = fullness{need: m.need(), until: p.nextRoom(m)}
-		}
-		return false
+// place decides on which upstream a model is loaded. It returns nil if no
+// upstream can take it now, and whether that is because the best one waits for
+// a load slot. A load from the weight store begins at start, and only if store
+// is set.
+func (p *Planner) place(m *model, workspace string, start time.Time, store bool) (_ *replica, deferred bool) {
+	best, refused := p.chooseInRoom(m, start)
+	switch {
+	case best == nil:
+		return nil, false
+	case best.store && !store:
+		return nil, true
+	case best.wait > 0 && !best.store:
+		m.expected = p.now.Add(best.wait).Add(p.estimate(m, best.tier))
+		return nil, true
+	case !best.store:
+		start = p.now
 	}
 	m.burst += learnRate * (float64(max(m.waiting, 1)) - m.burst)
 	r := p.create(m, best.u, best.tier)
+	r.store = best.store
 	if best.pending {
 		start = later(start, p.now.Add(p.cfg.DrainDelay+roomTime))
 	}
@@ -58,11 +65,25 @@
 		p.drain(v, "makes room for "+m.cfg.Name, false)
 	}
 	p.step(r)
-	return true
+	return r, false
+}
+
+// chooseInRoom is choose, but does not look again in a pool that had no room
+// for a smaller model in this run of the schedule.
+func (p *Planner) chooseInRoom(m *model, start time.Time) (*candidate, []Alternative) {
+	if f, ok := p.full[m.pool]; ok && m.base == nil && m.need() >= f.need {
+		return nil, nil
+	}
+	best, refused := p.choose(m, start)
+	if best == nil && m.base == nil {
+		p.full[m.pool] = fullness{need: m.need(), until: p.nextRoom(m)}
+	}
+	return best, refused
 }
 
-// choose returns the cheapest upstream and some of those refused.
-func (p *Planner) choose(m *model) (*candidate, []Alternative) {
+// choose returns the cheapest upstream and some of those refused. Loads from
+// the weight store begin at start.
+func (p *Planner) choose(m *model, start time.Time) (*candidate, []Alternative) {
 	var best *candidate
 	var refused []Alternative
 	refuse := func(u *upstream, reason string) {
@@ -75,7 +96,7 @@
 			refuse(u, reason)
 			continue
 		}
-		c, ok := p.cost(m, u)
+		c, ok := p.cost(m, u, start)
 		if !ok {
 			refuse(u, "no memory")
 			continue
@@ -134,13 +155,19 @@
 
 // cost estimates the seconds until a load is complete, and what its evictions
 // are expected to cost others.
-func (p *Planner) cost(m *model, u *upstream) (candidate, bool) {
-	c := candidate{u: u, tier: u.tiers[m.cfg.Name]}
+func (p *Planner) cost(m *model, u *upstream, start time.Time) (candidate, bool) {
+	c := candidate{u: u, tier: u.tiers[m.cfg.Name], store: m.base == nil && !p.cached(m, u)}
+	switch {
+	case c.store:
+		c.wait = start.Sub(p.now)
+	case m.base == nil:
+		c.wait = p.cachedWait(u)
+	}
 	if p.cfg.Place == PlaceRandom {
 		c.cost = float64(p.hash(m, u) >> 11)
 	} else {
 		// Ties go to the lower hash, so that models spread over like upstreams.
-		c.cost = p.estimate(m, c.tier).Seconds()*(1+u.utilization) + float64(p.hash(m, u)>>11)*1e-18
+		c.cost = p.estimate(m, c.tier).Seconds()*(1+u.utilization) + c.wait.Seconds() + float64(p.hash(m, u)>>11)*1e-18
 	}
 	lack := m.need() - u.free()
 	c.pending = lack > 0
--- a/placement/order.go
+++ b/placement/order.go
@@ -188,6 +188,8 @@
 	case loading:
 		if entry != nil && entry.Ready {
 			p.confirm(r)
+		} else if entry != nil {
+			r.recheck(entry, sent)
 		}
 	case uncertain:
 		p.observeUncertain(r, entry, sent)
@@ -206,12 +208,21 @@
 	}
 }
 
+// recheck counts a load under way against the weight store if its checkpoint
+// was not cached after all.
+func (r *replica) recheck(entry *IndexEntry, sent time.Time) {
+	if entry.Tier == Remote && r.row.Base == "" && sent.After(r.loadSent) {
+		r.tier, r.store = Remote, true
+	}
+}
+
 func (p *Planner) observeUncertain(r *replica, entry *IndexEntry, sent time.Time) {
 	switch {
 	case sent.Before(r.loadSent):
 	case entry != nil && entry.Ready:
 		p.confirm(r)
 	case entry != nil:
+		r.recheck(entry, sent)
 		r.absent = false
 		r.slotUntil = p.now.Add(minPatience)
 		r.expected = later(r.expected, p.now.Add(orderBackoff))
@@ -337,7 +348,8 @@
 		u.gone, u.cfg.Address = true, s.Row.Address
 	}
 	r := &replica{id: s.ID, model: m, up: u, row: s.Row, rowState: s.Row.State, revision: s.Revision,
-		loadSent: p.electedAt, foreign: true, openLoad: true, sends: 1, slotUntil: p.electedAt.Add(minPatience)}
+		loadSent: p.electedAt, foreign: true, openLoad: true, sends: 1, slotUntil: p.electedAt.Add(minPatience),
+		store: s.Row.Base == ""}
 	switch s.Row.State {
 	case RowLoaded:
 		r.state = ready
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -138,7 +138,13 @@
 		case r.write != nil && !r.write.open:
 			earlier(r.write.retryAt)
 		case r.state == decided && r.model.base == nil:
-			earlier(later(r.retryAt, p.lastLoad.Add(p.cfg.LoadInterval)))
+			at := r.retryAt
+			if r.store {
+				at = later(at, p.lastLoad.Add(p.cfg.LoadInterval))
+			}
+			if at.After(p.now) {
+				earlier(at) // otherwise it waits for a load to end
+			}
 		case r.state == draining:
 			earlier(r.drainAt.Add(p.cfg.DrainDelay))
 		}
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -12,6 +12,7 @@
 	first     time.Time // earliest deadline since the demand began: the place in the lane
 	latest    time.Time // latest deadline: decides whether the load is still of use
 	load      time.Duration
+	cached    bool      // the load is expected not to read from the weight store
 	start     time.Time // planned start of the load
 }
 
@@ -90,6 +91,7 @@
 		return jobs
 	}
 	load := p.bestEstimate(m)
+	cached, begin := p.planCached(m, &load)
 	before := len(jobs)
 	add := func(of *model, e entry, extra time.Duration) {
 		if e.waiting == 0 {
@@ -100,7 +102,8 @@
 			i++
 		}
 		if i == len(jobs) {
-			jobs = append(jobs, job{m: m, workspace: e.workspace, load: load, first: of.urgent.Add(-extra)})
+			jobs = append(jobs, job{m: m, workspace: e.workspace, load: load, cached: cached, start: begin,
+				first: of.urgent.Add(-extra)})
 		}
 		j := &jobs[i]
 		j.latest = later(j.latest, e.latest.Add(-extra))
@@ -121,7 +124,8 @@
 		// Nothing waits at the moment: a promised or a replacing load, or one
 		// that the load of the ready replicas asks for. It belongs to those who
 		// asked last, and keeps their place.
-		j := job{m: m, workspace: m.asked, load: load, first: m.urgent, latest: p.now.Add(p.cfg.ReplaceWindow)}
+		j := job{m: m, workspace: m.asked, load: load, cached: cached, start: begin, first: m.urgent,
+			latest: p.now.Add(p.cfg.ReplaceWindow)}
 		if j.first.IsZero() {
 			j.first = j.latest
 		}
@@ -173,7 +177,7 @@
 	}
 	room := p.cfg.MaxLoads
 	for _, r := range p.transit {
-		if r.row.Base == "" && (r.state <= loading || r.state == uncertain && p.now.Before(r.slotUntil)) {
+		if r.store && p.planning(r) {
 			room--
 		}
 	}
@@ -182,17 +186,30 @@
 		if m.expected.IsZero() {
 			m.expected = j.start.Add(j.load)
 		}
-		if room <= 0 || !p.missing(m) {
+		if room <= 0 && !j.cached || !p.missing(m) {
 			p.promise(m)
 			continue
 		}
-		if p.place(m, j.workspace, j.start) {
-			room--
-			p.charge(j)
+		start := j.start
+		if j.cached {
+			start = p.storeFree()
+		}
+		// A job that was planned as cached takes no turn of the others when it
+		// turns out to need the weight store; the next run queues it.
+		r, deferred := p.place(m, j.workspace, start, room > 0 && !j.cached)
+		if r != nil {
+			if r.store {
+				room--
+				p.charge(j)
+			}
 			m.expected = time.Time{}
 			p.expectComing(m)
 			continue
 		}
+		if deferred {
+			p.promise(m)
+			continue
+		}
 		if p.settling() {
 			m.expected = time.Time{}
 			continue
@@ -222,6 +239,10 @@
 	}
 	book := func(j job, at time.Time, slot int) {
 		taken[j.m] = true
+		if j.cached {
+			order = append(order, j) // takes no slot and no share of the load time
+			return
+		}
 		j.start = at
 		slots[slot] = at.Add(j.load)
 		next = at.Add(p.cfg.LoadInterval)
@@ -239,6 +260,9 @@
 			continue
 		}
 		at, slot := start()
+		if j.cached {
+			at = j.start
+		}
 		if j.latest.Before(at.Add(j.load)) && p.cfg.Order != OrderFirstCome {
 			late = append(late, j)
 			continue
@@ -254,7 +278,7 @@
 	return order
 }
 
-// slots returns when each load slot becomes free.
+// slots returns when each load slot of the weight store becomes free.
 func (p *Planner) slots() []time.Time {
 	slots := make([]time.Time, p.cfg.MaxLoads)
 	for i := range slots {
@@ -262,7 +286,7 @@
 	}
 	i := 0
 	for _, r := range p.transit {
-		if r.row.Base == "" && r.state <= uncertain && i < len(slots) {
+		if r.store && r.state <= uncertain && i < len(slots) {
 			slots[i] = later(r.expected, p.now)
 			i++
 		}
@@ -348,12 +372,17 @@
 			if !m.base.expected.IsZero() {
 				m.expected = m.base.expected.Add(load)
 			}
-		} else if room > 0 && p.place(m, m.workspace(), p.now) {
-			room--
-			p.expectComing(m)
-			continue
-		} else if !p.settling() {
-			m.expected = p.nextRoom(m).Add(load)
+		} else {
+			if room > 0 {
+				if r, _ := p.place(m, m.workspace(), p.now, true); r != nil {
+					room--
+					p.expectComing(m)
+					continue
+				}
+			}
+			if !p.settling() {
+				m.expected = p.nextRoom(m).Add(load)
+			}
 		}
 		p.promise(m)
 	}
--- a/placement/state.go
+++ b/placement/state.go
@@ -44,7 +44,9 @@
 	openLoad bool
 	// foreign tells that an earlier holder may have sent orders and that the
 	// engine has not yet answered an order with the current fencing token.
-	foreign    bool
+	foreign bool
+	// store tells that the load counts against the limits of the weight store.
+	store      bool
 	absent     bool // the index showed no copy since the last load order
 	sends      int
 	retries    int
--- a/placement/step.go
+++ b/placement/step.go
@@ -130,7 +130,7 @@
 		}
 		return
 	}
-	if p.now.Before(r.retryAt) || !p.mayLoad(r.model) {
+	if p.now.Before(r.retryAt) || !p.mayLoad(r) {
 		return
 	}
 	p.sendLoad(r)
@@ -157,28 +157,6 @@
 	}
 }
 
-// mayLoad applies the limits of the weight store.
-func (p *Planner) mayLoad(m *model) bool {
-	if m.base != nil {
-		return p.inFlight(true) < p.cfg.MaxAdapterLoads
-	}
-	return p.inFlight(false) < p.cfg.MaxLoads && p.now.Sub(p.lastLoad) >= p.cfg.LoadInterval
-}
-
-// inFlight counts the loads that may be reading from the weight store.
-func (p *Planner) inFlight(adapters bool) int {
-	count := 0
-	for _, r := range p.transit {
-		if (r.row.Base != "") != adapters {
-			continue
-		}
-		if r.state == loading || r.state == uncertain && p.now.Before(r.slotUntil) {
-			count++
-		}
-	}
-	return count
-}
-
 func (p *Planner) sendLoad(r *replica) {
 	estimate := p.estimate(r.model, r.tier)
 	patience := max(loadPatience*estimate, minPatience)
@@ -188,7 +166,7 @@
 	r.prevLoadSent, r.loadSent = r.loadSent, p.now
 	r.loadStart, r.expected = p.now, p.now.Add(estimate)
 	r.slotUntil = p.now.Add(patience)
-	if r.row.Base == "" {
+	if r.store {
 		p.lastLoad = p.now
 	}
 	p.setState(r, loading)
@@ -207,7 +185,7 @@
 	if !r.absent || p.now.Before(r.retryAt) || !r.up.usable() || !r.up.reachable() || !p.baseReady(r) {
 		return
 	}
-	if p.wanted(r.model) && p.mayLoad(r.model) {
+	if p.wanted(r.model) && p.mayLoad(r) {
 		r.retryAt = p.now.Add(orderBackoff << min(r.retries, 4))
 		r.retries++
 		p.sendLoad(r)
