placement: keep reports and enter them again with a new catalogue

Cause: a demand for a model that the planner did not know yet was dropped until the instance reported again, up to 3 s later. Instances learn of a new catalogue in any order, so one of them can ask first.

Change: a report keeps its demands; CatalogChanged enters all of them again, with deadlines counted from the report's arrival. Arrivals are zeroed once they are counted, so that they enter the history once.

--- a/placement/demand.go
+++ b/placement/demand.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -8,23 +9,30 @@
 // demandReported replaces the demand of one instance.
 func (p *Planner) demandReported(e DemandReported) {
 	p.dropReport(e.Instance)
-	rep := &report{at: p.now}
+	rep := &report{at: p.now, demands: slices.Clone(e.Demands)}
 	p.reports[e.Instance] = rep
-	for _, d := range e.Demands {
+	p.applyReport(e.Instance, rep)
+}
+
+// applyReport enters the demand of a report for the models that are known.
+func (p *Planner) applyReport(instance string, rep *report) {
+	for i := range rep.demands {
+		d := &rep.demands[i]
 		m := p.find(d.Pool, d.Model)
 		if m == nil || m.gone {
 			continue
 		}
-		item := entry{instance: e.Instance, workspace: d.Workspace, waiting: max(d.Waiting, 0), running: d.Running}
+		item := entry{instance: instance, workspace: d.Workspace, waiting: max(d.Waiting, 0), running: d.Running}
 		if item.waiting > 0 {
-			item.deadline = p.now.Add(d.Deadline)
-			item.latest = p.now.Add(max(d.Latest, d.Deadline))
+			item.deadline = rep.at.Add(d.Deadline)
+			item.latest = rep.at.Add(max(d.Latest, d.Deadline))
 		}
 		m.entries = append(m.entries, item)
 		if !slices.Contains(rep.models, m) {
 			rep.models = append(rep.models, m)
 		}
 		p.arrivals(m, d.Arrivals)
+		d.Arrivals = 0
 	}
 	for _, m := range rep.models {
 		p.refresh(m)
@@ -32,6 +40,16 @@
 	p.touch()
 }
 
+// reapplyReports enters all reports again after a change of the catalogue: an
+// instance that had the new catalogue first may have asked for a model that
+// was not known here.
+func (p *Planner) reapplyReports() {
+	for _, instance := range slices.Sorted(maps.Keys(p.reports)) {
+		p.dropReport(instance)
+		p.applyReport(instance, p.reports[instance])
+	}
+}
+
 // arrivals records requests for a model and, for an adapter, for its base.
 func (p *Planner) arrivals(m *model, count int) {
 	if count <= 0 {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -203,6 +203,7 @@
 	for _, pl := range p.order {
 		pl.prune()
 	}
+	p.reapplyReports()
 	p.lastTick = time.Time{} // housekeeping now
 }
 
--- a/placement/state.go
+++ b/placement/state.go
@@ -209,6 +209,7 @@
 
 // report is the last report of one instance.
 type report struct {
-	at     time.Time
-	models []*model
+	at      time.Time
+	models  []*model
+	demands []Demand // arrivals are zeroed once they are counted
 }
