--- a/placement/order.go
+++ b/placement/order.go
@@ -189,7 +189,7 @@
 		if entry != nil && entry.Ready {
 			p.confirm(r)
 		} else if entry != nil {
-			p.recheck(r, entry, sent)
+			r.recheck(entry, sent)
 		}
 	case uncertain:
 		p.observeUncertain(r, entry, sent)
@@ -208,15 +208,12 @@
 	}
 }
 
-// recheck counts a load under way against the weight store, and expects it
-// later, if its checkpoint was not cached after all.
-func (p *Planner) recheck(r *replica, entry *IndexEntry, sent time.Time) {
-	if entry.Tier != Remote || r.row.Base != "" || r.store || !sent.After(r.loadSent) {
-		return
+// recheck counts a load under way against the weight store if its checkpoint
+// was not cached after all.
+func (r *replica) recheck(entry *IndexEntry, sent time.Time) {
+	if entry.Tier == Remote && r.row.Base == "" && sent.After(r.loadSent) {
+		r.tier, r.store = Remote, true
 	}
-	r.tier, r.store = Remote, true
-	r.expected = later(r.expected, r.loadStart.Add(p.estimate(r.model, Remote)))
-	p.touch()
 }
 
 func (p *Planner) observeUncertain(r *replica, entry *IndexEntry, sent time.Time) {
@@ -225,7 +222,7 @@
 	case entry != nil && entry.Ready:
 		p.confirm(r)
 	case entry != nil:
-		p.recheck(r, entry, sent)
+		r.recheck(entry, sent)
 		r.absent = false
 		r.slotUntil = p.now.Add(minPatience)
 		r.expected = later(r.expected, p.now.Add(orderBackoff))
