Wait for a reachable share holder instead of refusing while slots pass on

Cause: when the last known holder of a workspace's slots shut down, an instance without slots refused at once as rate_limited until its next reading of the rows, up to 2.2 s later (entry-2 released at 31:23.334, entry-4 gained at 31:25.526).

--- a/controller/quotasync/quotasync.go
+++ b/controller/quotasync/quotasync.go
@@ -42,6 +42,8 @@
 	Table     platform.Table
 	Transport Transport
 	Session   Session
+	// Reachable reports whether messages reach an instance now. Default: always.
+	Reachable func(instance string) bool
 	// ListLag is the stated lag of the platform's instance list. Default 10s.
 	ListLag time.Duration
 	// Wait bounds how long a request waits for grants. Default 250ms.
--- a/controller/quotasync/ready.go
+++ b/controller/quotasync/ready.go
@@ -24,13 +24,15 @@
 	return s.spending
 }
 
-// AwaitSlots waits until any instance holds a slot of the workspace. An edit
-// can bring a workspace into force before its slots have been taken; without
-// the wait its first requests would be refused as over their rate.
+// AwaitSlots waits until this instance or one that it can reach holds a slot
+// of the workspace. An edit can bring a workspace into force before its slots
+// have been taken, and slots pass on when a holder leaves; without the wait,
+// requests within the rate would be refused meanwhile.
 func (s *Sync) AwaitSlots(ctx context.Context, workspace string) error {
 	if s.held(workspace) {
 		return nil
 	}
+	s.wake()
 	ctx, cancel := context.WithTimeout(ctx, slotWait)
 	defer cancel()
 	ticker := time.NewTicker(slotPoll)
@@ -38,7 +40,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return verdict.New(verdict.NotReady, "the shares of workspace %q have not been taken yet", workspace).After(minRefreshGap)
+			return verdict.New(verdict.NotReady, "no holder of a share of workspace %q is within reach yet", workspace).After(minRefreshGap)
 		case <-ticker.C:
 			if s.held(workspace) {
 				return nil
@@ -47,14 +49,22 @@
 	}
 }
 
-// held reports whether a row or the ledger shows a slot of the workspace as held.
+// held reports whether a slot of the workspace is held here or, by the rows as
+// last read, at an instance within reach.
 func (s *Sync) held(workspace string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for index := range quota.Slots {
-		if s.rows[slotKey{workspace, index}].Holder != "" || s.ledger.Holds(workspace, index) {
+		if s.ledger.Holds(workspace, index) {
+			return true
+		}
+		if holder := s.rows[slotKey{workspace, index}].Holder; holder != "" && s.reachable(holder) {
 			return true
 		}
 	}
 	return false
 }
+
+func (s *Sync) reachable(instance string) bool {
+	return s.config.Reachable == nil || s.config.Reachable(instance)
+}
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -109,6 +109,13 @@
 	return ids
 }
 
+// Linked reports whether a link to the instance is up.
+func (h *Hub) Linked(instance string) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.links[instance] != nil
+}
+
 // Call sends a request to an instance and decodes its reply into answer,
 // which may be nil.
 func (h *Hub) Call(ctx context.Context, instance string, kind Kind, request, answer any) error {
--- a/quota.go
+++ b/quota.go
@@ -24,7 +24,7 @@
 func newQuotaControl(i *Instance) *quotaControl {
 	config := quotasync.DefaultConfig()
 	config.Table, config.Session, config.ListLag = i.table, i.session, i.settings.ListLag.Std()
-	config.Transport, config.Log = quotaTransport{i.hub}, i.log
+	config.Transport, config.Reachable, config.Log = quotaTransport{i.hub}, i.hub.Linked, i.log
 	q := &quotaControl{instance: i, sync: quotasync.New(config)}
 	i.hub.Handle(peer.KindGrant, handleQuota[quota.GrantBatch](q))
 	i.hub.Handle(peer.KindSlotReleased, handleQuota[quota.SlotReleased](q))
