Refuse oversized headers in the common form

Cause: net/http answered 431 as plain text without code or verdict. The chain now measures the headers; net/http's own bound is four times higher. Also merges the reading of a table in the command line's get, diff and list.

--- a/command/tables.go
+++ b/command/tables.go
@@ -42,6 +42,15 @@
 	return &admin.Client{Base: strings.TrimSuffix(c.Admin, "/"), Token: token}, nil
 }
 
+// get reads a table and its version.
+func (c *connection) get(table string) (document []byte, version uint64, err error) {
+	client, err := c.client()
+	if err != nil {
+		return nil, 0, err
+	}
+	return client.Get(context.Background(), table)
+}
+
 type tableCommands struct {
 	Get  getCommand  `command:"get" description:"Print the table; its version goes to standard error"`
 	Put  putCommand  `command:"put" description:"Replace the table with a file"`
@@ -63,11 +72,7 @@
 	if err := noArguments(args); err != nil {
 		return err
 	}
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	document, version, err := client.Get(context.Background(), c.table)
+	document, version, err := c.get(c.table)
 	if err != nil {
 		return err
 	}
@@ -139,11 +144,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	document, version, err := client.Get(context.Background(), c.table)
+	document, version, err := c.get(c.table)
 	if err != nil {
 		return err
 	}
@@ -246,11 +247,7 @@
 	if err := noArguments(args); err != nil {
 		return err
 	}
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	document, _, err := client.Get(context.Background(), c.table)
+	document, _, err := c.get(c.table)
 	if err != nil {
 		return err
 	}
--- a/e2e/catalogue_test.go
+++ b/e2e/catalogue_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/hibiscusyard/hibiscusyard/catalog"
@@ -54,7 +55,11 @@
 		"key of another workspace":   {chat("small", salesKey, 1, true), http.StatusForbidden, "forbidden"},
 		"unknown route":              {call{method: "GET", path: "/nowhere/x", key: lawKey}, http.StatusNotFound, "unknown_route"},
 		"unknown model":              {chat("absent", lawKey, 1, true), http.StatusNotFound, "unknown_model"},
-		"malformed JSON":             {call{method: "POST", path: "/v1/chat/completions", key: lawKey, body: "{"}, http.StatusBadRequest, "bad_request"},
+		"headers too large": {call{method: "POST", path: "/signup/new", key: salesKey,
+			header: map[string]string{"X-Padding": strings.Repeat("x", 20<<10)}}, http.StatusRequestHeaderFieldsTooLarge, "headers_too_large"},
+		"body too large": {call{method: "POST", path: "/signup/new", key: salesKey, body: strings.Repeat("x", 2<<20)},
+			http.StatusRequestEntityTooLarge, "body_too_large"},
+		"malformed JSON": {call{method: "POST", path: "/v1/chat/completions", key: lawKey, body: "{"}, http.StatusBadRequest, "bad_request"},
 	}
 	for name, c := range cases {
 		for _, i := range []*processtest.Instance{s.one, s.two} {
--- a/filter/handler.go
+++ b/filter/handler.go
@@ -27,6 +27,8 @@
 	Metrics *metrics.Set
 	// WriteTimeout bounds one write to a caller. Default 30s.
 	WriteTimeout time.Duration
+	// MaxHeader bounds the headers of a request in bytes. 0 means no bound.
+	MaxHeader int
 }
 
 // refusalBody is the one JSON form of all refusals.
@@ -64,9 +66,24 @@
 			err = r.Attempt.Refuse(verdict.InternalError, "internal error")
 		}
 	}()
+	if n := headerSize(r.HTTP); h.MaxHeader > 0 && n > h.MaxHeader {
+		return verdict.New(verdict.HeadersTooLarge, "the headers exceed %d bytes", h.MaxHeader)
+	}
 	return h.Chain(ctx, r)
 }
 
+// headerSize returns the size of a request's line and headers in bytes, as
+// they are written.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
 // finish answers with the refusal, if there is one, and counts the request. An
 // answer that has begun and can't be completed breaks off with the connection,
 // so that it never looks whole.
--- a/instance.go
+++ b/instance.go
@@ -221,9 +221,15 @@
 	return reasons
 }
 
+// headerSlack is how far above the bound headers are still read, in order to
+// refuse them in the common form.
+const headerSlack = 4
+
 func (i *Instance) serveOn(l net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
-		Handler: handler, MaxHeaderBytes: i.settings.MaxHeaderBytes,
+		// The filter chain refuses headers over the setting with a verdict; far
+		// above it, net/http stops reading.
+		Handler: handler, MaxHeaderBytes: headerSlack * i.settings.MaxHeaderBytes,
 		ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
 	}
 	go func() {
@@ -254,7 +260,7 @@
 		filter.Claims{Store: i.claims},
 		i.route,
 	)
-	handler := &filter.Handler{Chain: chain, Log: i.log, Metrics: i.metrics}
+	handler := &filter.Handler{Chain: chain, Log: i.log, Metrics: i.metrics, MaxHeader: i.settings.MaxHeaderBytes}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", admin.ReadyHandler(i.notReady))
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -35,6 +35,7 @@
 const (
 	BadRequest            Reason = "bad_request"
 	BodyTooLarge          Reason = "body_too_large"
+	HeadersTooLarge       Reason = "headers_too_large"
 	MissingKey            Reason = "missing_key"
 	InvalidKey            Reason = "invalid_key"
 	KeyWithdrawn          Reason = "key_withdrawn"
@@ -69,6 +70,7 @@
 var statuses = map[Reason]int{
 	BadRequest:            http.StatusBadRequest,
 	BodyTooLarge:          http.StatusRequestEntityTooLarge,
+	HeadersTooLarge:       http.StatusRequestHeaderFieldsTooLarge,
 	MissingKey:            http.StatusUnauthorized,
 	InvalidKey:            http.StatusUnauthorized,
 	KeyWithdrawn:          http.StatusUnauthorized,
