--- a/admin/api.go
+++ b/admin/api.go
@@ -29,6 +29,9 @@
 type Tables interface {
 	// Stored returns the tables as operators wrote them, nil before the first version.
 	Stored() *catalog.Index
+	// Refresh reads the table, so that Stored returns the latest version if
+	// the table answers.
+	Refresh(ctx context.Context)
 	Edit(ctx context.Context, base uint64, change func(*catalog.Catalog)) (catalogsync.Result, error)
 }
 
@@ -131,7 +134,8 @@
 }
 
 func (s *Server) getTable(table string) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.Tables.Refresh(r.Context())
 		index := s.Tables.Stored()
 		w.Header().Set("ETag", etag(index.Version()))
 		writeJSON(w, http.StatusOK, document(table, index))
--- a/controller/catalogsync/edit.go
+++ b/controller/catalogsync/edit.go
@@ -74,6 +74,15 @@
 	return c.confirm(ctx, Push{Version: next.Version, Digest: next.Digest, Body: body}), nil
 }
 
+// Refresh reads the table now. Without it, an edit that another instance has
+// just accepted might not be seen here yet, and an operator's next edit would
+// be refused as based on an old version.
+func (c *Controller) Refresh(ctx context.Context) {
+	if err := c.readTable(ctx); err != nil {
+		c.log.WithError(err).Debug("catalogue row not read")
+	}
+}
+
 // Stored returns the index of the tables as operators wrote them, nil before
 // the first version.
 func (c *Controller) Stored() *catalog.Index {
