Name placement terms as the field does

reign, heat, cool and hot become term and demanded; Elected and Deposed become LeaseAcquired and LeaseLost.

--- a/capacity/synthetic.go
+++ b/capacity/synthetic.go
@@ -86,7 +86,7 @@
 	now, index := epoch, syntheticIndex(upstreams, pools)
 	p := placement.New(placement.Config{})
 	p.Handle(now, placement.CatalogChanged{Index: index})
-	p.Handle(now, placement.Elected{Token: 1})
+	p.Handle(now, placement.LeaseAcquired{Token: 1})
 	var rows []placement.StoredRow
 	held := map[string][]placement.IndexEntry{}
 	for _, pool := range index.Catalog.Pools {
--- a/controller/placer/placer.go
+++ b/controller/placer/placer.go
@@ -73,7 +73,7 @@
 	workers sync.WaitGroup
 
 	// Only used by the loop.
-	reign    uint64 // fencing token that the planner works under, 0 if none
+	term     uint64 // fencing token that the planner works under, 0 if none
 	epoch    int    // of the last ListRows
 	polls    map[placement.Target]*poll
 	polling  int
@@ -166,7 +166,7 @@
 	for ctx.Err() == nil {
 		p.turn(ctx)
 		wait := min(time.Until(p.planner.Due()), pollCheck)
-		if p.reign == 0 {
+		if p.term == 0 {
 			wait = standbyCheck // the lease and events wake the loop
 		}
 		select {
@@ -204,26 +204,26 @@
 		}
 	}
 	p.handle(ctx, placement.Tick{})
-	if p.reign != 0 {
+	if p.term != 0 {
 		p.pollAll(ctx)
 	}
 }
 
-// followLease tells the planner when a reign begins or ends.
+// followLease tells the planner when a term begins or ends.
 func (p *Placer) followLease(ctx context.Context) {
 	token := p.runner.Token()
-	if token == p.reign {
+	if token == p.term {
 		return
 	}
-	if p.reign != 0 {
-		p.cfg.Log.WithField("fencing_token", p.reign).Info("placer lease lost")
+	if p.term != 0 {
+		p.cfg.Log.WithField("fencing_token", p.term).Info("placer lease lost")
 		p.epoch++
-		p.handle(ctx, placement.Deposed{})
+		p.handle(ctx, placement.LeaseLost{})
 	}
-	p.reign = token
+	p.term = token
 	if token != 0 {
 		p.cfg.Log.WithField("fencing_token", token).Info("placer lease acquired")
-		p.handle(ctx, placement.Elected{Token: token})
+		p.handle(ctx, placement.LeaseAcquired{Token: token})
 	}
 }
 
@@ -235,7 +235,7 @@
 			epoch := p.epoch
 			p.workers.Go(func() { p.listRows(ctx, epoch) })
 		case placement.WriteRow:
-			token := p.reign
+			token := p.term
 			p.workers.Go(func() { p.writeRow(ctx, token, a) })
 		case placement.SendLoad:
 			sendBy := time.Now().Add(sendWithin)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -118,7 +118,7 @@
 	return l.token
 }
 
-// Check returns the write that ties a transaction to this holder's reign.
+// Check returns the write that ties a transaction to this holder's term.
 // The transaction fails once another holder has taken over.
 func (l *Lease) Check() platform.Write {
 	_, key := Keys(l.cfg.Name)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -107,7 +107,7 @@
 }
 
 // Guards against two holders at the same time, against a holder whose
-// transactions outlive its reign, and against a fencing token that does not
+// transactions outlive its term, and against a fencing token that does not
 // grow, with drifting clocks, freezes, late and lost answers, and repeated writes.
 func TestOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/placement/answer_test.go
+++ b/placement/answer_test.go
@@ -45,7 +45,7 @@
 
 // loading brings the planner to an open load order.
 func (d *driver) loading(t *testing.T) placement.SendLoad {
-	d.feed(placement.Elected{Token: 1})
+	d.feed(placement.LeaseAcquired{Token: 1})
 	d.feed(placement.RowsRead{})
 	d.index("one", d.now)
 	d.feed(placement.DemandReported{Instance: "i", Demands: []placement.Demand{waiting("m0", "large", 1, time.Minute)}})
@@ -94,7 +94,7 @@
 	d = drive()
 	d.feed(placement.PreviousView{View: placement.View{Token: 1, Seq: 9, Upstreams: []placement.UpstreamView{
 		{Pool: "p", Upstream: "u0", Incarnation: "two", RampLeft: 20 * time.Second}}}})
-	d.feed(placement.Elected{Token: 2})
+	d.feed(placement.LeaseAcquired{Token: 2})
 	d.feed(placement.RowsRead{Rows: []placement.StoredRow{{Pool: "p", ID: "1-1", Revision: 2, Row: placement.Row{Model: "m0",
 		Upstream: "u0", Address: "127.0.0.1:1000", Incarnation: "one", State: placement.RowLoaded, Token: 1, MemoryMB: 1000}}}})
 	if d.offered() != 0 {
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -28,7 +28,7 @@
 	planner, now := placement.New(placement.Config{Unload: placement.UnloadFixed, IdleTimeout: 1 << 62}), time.Unix(0, 0)
 	feed := func(ev placement.Event) { planner.Handle(now, ev) }
 	feed(placement.CatalogChanged{Index: catalog.NewIndex(c, "")})
-	feed(placement.Elected{Token: 1})
+	feed(placement.LeaseAcquired{Token: 1})
 	var rows []placement.StoredRow
 	for i, u := range p.Upstreams {
 		rows = append(rows, placement.StoredRow{Pool: "p", ID: fmt.Sprint(i), Revision: 2, Row: placement.Row{
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -97,7 +97,7 @@
 	return nil
 }
 
-// refresh recomputes the sums of a model and puts it on the hot list.
+// refresh recomputes the sums of a model and puts it on the list of demanded models.
 func (p *Planner) refresh(m *model) {
 	m.waiting, m.running = 0, 0
 	for _, e := range m.entries {
@@ -114,7 +114,7 @@
 	if m.waiting == 0 {
 		return
 	}
-	p.heat(m)
+	p.addDemanded(m)
 	m.asked = m.workspace()
 	if first := m.earliestFeasible(p.now.Add(p.bestEstimate(m))); m.urgent.IsZero() || first.Before(m.urgent) {
 		m.urgent = first
@@ -139,13 +139,13 @@
 	return first
 }
 
-func (p *Planner) heat(m *model) {
-	if m.hot || m.service {
+func (p *Planner) addDemanded(m *model) {
+	if m.demanded || m.service {
 		return
 	}
-	m.hot = true
+	m.demanded = true
 	m.since, m.urgent = p.now, time.Time{}
-	p.hot = append(p.hot, m)
+	p.demanded = append(p.demanded, m)
 }
 
 // wanted reports whether a model needs at least one replica now.
--- a/placement/demand_test.go
+++ b/placement/demand_test.go
@@ -25,7 +25,7 @@
 		return p.Handle(now, ev)
 	}
 	feed(index("old"))
-	feed(Elected{Token: 1})
+	feed(LeaseAcquired{Token: 1})
 	feed(RowsRead{})
 	feed(IndexRead{Pool: "p", Upstream: "u", Sent: now, Incarnation: "one"})
 	demand := func(model string) Demand {
--- a/placement/event.go
+++ b/placement/event.go
@@ -9,12 +9,12 @@
 // Event is an input of the planner.
 type Event interface{ event() }
 
-// Elected tells that this process holds the lease with a fencing token that
+// LeaseAcquired tells that this process holds the lease with a fencing token that
 // it did not hold before. The planner answers with ListRows.
-type Elected struct{ Token uint64 }
+type LeaseAcquired struct{ Token uint64 }
 
-// Deposed tells that the lease is not held any more.
-type Deposed struct{}
+// LeaseLost tells that the lease is not held any more.
+type LeaseLost struct{}
 
 // RowsRead is the answer to ListRows; all rows of kind "replica".
 type RowsRead struct{ Rows []StoredRow }
@@ -131,8 +131,8 @@
 // Tick lets time pass.
 type Tick struct{}
 
-func (Elected) event()         {}
-func (Deposed) event()         {}
+func (LeaseAcquired) event()   {}
+func (LeaseLost) event()       {}
 func (RowsRead) event()        {}
 func (CatalogChanged) event()  {}
 func (DemandReported) event()  {}
--- a/placement/housekeep.go
+++ b/placement/housekeep.go
@@ -131,7 +131,7 @@
 		if m.target <= n {
 			m.target = n + 1
 			m.interest = later(m.interest, p.now.Add(p.cfg.ScaleUpAfter))
-			p.heat(m)
+			p.addDemanded(m)
 		}
 	case n > 1 && held(m.calmSince, p.now, p.cfg.ScaleDownAfter):
 		m.calmSince = p.now
--- a/placement/order.go
+++ b/placement/order.go
@@ -257,7 +257,7 @@
 func (p *Planner) replace(m *model) {
 	if p.now.Sub(m.lastUse) < p.cfg.ReplaceWindow {
 		m.interest = p.now.Add(p.cfg.ReplaceWindow)
-		p.heat(m)
+		p.addDemanded(m)
 	}
 }
 
@@ -300,7 +300,7 @@
 	return slices.ContainsFunc(p.order, func(pl *pool) bool { return p.replicas[Key(pl.name, id)] != nil })
 }
 
-// rowsRead starts a reign: every row counts until its engine says otherwise.
+// rowsRead starts a term: every row counts until its engine says otherwise.
 // Orders of the earlier holder may have been sent until this holder was
 // elected, and live on from there.
 func (p *Planner) rowsRead(e RowsRead) {
--- a/placement/placementtest/controller.go
+++ b/placement/placementtest/controller.go
@@ -25,7 +25,7 @@
 	Dead    bool
 	frozen  time.Time
 	stalled []func()
-	reign   uint64
+	term    uint64
 	epoch   int
 	due     time.Time // of the pending tick
 }
@@ -51,7 +51,7 @@
 // Report sends an instance's demand to every controller that leads.
 func (w *World) Report(instance string, demands []placement.Demand) {
 	for _, c := range w.Controllers {
-		if c.reign != 0 {
+		if c.term != 0 {
 			w.on(c, w.NetDelay, func() {
 				w.handle(c, placement.DemandReported{Instance: instance, Demands: demands})
 			})
@@ -180,26 +180,26 @@
 	return row, err
 }
 
-// followLease tells the planner when a reign begins or ends.
+// followLease tells the planner when a term begins or ends.
 func (w *World) followLease(c *Controller) {
 	token := uint64(0)
 	if c.Lease.Held(w.Now) {
 		token = c.Lease.Token()
 	}
-	if token == c.reign {
+	if token == c.term {
 		return
 	}
-	if c.reign != 0 {
+	if c.term != 0 {
 		c.epoch++
-		w.handle(c, placement.Deposed{})
+		w.handle(c, placement.LeaseLost{})
 	}
-	c.reign = token
+	c.term = token
 	if token != 0 {
-		w.handle(c, placement.Elected{Token: token})
+		w.handle(c, placement.LeaseAcquired{Token: token})
 	}
 }
 
-// pollLoop reads an engine's index again and again during one reign.
+// pollLoop reads an engine's index again and again during one term.
 func (w *World) pollLoop(c *Controller, e *Engine, epoch int) {
 	if c.epoch != epoch {
 		return
@@ -230,7 +230,7 @@
 
 // plan sees to it that a tick comes when the planner wants one.
 func (w *World) plan(c *Controller) {
-	if c.reign == 0 {
+	if c.term == 0 {
 		return
 	}
 	due := c.Planner.Due()
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -18,7 +18,7 @@
 	pools    map[string]*pool
 	order    []*pool // sorted by name
 	reports  map[string]*report
-	hot      []*model
+	demanded []*model
 	replicas map[string]*replica // by row key
 	transit  []*replica          // all that are not simply ready
 
@@ -65,9 +65,9 @@
 
 func (p *Planner) apply(ev Event) {
 	switch e := ev.(type) {
-	case Elected:
+	case LeaseAcquired:
 		p.elected(e)
-	case Deposed:
+	case LeaseLost:
 		p.reset()
 		p.leading, p.recovered = false, false
 	case RowsRead:
@@ -159,12 +159,12 @@
 // Leading reports whether the planner has been elected and has read the rows.
 func (p *Planner) Leading() bool { return p.leading && p.recovered }
 
-// Token returns the fencing token of the current reign.
+// Token returns the fencing token of the current term.
 func (p *Planner) Token() uint64 { return p.token }
 
 func (p *Planner) emit(a Action) { p.actions = append(p.actions, a) }
 
-func (p *Planner) elected(e Elected) {
+func (p *Planner) elected(e LeaseAcquired) {
 	p.reset()
 	p.token, p.leading, p.recovered, p.resync = e.Token, true, false, false
 	p.electedAt = p.now
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -19,11 +19,11 @@
 // schedule orders loads for the models that are wanted and have no replica
 // that is ready or on its way.
 func (p *Planner) schedule() {
-	p.cool()
+	p.dropDemanded()
 	clear(p.full)
 	var jobs []job
 	var adapters []*model
-	for _, m := range p.hot {
+	for _, m := range p.demanded {
 		m.expected, m.infeas = time.Time{}, false
 		if m.base != nil {
 			adapters = append(adapters, m)
@@ -33,7 +33,7 @@
 	}
 	for _, m := range adapters {
 		// An adapter without a base waits for a load of the base.
-		if !m.base.hot {
+		if !m.base.demanded {
 			m.base.expected, m.base.infeas = time.Time{}, false
 			jobs = p.addJobs(jobs, m.base)
 		}
@@ -42,13 +42,13 @@
 	p.placeAdapters(adapters)
 }
 
-// cool takes models off the hot list that are no longer wanted.
-func (p *Planner) cool() {
-	p.hot = slices.DeleteFunc(p.hot, func(m *model) bool {
+// dropDemanded takes models off the list of demanded models that are no longer wanted.
+func (p *Planner) dropDemanded() {
+	p.demanded = slices.DeleteFunc(p.demanded, func(m *model) bool {
 		if !m.gone && (m.waiting > 0 || p.now.Before(m.interest)) {
 			return false
 		}
-		m.hot, m.expected, m.infeas = false, time.Time{}, false
+		m.demanded, m.expected, m.infeas = false, time.Time{}, false
 		p.touch()
 		return true
 	})
@@ -388,7 +388,7 @@
 	}
 }
 
-// settling reports whether the first index reads of this reign may be under
+// settling reports whether the first index reads of this term may be under
 // way: until then nothing is said about when a model can be placed.
 func (p *Planner) settling() bool { return p.now.Sub(p.electedAt) < settleTime }
 
--- a/placement/state.go
+++ b/placement/state.go
@@ -92,7 +92,7 @@
 
 	entries          []entry
 	waiting, running int
-	hot              bool      // is on the planner's list of hot models
+	demanded         bool      // is on the planner's list of demanded models
 	interest         time.Time // wanted until then although nothing waits
 	since            time.Time // start of the current demand
 	urgent           time.Time // earliest deadline since then
--- a/placement/view.go
+++ b/placement/view.go
@@ -58,7 +58,7 @@
 
 func (p *Planner) modelView(m *model) (ModelView, bool) {
 	mv := ModelView{Pool: m.pool.name, Model: m.cfg.Name}
-	if m.gone || m.service || len(m.replicas) == 0 && !m.hot {
+	if m.gone || m.service || len(m.replicas) == 0 && !m.demanded {
 		return mv, false
 	}
 	for _, r := range m.replicas {
@@ -78,7 +78,7 @@
 			mv.RetryAfter = mv.Expected + returnMargin
 		}
 	}
-	return mv, len(mv.Ready)+len(mv.Loading) > 0 || m.hot
+	return mv, len(mv.Ready)+len(mv.Loading) > 0 || m.demanded
 }
 
 // limit is the number of requests that an upstream may have in flight over
