Share the handling of command lines between the programs

The exit codes and the treatment of help and wrong usage stood in four programs; they are now in package cli. Exit codes are as before: 0, 1, 2.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/hibiscusyard/hibiscusyard/catalog"
+
+	"github.com/hibiscusyard/hibiscusyard/cli"
 )
 
 // Guards against slopes of something else than the system at work: a catalogue
@@ -41,8 +43,8 @@
 // Guards against a command that fails or leaves out a cost.
 func TestPrint(t *testing.T) {
 	var out, errs bytes.Buffer
-	if code := Run([]string{"--part", "nothing"}, &out, &errs); code != exitUsage {
-		t.Errorf("exit code %d for an unknown part, want %d", code, exitUsage)
+	if code := Run([]string{"--part", "nothing"}, &out, &errs); code != cli.Usage {
+		t.Errorf("exit code %d for an unknown part, want %d", code, cli.Usage)
 	}
 	Print(&out, []Series{{Name: "bytes", Per: "byte", Sizes: []int{1, 2, 3}, Target: 100, Encoded: func(n int) int { return n }}})
 	if want := "| bytes | length, B | byte | 1: 1 2: 2 3: 3 |"; !strings.Contains(out.String(), want) || !strings.Contains(out.String(), "100: 100") {
--- a/capacity/command.go
+++ b/capacity/command.go
@@ -1,18 +1,13 @@
 package capacity
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"runtime"
 
 	"github.com/jessevdk/go-flags"
-)
 
-// Exit codes.
-const (
-	exitDone  = 0
-	exitUsage = 2
+	"github.com/hibiscusyard/hibiscusyard/cli"
 )
 
 type options struct {
@@ -30,17 +25,11 @@
 func Run(args []string, stdout, stderr io.Writer) int {
 	var o options
 	rest, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
-	if err == nil && len(rest) > 0 {
-		err = fmt.Errorf("unexpected argument %q", rest[0])
+	if err == nil {
+		err = cli.NoArguments(rest)
 	}
 	if err != nil {
-		var usage *flags.Error
-		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-			fmt.Fprintln(stdout, err)
-			return exitDone
-		}
-		fmt.Fprintln(stderr, err)
-		return exitUsage
+		return cli.Exit(err, stdout, stderr)
 	}
 	if len(o.Part) == 0 {
 		o.Part = []string{"decisions", "messages", "plumbing"}
@@ -52,5 +41,5 @@
 		Print(stdout, series())
 		fmt.Fprintln(stdout)
 	}
-	return exitDone
+	return cli.Done
 }
--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,47 @@
+// Package cli holds what the programs' command lines have in common.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of all programs.
+const (
+	Done   = 0
+	Failed = 1
+	Usage  = 2
+)
+
+// ErrUsage marks a wrong call that go-flags does not find by itself.
+var ErrUsage = errors.New("wrong usage")
+
+// NoArguments refuses arguments that are not options.
+func NoArguments(args []string) error {
+	if len(args) > 0 {
+		return fmt.Errorf("%w: unexpected argument %q", ErrUsage, args[0])
+	}
+	return nil
+}
+
+// Exit reports the result of a command line and returns the exit code. Help
+// goes to stdout, errors go to stderr.
+func Exit(err error, stdout, stderr io.Writer) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return Done
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, usage.Message)
+		return Done
+	case errors.As(err, &usage), errors.Is(err, ErrUsage):
+		fmt.Fprintln(stderr, err)
+		return Usage
+	default:
+		fmt.Fprintln(stderr, err)
+		return Failed
+	}
+}
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -2,11 +2,11 @@
 package main
 
 import (
-	"errors"
 	"os"
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/hibiscusyard/hibiscusyard/cli"
 	"github.com/hibiscusyard/hibiscusyard/experiment"
 )
 
@@ -20,20 +20,12 @@
 }
 
 func main() {
-	parser := flags.NewNamedParser("experiment", flags.Default)
+	parser := flags.NewNamedParser("experiment", flags.HelpFlag|flags.PassDoubleDash)
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.command); err != nil {
 			panic(err)
 		}
 	}
-	if _, err := parser.Parse(); err != nil {
-		var usage *flags.Error
-		switch {
-		case flags.WroteHelp(err):
-			return
-		case errors.As(err, &usage):
-			os.Exit(2)
-		}
-		os.Exit(1)
-	}
+	_, err := parser.Parse()
+	os.Exit(cli.Exit(err, os.Stdout, os.Stderr))
 }
--- a/cmd/matrix/main.go
+++ b/cmd/matrix/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/hibiscusyard/hibiscusyard/cli"
 	"github.com/hibiscusyard/hibiscusyard/faultmatrix"
 )
 
@@ -16,11 +17,9 @@
 		Page     bool `long:"page" description:"print the page docs/fault-matrix.md"`
 		Commands bool `long:"commands" description:"print the commands that run the named tests"`
 	}
-	if _, err := flags.Parse(&options); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
+	parser := flags.NewParser(&options, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.Parse(); err != nil {
+		os.Exit(cli.Exit(err, os.Stdout, os.Stderr))
 	}
 	switch {
 	case options.Page:
--- a/command/command.go
+++ b/command/command.go
@@ -18,19 +18,10 @@
 	"github.com/hibiscusyard/hibiscusyard"
 	"github.com/hibiscusyard/hibiscusyard/admin"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/cli"
 	"github.com/hibiscusyard/hibiscusyard/settings"
 )
 
-// Exit codes.
-const (
-	ExitDone   = 0
-	ExitFailed = 1
-	ExitUsage  = 2
-)
-
-// errUsage marks a wrong call that go-flags does not find by itself.
-var errUsage = errors.New("wrong usage")
-
 type streams struct{ out, err io.Writer }
 
 type options struct {
@@ -52,47 +43,31 @@
 	parser := flags.NewNamedParser("hibiscusyard", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", opts); err != nil {
 		fmt.Fprintln(stderr, err)
-		return ExitFailed
+		return cli.Failed
 	}
 	_, err := parser.ParseArgs(args)
 	return exitCode(err, io)
 }
 
+// exitCode reports the result and points to the help after a wrong call.
 func exitCode(err error, io streams) int {
-	var usage *flags.Error
-	switch {
-	case err == nil:
-		return ExitDone
-	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
-		fmt.Fprintln(io.out, usage.Message)
-		return ExitDone
-	case errors.As(err, &usage), errors.Is(err, errUsage):
-		fmt.Fprintln(io.err, err)
+	code := cli.Exit(err, io.out, io.err)
+	if code == cli.Usage {
 		fmt.Fprintln(io.err, "run \"hibiscusyard --help\" for usage")
-		return ExitUsage
-	default:
-		fmt.Fprintln(io.err, err)
-		return ExitFailed
 	}
+	return code
 }
 
 type versionCommand struct{ streams }
 
 func (c *versionCommand) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
+	if err := cli.NoArguments(args); err != nil {
 		return err
 	}
 	fmt.Fprintln(c.out, "hibiscusyard", hibiscusyard.Version)
 	return nil
 }
 
-func noArguments(args []string) error {
-	if len(args) > 0 {
-		return fmt.Errorf("%w: unexpected argument %q", errUsage, args[0])
-	}
-	return nil
-}
-
 type serveCommand struct {
 	streams
 	Settings string `short:"s" long:"settings" value-name:"FILE" required:"yes" description:"JSON settings of the instance"`
@@ -101,7 +76,7 @@
 // Execute runs an instance. The first signal starts a graceful shutdown, the
 // second ends it at once.
 func (c *serveCommand) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
+	if err := cli.NoArguments(args); err != nil {
 		return err
 	}
 	s, err := settings.LoadFile(c.Settings)
@@ -139,14 +114,14 @@
 
 // Execute reports every error of every given file.
 func (c *validateCommand) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
+	if err := cli.NoArguments(args); err != nil {
 		return err
 	}
 	if c.Settings == "" && c.Routes == "" && c.Pools == "" {
-		return fmt.Errorf("%w: give at least one of --settings, --routes and --pools", errUsage)
+		return fmt.Errorf("%w: give at least one of --settings, --routes and --pools", cli.ErrUsage)
 	}
 	if c.Routes != "" && c.Pools == "" {
-		return fmt.Errorf("%w: --routes needs --pools, because routes name pools", errUsage)
+		return fmt.Errorf("%w: --routes needs --pools, because routes name pools", cli.ErrUsage)
 	}
 	var failures []error
 	if c.Settings != "" {
--- a/command/tables.go
+++ b/command/tables.go
@@ -15,6 +15,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/cli"
 )
 
 // tokenVariable holds the administration token, so that it does not stand on
@@ -37,7 +38,7 @@
 		token = strings.TrimSpace(string(data))
 	}
 	if token == "" {
-		return nil, fmt.Errorf("%w: set %s or --token-file", errUsage, tokenVariable)
+		return nil, fmt.Errorf("%w: set %s or --token-file", cli.ErrUsage, tokenVariable)
 	}
 	return &admin.Client{Base: strings.TrimSuffix(c.Admin, "/"), Token: token}, nil
 }
@@ -69,7 +70,7 @@
 }
 
 func (c *getCommand) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
+	if err := cli.NoArguments(args); err != nil {
 		return err
 	}
 	document, version, err := c.get(c.table)
@@ -244,7 +245,7 @@
 }
 
 func (c *listCommand) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
+	if err := cli.NoArguments(args); err != nil {
 		return err
 	}
 	document, _, err := c.get(c.table)
@@ -265,7 +266,7 @@
 type statusCommand struct{ connection }
 
 func (c *statusCommand) Execute(args []string) error {
-	if err := noArguments(args); err != nil {
+	if err := cli.NoArguments(args); err != nil {
 		return err
 	}
 	client, err := c.client()
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -17,6 +17,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/cli"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/engine"
 	"github.com/hibiscusyard/hibiscusyard/standin/instances"
@@ -25,13 +26,6 @@
 	"github.com/hibiscusyard/hibiscusyard/standin/table"
 )
 
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // common are the flags of every subcommand.
 type common struct {
 	Listen string `long:"listen" default:"127.0.0.1:0" description:"IP address and port to listen on"`
@@ -163,34 +157,28 @@
 	parser := flags.NewNamedParser("standin", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &o); err != nil {
 		fmt.Fprintln(stderr, err)
-		return exitFailed
+		return cli.Failed
 	}
 	rest, err := parser.ParseArgs(args)
-	if err == nil && len(rest) > 0 {
-		err = fmt.Errorf("unexpected argument %q", rest[0])
+	if err == nil {
+		err = cli.NoArguments(rest)
 	}
 	if err != nil {
-		var usage *flags.Error
-		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-			fmt.Fprintln(stdout, err)
-			return exitDone
-		}
-		fmt.Fprintln(stderr, err)
-		return exitUsage
+		return cli.Exit(err, stdout, stderr)
 	}
 	cmd := o.subcommand(parser.Active.Name)
 	handler, err := prepare(cmd)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
-		return exitUsage
+		return cli.Usage
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	if err := serve(ctx, cmd.options().Listen, handler, stdout); err != nil {
 		fmt.Fprintln(stderr, err)
-		return exitFailed
+		return cli.Failed
 	}
-	return exitDone
+	return cli.Done
 }
 
 func prepare(cmd subcommand) (http.Handler, error) {
