Remove work done twice and code that stood twice

Found in a last read of the change: - an edit read the catalogue row twice in a row; readTable now returns it; - the check of a running request's key walked all routes for each request, though the index answers it by route name; - the list of connected names was built in four places; - peer and the root package had the same sleep; it is duration.Sleep now. The one in filter stays: it gives up at once if the deadline comes first; - Hub.Broadcast had no caller. Behaviour is as before; no test was changed. Tests of controller, peer, filter, catalog and the root package are green with the race detector. Not measured.

--- a/ages.go
+++ b/ages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/balance"
+	"github.com/hibiscusyard/hibiscusyard/duration"
 	"github.com/hibiscusyard/hibiscusyard/peer"
 )
 
@@ -19,7 +20,7 @@
 // instance that replaces another one would ramp up every service in use.
 func (i *Instance) learnAges(ctx context.Context) error {
 	asked := map[string]bool{}
-	for deadline := time.Now().Add(agesFor); time.Now().Before(deadline) && sleep(ctx, agesEvery); {
+	for deadline := time.Now().Add(agesFor); time.Now().Before(deadline) && duration.Sleep(ctx, agesEvery); {
 		index, _ := i.catalog.Current()
 		if index == nil {
 			continue // the pools are not known yet
--- a/catalog/index.go
+++ b/catalog/index.go
@@ -142,8 +142,9 @@
 	return name, ok
 }
 
-// Allows reports whether the key hash opens the route. A key opens the
-// routes whose entry of its workspace lists it.
+// Allows reports whether the key hash opens the route of that name, also if
+// the route is from another version. A key opens the routes whose entry of its
+// workspace lists it.
 func (x *Index) Allows(r *Route, hash string) bool { return x.keyRoutes[r.Name][hash] }
 
 // ModelsFor lists the models that a key hash opens, sorted.
--- a/controller/catalogsync/controller.go
+++ b/controller/catalogsync/controller.go
@@ -139,9 +139,9 @@
 			return
 		}
 	}
-	if err := c.readTable(ctx); err != nil {
+	if _, _, err := c.readTable(ctx); err != nil {
 		c.log.WithError(err).Debug("catalogue row not read")
-		c.askPeers(ctx)
+		c.ask(ctx, c.connected())
 	}
 }
 
@@ -149,28 +149,29 @@
 // the table once a poll, with room for one lost answer.
 const relayedAge = 2
 
-// readTable reads the row and adopts a newer version.
-func (c *Controller) readTable(ctx context.Context) error {
+// readTable reads the row, adopts a newer version, and returns what the row
+// says with its revision.
+func (c *Controller) readTable(ctx context.Context) (pointer, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	sent := time.Now()
-	head, _, err := c.store.head(ctx)
+	head, revision, err := c.store.head(ctx)
 	if err != nil {
-		return err
+		return pointer{}, 0, err
 	}
 	if head.Version > c.version() {
 		body, err := c.fetchBody(ctx, head)
 		if err != nil {
-			return err
+			return pointer{}, 0, err
 		}
 		if err := c.adopt(head.Version, head.Digest, body); err != nil {
-			return err
+			return pointer{}, 0, err
 		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tracker.TableRead(sent, head.Version)
-	return nil
+	return head, revision, nil
 }
 
 // fetchBody reads a body from the object store, or from a peer that holds it
@@ -180,9 +181,9 @@
 	if err == nil {
 		return body, nil
 	}
-	for _, id := range c.peers.Connected() {
+	for _, instance := range c.connected() {
 		var push Push
-		if c.peers.Call(ctx, id.Instance, peer.KindCatalogFetch, Fetch{}, &push) == nil && push.Digest == head.Digest {
+		if c.peers.Call(ctx, instance, peer.KindCatalogFetch, Fetch{}, &push) == nil && push.Digest == head.Digest {
 			return push.Body, nil
 		}
 	}
@@ -250,13 +251,13 @@
 	}
 }
 
-// askPeers sends a round of freshness queries to all connected instances.
-func (c *Controller) askPeers(ctx context.Context) {
-	var all []string
+// connected names the instances with a working link.
+func (c *Controller) connected() []string {
+	var names []string
 	for _, id := range c.peers.Connected() {
-		all = append(all, id.Instance)
+		names = append(names, id.Instance)
 	}
-	c.ask(ctx, all)
+	return names
 }
 
 // ask sends one round of freshness queries and fetches a newer version from an
--- a/controller/catalogsync/edit.go
+++ b/controller/catalogsync/edit.go
@@ -39,10 +39,7 @@
 func (c *Controller) Edit(ctx context.Context, base uint64, change func(*catalog.Catalog)) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if err := c.readTable(ctx); err != nil {
-		return Result{}, errors.Join(platform.ErrNotApplied, err)
-	}
-	head, revision, err := c.store.head(ctx)
+	head, revision, err := c.readTable(ctx)
 	if err != nil {
 		return Result{}, errors.Join(platform.ErrNotApplied, err)
 	}
@@ -78,7 +75,7 @@
 // just accepted might not be seen here yet, and an operator's next edit would
 // be refused as based on an old version.
 func (c *Controller) Refresh(ctx context.Context) {
-	if err := c.readTable(ctx); err != nil {
+	if _, _, err := c.readTable(ctx); err != nil {
 		c.log.WithError(err).Debug("catalogue row not read")
 	}
 }
@@ -118,18 +115,18 @@
 	enough := make(chan struct{})
 	finished := make(chan struct{})
 	var wg sync.WaitGroup
-	for _, id := range c.peers.Connected() {
+	for _, instance := range c.connected() {
 		wg.Go(func() {
 			var a freshness.Answer
-			err := c.peers.Call(ctx, id.Instance, peer.KindCatalogPush, push, &a)
+			err := c.peers.Call(ctx, instance, peer.KindCatalogPush, push, &a)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil || a.Version < push.Version {
-				result.Missing = append(result.Missing, id.Instance)
+				result.Missing = append(result.Missing, instance)
 				return
 			}
-			result.Confirmed = append(result.Confirmed, id.Instance)
-			c.noteVersion(id.Instance, a.Version)
+			result.Confirmed = append(result.Confirmed, instance)
+			c.noteVersion(instance, a.Version)
 			if a.Voter {
 				votes++
 			}
@@ -171,11 +168,7 @@
 // Versions asks every connected peer for the version that it serves.
 func (c *Controller) Versions(ctx context.Context) map[string]uint64 {
 	versions := map[string]uint64{}
-	var all []string
-	for _, id := range c.peers.Connected() {
-		all = append(all, id.Instance)
-	}
-	for instance, a := range c.collect(ctx, all) {
+	for instance, a := range c.collect(ctx, c.connected()) {
 		versions[instance] = a.Version
 	}
 	return versions
--- a/controller/directory/directory.go
+++ b/controller/directory/directory.go
@@ -3,7 +3,6 @@
 package directory
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -179,5 +178,5 @@
 const minDeadline = time.Millisecond
 
 func timeLeft(now, deadline time.Time) time.Duration {
-	return time.Duration(math.Max(float64(deadline.Sub(now)), float64(minDeadline)))
+	return max(deadline.Sub(now), minDeadline)
 }
--- a/duration/duration.go
+++ b/duration/duration.go
@@ -1,8 +1,9 @@
 // Package duration provides a time.Duration that JSON documents write as a
-// string such as "30s".
+// string such as "30s", and a sleep that a context can end.
 package duration
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -32,3 +33,15 @@
 	*d = Duration(parsed)
 	return nil
 }
+
+// Sleep waits for a time and reports false if ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/filter/authorise.go
+++ b/filter/authorise.go
@@ -50,10 +50,5 @@
 		return true
 	}
 	index, _ := c.Current()
-	for i := range index.Catalog.Routes {
-		if route := &index.Catalog.Routes[i]; route.Name == r.Route.Name {
-			return index.Allows(route, r.KeyHash)
-		}
-	}
-	return false
+	return index.Allows(r.Route, r.KeyHash)
 }
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -15,6 +15,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hibiscusyard/hibiscusyard/duration"
 )
 
 // Path is where the peer listener accepts links.
@@ -151,14 +153,6 @@
 	return l.write(ctx, envelope{Kind: kind, Body: body})
 }
 
-// Broadcast notifies every connected instance, each in its own goroutine, so
-// that a slow one does not delay the others.
-func (h *Hub) Broadcast(ctx context.Context, kind Kind, message any) {
-	for _, id := range h.Connected() {
-		go h.Notify(ctx, id.Instance, kind, message) //nolint:errcheck // a broken link is redialled.
-	}
-}
-
 // SetTargets dials the given addresses and gives up those no longer listed.
 // Of two instances the one with the lower address dials first, so that a pair
 // usually has one link; the other one dials too if no link comes up soon,
@@ -186,7 +180,7 @@
 func (h *Hub) keepDialled(ctx context.Context, address string) {
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = minRedial, maxRedial
-	if address < h.self.Address && !pause(ctx, secondDial) {
+	if address < h.self.Address && !duration.Sleep(ctx, secondDial) {
 		return
 	}
 	for ctx.Err() == nil {
@@ -197,7 +191,7 @@
 			}
 			wait = delay.NextBackOff()
 		}
-		if !pause(ctx, wait) {
+		if !duration.Sleep(ctx, wait) {
 			return
 		}
 	}
@@ -215,15 +209,6 @@
 	return false
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func (h *Hub) dial(ctx context.Context, address string) error {
 	handshake, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
--- a/placement.go
+++ b/placement.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/controller/directory"
 	"github.com/hibiscusyard/hibiscusyard/controller/placer"
+	"github.com/hibiscusyard/hibiscusyard/duration"
 	"github.com/hibiscusyard/hibiscusyard/engine"
 	"github.com/hibiscusyard/hibiscusyard/filter"
 	"github.com/hibiscusyard/hibiscusyard/peer"
@@ -147,7 +148,7 @@
 			return
 		case <-ticker.C:
 		case <-p.directory.Wanted():
-			if !sleep(ctx, reportGap) {
+			if !duration.Sleep(ctx, reportGap) {
 				return
 			}
 		}
@@ -155,15 +156,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func (p *placementControl) sendDemand(ctx context.Context) {
 	holder := p.placer.Holder().Holder
 	demands := p.directory.Report(time.Now())
