--- a/processtest/proxy.go
+++ b/processtest/proxy.go
@@ -58,10 +58,13 @@
 	p.t.Helper()
 	p.proxy.Stop()
 	p.cut = true
-	var err error
-	if p.reserved, err = reserve(p.Address); err != nil {
-		p.t.Fatalf("reserve the port of a cut proxy: %v", err)
-	}
+	// The port can be in use for a moment, by connections that are being closed
+	// or by an outgoing connection of another process.
+	Eventually(p.t, "the port of a cut proxy is reserved", func() bool {
+		var err error
+		p.reserved, err = reserve(p.Address)
+		return err == nil
+	})
 }
 
 // reserve binds a socket to the port without listening, so that connections
