--- a/admin/api.go
+++ b/admin/api.go
@@ -20,7 +20,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/controller/catalogsync"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 const maxDocument = 8 << 20
@@ -210,10 +210,10 @@
 	case errors.Is(err, catalogsync.ErrVersion):
 		w.Header().Set("ETag", etag(index.Version()))
 		status = http.StatusPreconditionFailed
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, ports.ErrUnknown):
 		problem.Error = "the table did not answer: read the tables to see whether the edit is in effect"
 		status = http.StatusGatewayTimeout
-	case errors.Is(err, platform.ErrNotApplied):
+	case errors.Is(err, ports.ErrNotApplied):
 		status = http.StatusServiceUnavailable
 	}
 	writeJSON(w, status, problem)
--- a/platform/client_test.go
+++ b/awsapi/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package awsapi_test
 
 import (
 	"context"
@@ -12,8 +12,9 @@
 
 	"go.uber.org/goleak"
 
+	"github.com/hibiscusyard/hibiscusyard/awsapi"
 	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/instances"
 	"github.com/hibiscusyard/hibiscusyard/standin/objects"
@@ -27,7 +28,7 @@
 const callTimeout = 10 * time.Second
 
 // serve runs a stand-in and returns how to reach it.
-func serve(t *testing.T, h http.Handler, timeout time.Duration) platform.Endpoint {
+func serve(t *testing.T, h http.Handler, timeout time.Duration) awsapi.Endpoint {
 	t.Helper()
 	server := httptest.NewServer(h)
 	client := &http.Client{Transport: &http.Transport{}}
@@ -36,21 +37,21 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	return platform.Endpoint{HTTP: client, URL: server.URL, AccessKey: "a", SecretKey: "s", Timeout: timeout}
+	return awsapi.Endpoint{HTTP: client, URL: server.URL, AccessKey: "a", SecretKey: "s", Timeout: timeout}
 }
 
-func newTable(t *testing.T, timeout time.Duration) (*table.Table, *platform.DynamoTable) {
+func newTable(t *testing.T, timeout time.Duration) (*table.Table, *awsapi.DynamoTable) {
 	t.Helper()
 	stand := table.New(table.Config{PageSize: 2})
-	client, err := platform.NewDynamoTable(serve(t, stand, timeout), "hibiscusyard")
+	client, err := awsapi.NewDynamoTable(serve(t, stand, timeout), "hibiscusyard")
 	if err != nil {
 		t.Fatal(err)
 	}
 	return stand, client
 }
 
-func put(key, value string, revision uint64) platform.Write {
-	return platform.Write{Key: key, Value: []byte(value), Revision: revision}
+func put(key, value string, revision uint64) ports.Write {
+	return ports.Write{Key: key, Value: []byte(value), Revision: revision}
 }
 
 // Guards against rows that come back changed, pages that are left out, checks
@@ -76,8 +77,8 @@
 	}
 	soon := time.Now().Add(-time.Second)
 	err = client.Transact(ctx, strings.Repeat("long token ", 9), put("slot/a", "new", 1),
-		platform.Write{Key: "slot/b", Check: true, Revision: 1}, platform.Write{Key: "slot/c", Delete: true, Revision: 1},
-		platform.Write{Key: "slot/d", Value: []byte("x"), Revision: 1, ExpiresAt: soon})
+		ports.Write{Key: "slot/b", Check: true, Revision: 1}, ports.Write{Key: "slot/c", Delete: true, Revision: 1},
+		ports.Write{Key: "slot/d", Value: []byte("x"), Revision: 1, ExpiresAt: soon})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -86,7 +87,7 @@
 		t.Errorf("updated row: %+v, %v", row, err)
 	}
 	for _, key := range []string{"slot/c", "slot/d", "slot/none"} {
-		if _, err := client.Get(ctx, key); !errors.Is(err, platform.ErrNotFound) {
+		if _, err := client.Get(ctx, key); !errors.Is(err, ports.ErrNotFound) {
 			t.Errorf("%s, which was deleted, has expired or never was: %v", key, err)
 		}
 	}
@@ -101,19 +102,19 @@
 func TestTableErrorClasses(t *testing.T) {
 	cases := map[string]struct {
 		faults  standin.Faults
-		write   platform.Write
+		write   ports.Write
 		timeout time.Duration
 		want    error
 		applied bool
 	}{
-		"the row exists already":        {write: put("lease/held", "x", 0), want: platform.ErrConflict},
-		"the revision has moved on":     {write: put("lease/held", "x", 7), want: platform.ErrConflict},
-		"another transaction under way": {faults: standin.Faults{Conflicts: 1}, want: platform.ErrNotApplied},
-		"over the rate limit":           {faults: standin.Faults{Rate: 0.001}, want: platform.ErrNotApplied},
-		"internal error":                {faults: standin.Faults{Outage: standin.OutageError}, want: platform.ErrUnknown},
-		"connection closed":             {faults: standin.Faults{Outage: standin.OutageClose}, want: platform.ErrUnknown},
-		"answer lost after effect":      {faults: standin.Faults{LoseAnswers: 1}, want: platform.ErrUnknown, applied: true},
-		"no answer in time":             {faults: standin.Faults{Hang: true}, timeout: 50 * time.Millisecond, want: platform.ErrUnknown},
+		"the row exists already":        {write: put("lease/held", "x", 0), want: ports.ErrConflict},
+		"the revision has moved on":     {write: put("lease/held", "x", 7), want: ports.ErrConflict},
+		"another transaction under way": {faults: standin.Faults{Conflicts: 1}, want: ports.ErrNotApplied},
+		"over the rate limit":           {faults: standin.Faults{Rate: 0.001}, want: ports.ErrNotApplied},
+		"internal error":                {faults: standin.Faults{Outage: standin.OutageError}, want: ports.ErrUnknown},
+		"connection closed":             {faults: standin.Faults{Outage: standin.OutageClose}, want: ports.ErrUnknown},
+		"answer lost after effect":      {faults: standin.Faults{LoseAnswers: 1}, want: ports.ErrUnknown, applied: true},
+		"no answer in time":             {faults: standin.Faults{Hang: true}, timeout: 50 * time.Millisecond, want: ports.ErrUnknown},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -137,7 +138,7 @@
 			}
 			before := stand.State().Requests
 			err := client.Transact(t.Context(), "second", write)
-			for _, class := range []error{platform.ErrConflict, platform.ErrNotApplied, platform.ErrUnknown, platform.ErrNotFound} {
+			for _, class := range []error{ports.ErrConflict, ports.ErrNotApplied, ports.ErrUnknown, ports.ErrNotFound} {
 				if errors.Is(err, class) != (class == c.want) {
 					t.Errorf("is %q: %t, want only %q: %v", class, errors.Is(err, class), c.want, err)
 				}
@@ -165,17 +166,17 @@
 	listener.Close() // nothing listens here any more
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
-	e := platform.Endpoint{HTTP: &http.Client{Transport: transport}, URL: "http://" + address, AccessKey: "a", SecretKey: "s"}
-	client, err := platform.NewDynamoTable(e, "hibiscusyard")
+	e := awsapi.Endpoint{HTTP: &http.Client{Transport: transport}, URL: "http://" + address, AccessKey: "a", SecretKey: "s"}
+	client, err := awsapi.NewDynamoTable(e, "hibiscusyard")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := client.Transact(t.Context(), "t", put("lease/a", "", 0)); !errors.Is(err, platform.ErrNotApplied) {
+	if err := client.Transact(t.Context(), "t", put("lease/a", "", 0)); !errors.Is(err, ports.ErrNotApplied) {
 		t.Errorf("connection refused: %v", err)
 	}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	if err := client.Transact(ended, "t", put("lease/a", "", 0)); !errors.Is(err, platform.ErrNotApplied) {
+	if err := client.Transact(ended, "t", put("lease/a", "", 0)); !errors.Is(err, ports.ErrNotApplied) {
 		t.Errorf("never sent: %v", err)
 	}
 }
@@ -186,7 +187,7 @@
 	t.Run("lost after effect", func(t *testing.T) {
 		stand, client := newTable(t, callTimeout)
 		stand.SetFaults(standin.Faults{LoseAnswers: 1})
-		if err := platform.Commit(t.Context(), client, "mine", put("lease/a", "mine", 0)); err != nil {
+		if err := ports.Commit(t.Context(), client, "mine", put("lease/a", "mine", 0)); err != nil {
 			t.Fatal(err)
 		}
 		row, err := client.Get(t.Context(), "lease/a")
@@ -197,7 +198,7 @@
 	t.Run("reset before effect", func(t *testing.T) {
 		stand, client := newTable(t, callTimeout)
 		stand.SetFaults(standin.Faults{ResetBefore: 1})
-		if err := platform.Commit(t.Context(), client, "mine", put("lease/a", "mine", 0)); err != nil {
+		if err := ports.Commit(t.Context(), client, "mine", put("lease/a", "mine", 0)); err != nil {
 			t.Fatal(err)
 		}
 		if n := stand.State().Applied; n != 1 {
@@ -210,15 +211,15 @@
 			t.Fatal(err)
 		}
 		stand.SetFaults(standin.Faults{LoseAnswers: 1})
-		if err := platform.Commit(t.Context(), client, "mine", platform.Write{Key: "slot/a", Delete: true, Revision: 1}); err != nil {
+		if err := ports.Commit(t.Context(), client, "mine", ports.Write{Key: "slot/a", Delete: true, Revision: 1}); err != nil {
 			t.Error(err)
 		}
 	})
 	t.Run("lost, then overwritten and throttled", func(t *testing.T) {
 		inner := &overwritten{}
 		inner.stand, inner.Table = newTable(t, callTimeout)
-		err := platform.Commit(t.Context(), inner, "mine", put("lease/a", "mine", 0))
-		if !errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrNotApplied) {
+		err := ports.Commit(t.Context(), inner, "mine", put("lease/a", "mine", 0))
+		if !errors.Is(err, ports.ErrUnknown) || errors.Is(err, ports.ErrNotApplied) {
 			t.Errorf("a write that took effect is reported as: %v", err)
 		}
 	})
@@ -227,15 +228,15 @@
 // overwritten loses the answer to the first transaction, lets another writer
 // change the row, and refuses all later transactions.
 type overwritten struct {
-	platform.Table
+	ports.Table
 	stand *table.Table
 	calls int
 }
 
-func (o *overwritten) Transact(ctx context.Context, token string, writes ...platform.Write) error {
+func (o *overwritten) Transact(ctx context.Context, token string, writes ...ports.Write) error {
 	o.calls++
 	if o.calls > 1 {
-		return platform.ErrNotApplied
+		return ports.ErrNotApplied
 	}
 	o.stand.SetFaults(standin.Faults{LoseAnswers: 1})
 	lost := o.Table.Transact(ctx, token, writes...)
@@ -249,7 +250,7 @@
 // for an absent object.
 func TestObjects(t *testing.T) {
 	stand := objects.New()
-	client, err := platform.NewS3Bucket(serve(t, stand, callTimeout), "bucket")
+	client, err := awsapi.NewS3Bucket(serve(t, stand, callTimeout), "bucket")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -269,10 +270,10 @@
 		faults standin.Faults
 		want   error
 	}{
-		"absent":     {standin.Faults{}, platform.ErrNotFound},
-		"outage":     {standin.Faults{Outage: standin.OutageError}, platform.ErrUnknown},
-		"closed":     {standin.Faults{Outage: standin.OutageClose}, platform.ErrUnknown},
-		"rate limit": {standin.Faults{Rate: 0.001}, platform.ErrNotApplied},
+		"absent":     {standin.Faults{}, ports.ErrNotFound},
+		"outage":     {standin.Faults{Outage: standin.OutageError}, ports.ErrUnknown},
+		"closed":     {standin.Faults{Outage: standin.OutageClose}, ports.ErrUnknown},
+		"rate limit": {standin.Faults{Rate: 0.001}, ports.ErrNotApplied},
 	} {
 		stand.SetFaults(c.faults)
 		if c.faults.Rate > 0 { // spend the burst
@@ -281,12 +282,12 @@
 		if _, err := client.Get(ctx, "none"); !errors.Is(err, c.want) {
 			t.Errorf("%s: get: %v", name, err)
 		}
-		if _, err := client.Size(ctx, "none"); c.want != platform.ErrNotApplied && !errors.Is(err, c.want) {
+		if _, err := client.Size(ctx, "none"); c.want != ports.ErrNotApplied && !errors.Is(err, c.want) {
 			t.Errorf("%s: size: %v", name, err)
 		}
 	}
 	stand.SetFaults(standin.Faults{LoseAnswers: 1})
-	if err := client.Put(ctx, "k", nil); !errors.Is(err, platform.ErrUnknown) {
+	if err := client.Put(ctx, "k", nil); !errors.Is(err, ports.ErrUnknown) {
 		t.Errorf("lost answer of a put: %v", err)
 	}
 }
@@ -295,7 +296,7 @@
 // malformed entry for instances that have gone.
 func TestInstances(t *testing.T) {
 	stand := instances.New(instances.Config{})
-	client, err := platform.NewCloudMapInstances(serve(t, stand, callTimeout), "hibiscusyard", "entry")
+	client, err := awsapi.NewCloudMapInstances(serve(t, stand, callTimeout), "hibiscusyard", "entry")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -303,7 +304,7 @@
 	stand.Register(instances.Registration{ID: "b", IP: "10.0.0.2", Port: 8443, DataCentre: "east", State: "leaving"})
 	stand.Register(instances.Registration{ID: "a", IP: "10.0.0.1", Port: 8443, DataCentre: "west", Incarnation: "i1"})
 	list, err := client.List(ctx)
-	want := []platform.ListedInstance{
+	want := []ports.ListedInstance{
 		{ID: "a", Address: "10.0.0.1:8443", DataCentre: "west", Incarnation: "i1"},
 		{ID: "b", Address: "10.0.0.2:8443", DataCentre: "east", Leaving: true},
 	}
@@ -315,7 +316,7 @@
 		t.Errorf("a lagging list shows %+v, %v", list, err)
 	}
 	stand.SetFaults(standin.Faults{Outage: standin.OutageError})
-	if list, err := client.List(ctx); !errors.Is(err, platform.ErrUnknown) {
+	if list, err := client.List(ctx); !errors.Is(err, ports.ErrUnknown) {
 		t.Errorf("outage: %+v, %v", list, err)
 	}
 	stand.SetFaults(standin.Faults{})
@@ -328,7 +329,7 @@
 // Guards against endpoints that name resolution or defaults could redirect.
 func TestEndpointIsChecked(t *testing.T) {
 	client := &http.Client{}
-	for name, e := range map[string]platform.Endpoint{
+	for name, e := range map[string]awsapi.Endpoint{
 		"no client":   {URL: "http://127.0.0.1:1", AccessKey: "a", SecretKey: "s"},
 		"host name":   {HTTP: client, URL: "http://localhost:1", AccessKey: "a", SecretKey: "s"},
 		"no scheme":   {HTTP: client, URL: "127.0.0.1:1", AccessKey: "a", SecretKey: "s"},
@@ -336,7 +337,7 @@
 		"no key":      {HTTP: client, URL: "http://127.0.0.1:1"},
 		"other proto": {HTTP: client, URL: "ftp://127.0.0.1:1", AccessKey: "a", SecretKey: "s"},
 	} {
-		if _, err := platform.NewDynamoTable(e, "t"); err == nil {
+		if _, err := awsapi.NewDynamoTable(e, "t"); err == nil {
 			t.Errorf("%s: accepted", name)
 		}
 	}
--- a/platform/cloudmap.go
+++ b/awsapi/cloudmap.go
@@ -1,4 +1,4 @@
-package platform
+package awsapi
 
 import (
 	"cmp"
@@ -12,6 +12,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/servicediscovery/types"
 	"github.com/aws/smithy-go/middleware"
 	smithyhttp "github.com/aws/smithy-go/transport/http"
+
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // Attributes of an instance in AWS Cloud Map. The first two are the service's
@@ -29,7 +31,7 @@
 // DiscoverInstances has no pages; the target of 860 instances fits.
 const maxDiscovered = 1000
 
-// CloudMapInstances is an Instances over the AWS Cloud Map API.
+// CloudMapInstances is a ports.Instances over the AWS Cloud Map API.
 type CloudMapInstances struct {
 	client    *servicediscovery.Client
 	endpoint  Endpoint
@@ -66,8 +68,8 @@
 		}), middleware.Before)
 }
 
-// List implements Instances. The entries are sorted by ID.
-func (m *CloudMapInstances) List(ctx context.Context) ([]ListedInstance, error) {
+// List implements ports.Instances. The entries are sorted by ID.
+func (m *CloudMapInstances) List(ctx context.Context) ([]ports.ListedInstance, error) {
 	c := m.endpoint.begin(ctx)
 	defer c.cancel()
 	out, err := m.client.DiscoverInstances(c, &servicediscovery.DiscoverInstancesInput{
@@ -77,7 +79,7 @@
 	if err != nil {
 		return nil, c.classify("list instances", err)
 	}
-	list := make([]ListedInstance, 0, len(out.Instances))
+	list := make([]ports.ListedInstance, 0, len(out.Instances))
 	for _, summary := range out.Instances {
 		entry, err := decodeInstance(summary)
 		if err != nil {
@@ -85,16 +87,16 @@
 		}
 		list = append(list, entry)
 	}
-	slices.SortFunc(list, func(a, b ListedInstance) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b ports.ListedInstance) int { return cmp.Compare(a.ID, b.ID) })
 	return list, nil
 }
 
-func decodeInstance(s types.HttpInstanceSummary) (ListedInstance, error) {
+func decodeInstance(s types.HttpInstanceSummary) (ports.ListedInstance, error) {
 	address, err := netip.ParseAddrPort(s.Attributes[attrIPv4] + ":" + s.Attributes[attrPort])
 	if err != nil {
-		return ListedInstance{}, fmt.Errorf("list instances: %s: %w", aws.ToString(s.InstanceId), err)
+		return ports.ListedInstance{}, fmt.Errorf("list instances: %s: %w", aws.ToString(s.InstanceId), err)
 	}
-	return ListedInstance{
+	return ports.ListedInstance{
 		ID:          aws.ToString(s.InstanceId),
 		Address:     address.String(),
 		DataCentre:  s.Attributes[attrDataCentre],
--- a/platform/dynamo.go
+++ b/awsapi/dynamo.go
@@ -1,4 +1,4 @@
-package platform
+package awsapi
 
 import (
 	"context"
@@ -11,6 +11,8 @@
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // Attributes of the table. kind is the partition key and name the sort key.
@@ -33,7 +35,7 @@
 // maxRequestToken is the greatest length of a ClientRequestToken.
 const maxRequestToken = 36
 
-// DynamoTable is a Table over the DynamoDB API.
+// DynamoTable is a ports.Table over the DynamoDB API.
 type DynamoTable struct {
 	client   *dynamodb.Client
 	endpoint Endpoint
@@ -58,25 +60,25 @@
 	return &DynamoTable{client: client, endpoint: e, table: table}, nil
 }
 
-// Get implements Table.
-func (t *DynamoTable) Get(ctx context.Context, key string) (Row, error) {
+// Get implements ports.Table.
+func (t *DynamoTable) Get(ctx context.Context, key string) (ports.Row, error) {
 	c := t.endpoint.begin(ctx)
 	defer c.cancel()
 	out, err := t.client.GetItem(c, &dynamodb.GetItemInput{
 		TableName: &t.table, Key: itemKey(key), ConsistentRead: aws.Bool(true),
 	})
 	if err != nil {
-		return Row{}, c.classify("get "+key, err)
+		return ports.Row{}, c.classify("get "+key, err)
 	}
 	if len(out.Item) == 0 {
-		return Row{}, fmt.Errorf("get %s: %w", key, ErrNotFound)
+		return ports.Row{}, fmt.Errorf("get %s: %w", key, ports.ErrNotFound)
 	}
 	return decodeItem(out.Item)
 }
 
-// List implements Table.
-func (t *DynamoTable) List(ctx context.Context, kind string) ([]Row, error) {
-	var rows []Row
+// List implements ports.Table.
+func (t *DynamoTable) List(ctx context.Context, kind string) ([]ports.Row, error) {
+	var rows []ports.Row
 	var start map[string]types.AttributeValue
 	for {
 		page, next, err := t.page(ctx, kind, start)
@@ -114,8 +116,8 @@
 	return out.Items, out.LastEvaluatedKey, nil
 }
 
-// Transact implements Table.
-func (t *DynamoTable) Transact(ctx context.Context, token string, writes ...Write) error {
+// Transact implements ports.Table.
+func (t *DynamoTable) Transact(ctx context.Context, token string, writes ...ports.Write) error {
 	items := make([]types.TransactWriteItem, len(writes))
 	for i, w := range writes {
 		items[i] = t.encodeWrite(token, w)
@@ -137,13 +139,13 @@
 func cancellationClass(err *types.TransactionCanceledException) error {
 	for _, reason := range err.CancellationReasons {
 		if aws.ToString(reason.Code) == "ConditionalCheckFailed" {
-			return ErrConflict
+			return ports.ErrConflict
 		}
 	}
-	return ErrNotApplied
+	return ports.ErrNotApplied
 }
 
-func (t *DynamoTable) encodeWrite(token string, w Write) types.TransactWriteItem {
+func (t *DynamoTable) encodeWrite(token string, w ports.Write) types.TransactWriteItem {
 	condition, names := aws.String(conditionAbsent), map[string]string{"#r": attrRevision}
 	var values item
 	if w.Revision > 0 {
@@ -168,7 +170,7 @@
 	}}
 }
 
-func encodeItem(token string, w Write) item {
+func encodeItem(token string, w ports.Write) item {
 	it := itemKey(w.Key)
 	it[attrValue] = &types.AttributeValueMemberB{Value: append([]byte{}, w.Value...)} // nil would be sent as null
 	it[attrRevision] = number(w.Revision + 1)
@@ -180,7 +182,7 @@
 }
 
 func itemKey(key string) item {
-	kind, name := SplitKey(key)
+	kind, name := ports.SplitKey(key)
 	return item{
 		attrKind: &types.AttributeValueMemberS{Value: kind},
 		attrName: &types.AttributeValueMemberS{Value: name},
@@ -194,20 +196,20 @@
 // errItem means that a row does not have the attributes that this client writes.
 var errItem = errors.New("malformed item")
 
-func decodeItem(it item) (Row, error) {
+func decodeItem(it item) (ports.Row, error) {
 	kind, ok1 := it[attrKind].(*types.AttributeValueMemberS)
 	name, ok2 := it[attrName].(*types.AttributeValueMemberS)
 	revision, ok3 := it[attrRevision].(*types.AttributeValueMemberN)
 	token, ok4 := it[attrToken].(*types.AttributeValueMemberS)
 	value, ok5 := it[attrValue].(*types.AttributeValueMemberB)
 	if !ok1 || !ok2 || !ok3 || !ok4 || !ok5 {
-		return Row{}, errItem
+		return ports.Row{}, errItem
 	}
 	n, err := strconv.ParseUint(revision.Value, 10, 64)
 	if err != nil {
-		return Row{}, fmt.Errorf("%w: revision: %w", errItem, err)
+		return ports.Row{}, fmt.Errorf("%w: revision: %w", errItem, err)
 	}
-	return Row{Key: kind.Value + "/" + name.Value, Value: value.Value, Revision: n, Token: token.Value}, nil
+	return ports.Row{Key: kind.Value + "/" + name.Value, Value: value.Value, Revision: n, Token: token.Value}, nil
 }
 
 // requestToken returns a token that the service accepts; longer ones are hashed.
--- a/platform/endpoint.go
+++ b/awsapi/endpoint.go
@@ -1,4 +1,6 @@
-package platform
+// Package awsapi holds clients of the DynamoDB, S3 and Cloud Map APIs that
+// implement the product's ports.
+package awsapi
 
 import (
 	"context"
@@ -13,6 +15,8 @@
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/smithy-go"
+
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // DefaultCallTimeout bounds one call of a platform service. The placer lease
@@ -97,13 +101,13 @@
 	if err == nil {
 		return nil
 	}
-	class := ErrUnknown
+	class := ports.ErrUnknown
 	var api smithy.APIError
 	switch {
 	case errors.As(err, &api) && throttling[api.ErrorCode()]:
-		class = ErrNotApplied
+		class = ports.ErrNotApplied
 	case !c.connected.Load():
-		class = ErrNotApplied
+		class = ports.ErrNotApplied
 	}
 	return fmt.Errorf("%s: %w: %w", op, class, err)
 }
--- a/platform/equivalence_test.go
+++ b/awsapi/equivalence_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package awsapi_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/platform"
-	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
 )
 
 // Guards against an in-memory fake that behaves otherwise than the client with
@@ -20,10 +20,10 @@
 	run := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		run++ // each run has rows of its own in the one stand-in
-		fake := platformtest.NewTable()
+		fake := portstest.NewTable()
 		kind := fmt.Sprintf("run%d", run)
 		keys := rapid.SampledFrom([]string{kind + "/a", kind + "/b", kind + "/c"})
-		var last []platform.Write
+		var last []ports.Write
 		for step := range rapid.IntRange(1, 12).Draw(rt, "steps") {
 			token := fmt.Sprintf("%s-%d", kind, step)
 			writes := drawWrites(rt, keys)
@@ -32,7 +32,7 @@
 			}
 			last = writes
 			want, got := fake.Transact(context.Background(), token, writes...), client.Transact(context.Background(), token, writes...)
-			if (want == nil) != (got == nil) || errors.Is(want, platform.ErrConflict) != errors.Is(got, platform.ErrConflict) {
+			if (want == nil) != (got == nil) || errors.Is(want, ports.ErrConflict) != errors.Is(got, ports.ErrConflict) {
 				rt.Fatalf("transact %+v: fake %v, client %v", writes, want, got)
 			}
 			wantRows, _ := fake.List(context.Background(), kind)
@@ -45,10 +45,10 @@
 }
 
 // drawWrites returns writes of different rows.
-func drawWrites(rt *rapid.T, keys *rapid.Generator[string]) []platform.Write {
-	var writes []platform.Write
+func drawWrites(rt *rapid.T, keys *rapid.Generator[string]) []ports.Write {
+	var writes []ports.Write
 	for _, key := range rapid.SliceOfNDistinct(keys, 1, 3, rapid.ID).Draw(rt, "keys") {
-		w := platform.Write{Key: key, Revision: uint64(rapid.IntRange(0, 2).Draw(rt, "revision"))}
+		w := ports.Write{Key: key, Revision: uint64(rapid.IntRange(0, 2).Draw(rt, "revision"))}
 		switch rapid.IntRange(0, 3).Draw(rt, "kind of write") {
 		case 0:
 			w.Check = true
--- a/platform/s3.go
+++ b/awsapi/s3.go
@@ -1,4 +1,4 @@
-package platform
+package awsapi
 
 import (
 	"bytes"
@@ -11,13 +11,15 @@
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	smithyhttp "github.com/aws/smithy-go/transport/http"
+
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // maxObject bounds an object that is read into memory; the largest one is a
 // catalogue, whose parts operators write by hand.
 const maxObject = 64 << 20
 
-// S3Bucket is an Objects and a Weights over one bucket of the S3 API.
+// S3Bucket is a ports.Objects and a ports.Weights over one bucket of the S3 API.
 type S3Bucket struct {
 	client   *s3.Client
 	endpoint Endpoint
@@ -45,7 +47,7 @@
 	return &S3Bucket{client: client, endpoint: e, bucket: bucket}, nil
 }
 
-// Put implements Objects.
+// Put implements ports.Objects.
 func (b *S3Bucket) Put(ctx context.Context, key string, data []byte) error {
 	c := b.endpoint.begin(ctx)
 	defer c.cancel()
@@ -55,7 +57,7 @@
 	return c.classify("put object "+key, err)
 }
 
-// Get implements Objects.
+// Get implements ports.Objects.
 func (b *S3Bucket) Get(ctx context.Context, key string) ([]byte, error) {
 	c := b.endpoint.begin(ctx)
 	defer c.cancel()
@@ -74,7 +76,7 @@
 	return data, nil
 }
 
-// Size implements Weights.
+// Size implements ports.Weights.
 func (b *S3Bucket) Size(ctx context.Context, checkpoint string) (int64, error) {
 	c := b.endpoint.begin(ctx)
 	defer c.cancel()
@@ -90,7 +92,7 @@
 func (c *call) classifyRead(op string, err error) error {
 	var answer *smithyhttp.ResponseError
 	if errors.As(err, &answer) && answer.HTTPStatusCode() == http.StatusNotFound {
-		return fmt.Errorf("%s: %w: %w", op, ErrNotFound, err)
+		return fmt.Errorf("%s: %w: %w", op, ports.ErrNotFound, err)
 	}
 	return c.classify(op, err)
 }
--- a/capacity/plumbing.go
+++ b/capacity/plumbing.go
@@ -12,11 +12,12 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/hibiscusyard/hibiscusyard/awsapi"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/controller/quotasync"
 	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/platform"
-	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
 	"github.com/hibiscusyard/hibiscusyard/quota"
 	"github.com/hibiscusyard/hibiscusyard/standin/instances"
 	"github.com/hibiscusyard/hibiscusyard/standin/table"
@@ -64,9 +65,9 @@
 	}, nil
 }
 
-func newReplay(h http.Handler) (*replay, platform.Endpoint) {
+func newReplay(h http.Handler) (*replay, awsapi.Endpoint) {
 	r := &replay{handler: h, recorded: map[string]*recording{}}
-	return r, platform.Endpoint{HTTP: &http.Client{Transport: r}, URL: "http://127.0.0.1:1", AccessKey: "access", SecretKey: "secret"}
+	return r, awsapi.Endpoint{HTTP: &http.Client{Transport: r}, URL: "http://127.0.0.1:1", AccessKey: "access", SecretKey: "secret"}
 }
 
 // must ends the program: the stand-ins answer from memory.
@@ -77,35 +78,35 @@
 }
 
 // listReader returns a client of an instance list with n entries.
-func listReader(n int) (*replay, platform.Instances) {
+func listReader(n int) (*replay, ports.Instances) {
 	list := instances.New(instances.Config{})
 	for i := range n {
 		list.Register(instances.Registration{ID: instanceName(i), IP: "10.0.0.1", Port: 1024 + i, DataCentre: dataCentreName(i)})
 	}
 	r, endpoint := newReplay(list)
-	client, err := platform.NewCloudMapInstances(endpoint, "hibiscusyard", "entry")
+	client, err := awsapi.NewCloudMapInstances(endpoint, "hibiscusyard", "entry")
 	must(err)
 	return r, client
 }
 
 // shareRows fills a table with the slot rows of n workspaces.
-func shareRows(t platform.Table, n int) {
+func shareRows(t ports.Table, n int) {
 	for w := range n {
-		var writes []platform.Write
+		var writes []ports.Write
 		for slot := range quota.Slots {
 			holder := (w*quota.Slots + slot) % Instances
 			value, err := quotasync.SlotRow{Holder: instanceName(holder), Incarnation: incarnation(holder), Address: address(holder), Level: 125_000.5, Generation: 3}.Encode()
 			must(err)
-			writes = append(writes, platform.Write{Key: fmt.Sprintf("share/%s/%d", workspaceName(w), slot), Value: value})
+			writes = append(writes, ports.Write{Key: fmt.Sprintf("share/%s/%d", workspaceName(w), slot), Value: value})
 		}
 		must(t.Transact(context.Background(), workspaceName(w), writes...))
 	}
 }
 
-func shareReader(n int) (*replay, platform.Table) {
+func shareReader(n int) (*replay, ports.Table) {
 	// 1 MB of rows of about 350 bytes fill a page of the service.
 	r, endpoint := newReplay(table.New(table.Config{PageSize: 3000}))
-	client, err := platform.NewDynamoTable(endpoint, "hibiscusyard")
+	client, err := awsapi.NewDynamoTable(endpoint, "hibiscusyard")
 	must(err)
 	shareRows(client, n)
 	r.calls, r.bodies = 0, 0
@@ -114,7 +115,7 @@
 
 // slotSync is the quota controller of one among all instances of the target.
 func slotSync(workspaces int) (*quotasync.Sync, []quotasync.Member) {
-	t := platformtest.NewTable()
+	t := portstest.NewTable()
 	shareRows(t, workspaces)
 	config := quotasync.DefaultConfig()
 	config.Table, config.Session = t, fixedSession{}
--- a/capacity/synthetic.go
+++ b/capacity/synthetic.go
@@ -7,7 +7,7 @@
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/membership"
 	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // epoch is the start of virtual time.
@@ -63,10 +63,10 @@
 	return catalog.NewIndex(syntheticCatalog(upstreams, pools), "")
 }
 
-func listedInstances(n int) []platform.ListedInstance {
-	list := make([]platform.ListedInstance, n)
+func listedInstances(n int) []ports.ListedInstance {
+	list := make([]ports.ListedInstance, n)
 	for i := range list {
-		list[i] = platform.ListedInstance{ID: instanceName(i), Address: address(i), DataCentre: dataCentreName(i), Incarnation: incarnation(i)}
+		list[i] = ports.ListedInstance{ID: instanceName(i), Address: address(i), DataCentre: dataCentreName(i), Incarnation: incarnation(i)}
 	}
 	return list
 }
--- a/controller/catalogsync/checkpoints.go
+++ b/controller/catalogsync/checkpoints.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 const (
@@ -47,7 +47,7 @@
 			group.Go(func() error {
 				_, err := c.weights.Size(ctx, model.Checkpoint)
 				switch {
-				case errors.Is(err, platform.ErrNotFound):
+				case errors.Is(err, ports.ErrNotFound):
 					path := fmt.Sprintf("pools[%d].models[%d].checkpoint", p, m)
 					found <- catalog.FieldError{Path: path, Message: fmt.Sprintf("%q is not in the weight store", model.Checkpoint)}
 				case err != nil:
--- a/controller/catalogsync/controller.go
+++ b/controller/catalogsync/controller.go
@@ -14,7 +14,7 @@
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/freshness"
 	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // Peers is the part of the peer hub that the controller uses.
@@ -37,7 +37,7 @@
 // concurrent use.
 type Controller struct {
 	store      store
-	weights    platform.Weights
+	weights    ports.Weights
 	peers      Peers
 	members    func() int
 	self       string
@@ -61,10 +61,10 @@
 
 // Config holds what a controller needs.
 type Config struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   ports.Table
+	Objects ports.Objects
 	// Weights is where edits look up new checkpoints; nil skips that.
-	Weights platform.Weights
+	Weights ports.Weights
 	Peers   Peers
 	// Members returns the number of members, this instance included.
 	Members func() int
--- a/controller/catalogsync/edit.go
+++ b/controller/catalogsync/edit.go
@@ -12,7 +12,7 @@
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/freshness"
 	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // confirmTimeout bounds the wait for confirmations of an edit.
@@ -35,13 +35,13 @@
 
 // Edit applies change to the current catalogue if its version is base, and
 // waits for confirmations. Errors wrap ErrVersion, catalog.Errors,
-// platform.ErrNotApplied or platform.ErrUnknown.
+// ports.ErrNotApplied or ports.ErrUnknown.
 func (c *Controller) Edit(ctx context.Context, base uint64, change func(*catalog.Catalog)) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	head, revision, err := c.readTable(ctx)
 	if err != nil {
-		return Result{}, errors.Join(platform.ErrNotApplied, err)
+		return Result{}, errors.Join(ports.ErrNotApplied, err)
 	}
 	current := c.Stored()
 	if head.Version != base || current.Version() != base {
@@ -60,7 +60,7 @@
 	}
 	next := pointer{Version: edited.Version, Digest: catalog.Digest(body)}
 	if err := c.store.commit(ctx, revision, next, body); err != nil {
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, ports.ErrConflict) {
 			return Result{}, ErrVersion
 		}
 		return Result{}, err
--- a/controller/catalogsync/relay_test.go
+++ b/controller/catalogsync/relay_test.go
@@ -13,8 +13,8 @@
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/freshness"
 	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/platform"
-	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
 )
 
 type objects map[string][]byte
@@ -25,7 +25,7 @@
 	if data, ok := o[key]; ok {
 		return data, nil
 	}
-	return nil, platform.ErrNotFound
+	return nil, ports.ErrNotFound
 }
 
 // relayPeer answers freshness queries like a relay.
@@ -51,7 +51,7 @@
 // never reads the table and so has no vote.
 func TestFollowersLeaveTheTableToRelays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table, relay := platformtest.NewTable(), &relayPeer{}
+		table, relay := portstest.NewTable(), &relayPeer{}
 		c := New(Config{
 			Table: table, Objects: objects{}, Peers: relay, Members: func() int { return 5 },
 			Self: "follower", Relays: func() []string { return []string{"relay"} },
--- a/controller/catalogsync/store.go
+++ b/controller/catalogsync/store.go
@@ -12,7 +12,7 @@
 	"github.com/samber/oops"
 
 	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 const (
@@ -26,17 +26,17 @@
 	Digest  string `cbor:"2,keyasint"`
 }
 
-// store reads and writes catalogues at the platform.
+// store reads and writes catalogues at the ports.
 type store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   ports.Table
+	objects ports.Objects
 }
 
 // head returns the current pointer and the revision of its row. A table
 // without a catalogue has version 0.
 func (s store) head(ctx context.Context) (pointer, uint64, error) {
 	row, err := s.table.Get(ctx, rowKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, ports.ErrNotFound) {
 		return pointer{}, 0, nil
 	}
 	if err != nil {
@@ -57,13 +57,13 @@
 // goes first, so that a version in the row can always be read.
 func (s store) commit(ctx context.Context, revision uint64, next pointer, body []byte) error {
 	if err := s.objects.Put(ctx, objectsPath+next.Digest, body); err != nil {
-		return errors.Join(platform.ErrNotApplied, err)
+		return errors.Join(ports.ErrNotApplied, err)
 	}
 	value, err := cbor.Marshal(next)
 	if err != nil {
 		return oops.In("catalogsync").Wrap(err)
 	}
-	return platform.Commit(ctx, s.table, uuid.NewString(), platform.Write{Key: rowKey, Value: value, Revision: revision})
+	return ports.Commit(ctx, s.table, uuid.NewString(), ports.Write{Key: rowKey, Value: value, Revision: revision})
 }
 
 // decode checks a body against its digest and builds the index.
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -10,7 +10,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/membership"
 	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 const (
@@ -25,7 +25,7 @@
 type Config struct {
 	Self peer.Identity
 	// List is the platform's instance list. It may be nil if Static is set.
-	List platform.Instances
+	List ports.Instances
 	// Static lists peer addresses from the settings.
 	Static []string
 	// Lag is how far the list may lag.
--- a/controller/placer/calls.go
+++ b/controller/placer/calls.go
@@ -12,7 +12,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/engine"
 	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // replicaKind is the kind of the replica rows.
@@ -51,7 +51,7 @@
 	}
 	var list []placement.StoredRow
 	for _, row := range rows {
-		_, name := platform.SplitKey(row.Key)
+		_, name := ports.SplitKey(row.Key)
 		cut := strings.LastIndexByte(name, '/')
 		stored := placement.StoredRow{Revision: row.Revision}
 		if cut < 0 || json.Unmarshal(row.Value, &stored.Row) != nil {
@@ -74,7 +74,7 @@
 	if !held || p.runner.Token() != token {
 		return
 	}
-	write := platform.Write{Key: placement.Key(a.Pool, a.ID), Revision: a.Revision, Delete: a.Delete}
+	write := ports.Write{Key: placement.Key(a.Pool, a.ID), Revision: a.Revision, Delete: a.Delete}
 	if !a.Delete {
 		write.Value = a.Row.Encode()
 	}
@@ -84,9 +84,9 @@
 	switch {
 	case err == nil:
 		result.Result = placement.WriteApplied
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, ports.ErrConflict):
 		result.Result = placement.WriteConflict
-	case !errors.Is(err, platform.ErrNotApplied):
+	case !errors.Is(err, ports.ErrNotApplied):
 		result.Result = placement.WriteUnknown
 	}
 	if err != nil {
--- a/controller/placer/placer.go
+++ b/controller/placer/placer.go
@@ -14,7 +14,7 @@
 	"github.com/hibiscusyard/hibiscusyard/engine"
 	"github.com/hibiscusyard/hibiscusyard/lease"
 	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // LeaseName is the name of the placer's lease.
@@ -62,7 +62,7 @@
 // Placer runs a planner. Its methods may be called from several goroutines.
 type Placer struct {
 	cfg     Config
-	table   platform.Table
+	table   ports.Table
 	engines Engines
 	runner  *lease.Runner
 	planner *placement.Planner // only used by the loop
@@ -100,7 +100,7 @@
 }
 
 // New returns a Placer that runs nothing yet.
-func New(table platform.Table, engines Engines, cfg Config) *Placer {
+func New(table ports.Table, engines Engines, cfg Config) *Placer {
 	if cfg.PollEvery == 0 {
 		cfg.PollEvery = 2 * time.Second
 	}
--- a/controller/placer/placer_test.go
+++ b/controller/placer/placer_test.go
@@ -15,7 +15,7 @@
 	"github.com/hibiscusyard/hibiscusyard/duration"
 	"github.com/hibiscusyard/hibiscusyard/engine"
 	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
 )
 
 // engines is a fake of all engines: by address the loaded replicas.
@@ -95,7 +95,7 @@
 	logs *memory.Handler
 }
 
-func start(t *testing.T, name string, table *platformtest.Table, f *engines) *node {
+func start(t *testing.T, name string, table *portstest.Table, f *engines) *node {
 	n := &node{logs: memory.New()}
 	n.Placer = New(table, f, Config{Instance: name, Incarnation: name, Log: &log.Logger{Handler: n.logs, Level: log.InfoLevel},
 		Publish: func(v placement.View) { n.mu.Lock(); n.view = v; n.mu.Unlock() }})
@@ -130,7 +130,7 @@
 // and one decision makes one log line.
 func TestPlaceAndHandOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table, f := platformtest.NewTable(), &engines{copies: map[string]map[string]engine.Entry{}, lose: 1}
+		table, f := portstest.NewTable(), &engines{copies: map[string]map[string]engine.Entry{}, lose: 1}
 		a := start(t, "a", table, f)
 		until(t, "a holds the lease", a.Holding, func() {})
 		b := start(t, "b", table, f)
@@ -163,15 +163,15 @@
 // when the table is back.
 func TestTableOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table, f := platformtest.NewTable(), &engines{copies: map[string]map[string]engine.Entry{}}
+		table, f := portstest.NewTable(), &engines{copies: map[string]map[string]engine.Entry{}}
 		a := start(t, "a", table, f)
 		until(t, "a holds the lease", a.Holding, func() {})
-		for i, fault := range []platformtest.Fault{platformtest.Refuse, platformtest.LoseAnswer} {
-			table.SetHook(func(op, key string) platformtest.Fault {
+		for i, fault := range []portstest.Fault{portstest.Refuse, portstest.LoseAnswer} {
+			table.SetHook(func(op, key string) portstest.Fault {
 				if op == "transact" && key != "lease/placer" {
 					return fault
 				}
-				return platformtest.None
+				return portstest.None
 			})
 			for range 30 {
 				a.Report("i", demand)
--- a/controller/quotasync/cluster_test.go
+++ b/controller/quotasync/cluster_test.go
@@ -14,8 +14,8 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/platform"
-	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
 	"github.com/hibiscusyard/hibiscusyard/quota"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
@@ -35,7 +35,7 @@
 // cluster is a few instances in one test bubble, on virtual time.
 type cluster struct {
 	t       *testing.T
-	table   *platformtest.Table
+	table   *portstest.Table
 	mu      sync.Mutex
 	nodes   map[string]*testNode
 	cut     map[string]bool // unreachable for messages
@@ -52,26 +52,26 @@
 
 // cutTable is the table as one instance reaches it.
 type cutTable struct {
-	platform.Table
+	ports.Table
 	cut       *atomic.Bool
 	alone     *atomic.Bool  // the instance sees no other member, and its writes are late
 	conflicts *atomic.Int64 // writes that another instance's write preceded
 }
 
-func (t cutTable) Transact(ctx context.Context, token string, writes ...platform.Write) error {
+func (t cutTable) Transact(ctx context.Context, token string, writes ...ports.Write) error {
 	if t.alone.Load() {
 		pause(ctx, time.Second)
 	}
 	err := t.Table.Transact(ctx, token, writes...)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, ports.ErrConflict) {
 		t.conflicts.Add(1)
 	}
 	return err
 }
 
-func (t cutTable) List(ctx context.Context, kind string) ([]platform.Row, error) {
+func (t cutTable) List(ctx context.Context, kind string) ([]ports.Row, error) {
 	if t.cut.Load() {
-		return nil, platform.ErrUnknown
+		return nil, ports.ErrUnknown
 	}
 	return t.Table.List(ctx, kind)
 }
@@ -100,7 +100,7 @@
 
 func newCluster(t *testing.T, names ...string) *cluster {
 	log.SetHandler(discard.Default)
-	c := &cluster{t: t, table: platformtest.NewTable(), nodes: map[string]*testNode{}, cut: map[string]bool{}}
+	c := &cluster{t: t, table: portstest.NewTable(), nodes: map[string]*testNode{}, cut: map[string]bool{}}
 	for _, name := range names {
 		c.list(name, "run-1-"+name)
 	}
--- a/controller/quotasync/quotasync.go
+++ b/controller/quotasync/quotasync.go
@@ -15,7 +15,7 @@
 	"github.com/samber/oops"
 
 	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 	"github.com/hibiscusyard/hibiscusyard/quota"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
@@ -39,7 +39,7 @@
 
 // Config holds the parts and times of a Sync.
 type Config struct {
-	Table     platform.Table
+	Table     ports.Table
 	Transport Transport
 	Session   Session
 	// Reachable reports whether messages reach an instance now. Default: always.
--- a/controller/quotasync/quotasync_test.go
+++ b/controller/quotasync/quotasync_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
 	"github.com/hibiscusyard/hibiscusyard/quota"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
@@ -23,13 +23,13 @@
 		c := newCluster(t)
 		defer c.close()
 		var reads, writes atomic.Int64
-		c.table.SetHook(func(op, key string) platformtest.Fault {
+		c.table.SetHook(func(op, key string) portstest.Fault {
 			if op == "transact" {
 				writes.Add(1)
 			} else {
 				reads.Add(1)
 			}
-			return platformtest.None
+			return portstest.None
 		})
 		for _, name := range []string{"a", "b", "c"} {
 			c.list(name, "run-1-"+name)
@@ -145,21 +145,21 @@
 		}},
 		{"answers of writes lost", func(t *testing.T, c *cluster) {
 			c.crash("a")
-			c.table.SetHook(func(op, key string) platformtest.Fault {
+			c.table.SetHook(func(op, key string) portstest.Fault {
 				if op == "get" {
-					return platformtest.Refuse
+					return portstest.Refuse
 				}
 				if op == "transact" {
-					return platformtest.LoseAnswer
+					return portstest.LoseAnswer
 				}
-				return platformtest.None
+				return portstest.None
 			})
 			c.start("a", "run-2-a")
 			wait(20 * time.Second)
 			c.want(quota.Slots, "with lost answers")
 		}},
 		{"table down for an hour", func(t *testing.T, c *cluster) {
-			c.table.SetHook(func(op, key string) platformtest.Fault { return platformtest.Refuse })
+			c.table.SetHook(func(op, key string) portstest.Fault { return portstest.Refuse })
 			wait(time.Hour)
 			c.want(quota.Slots, "during the outage")
 			if total, _ := c.nodes["a"].spend(t); total < 780 {
--- a/controller/quotasync/slots.go
+++ b/controller/quotasync/slots.go
@@ -16,7 +16,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 	"github.com/hibiscusyard/hibiscusyard/quota"
 )
 
@@ -186,7 +186,7 @@
 	return errors.Join(s.commit(ctx, takes, s.taken), s.commit(ctx, releases, s.released))
 }
 
-func (s *Sync) load(rows []platform.Row) {
+func (s *Sync) load(rows []ports.Row) {
 	s.rows, s.unsettled = map[slotKey]stored{}, true
 	for _, r := range rows {
 		key, ok := parseSlotKey(r.Key)
@@ -259,7 +259,7 @@
 	var errs error
 	for batch := range slices.Chunk(changes, maxWrites) {
 		err := s.write(ctx, batch)
-		if errors.Is(err, platform.ErrConflict) && len(batch) > 1 {
+		if errors.Is(err, ports.ErrConflict) && len(batch) > 1 {
 			for _, c := range batch {
 				err := s.write(ctx, []change{c})
 				done(c, err)
@@ -269,7 +269,7 @@
 		for _, c := range batch {
 			done(c, err)
 		}
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, ports.ErrConflict) {
 			errs = errors.Join(errs, err)
 		}
 	}
@@ -277,15 +277,15 @@
 }
 
 func (s *Sync) write(ctx context.Context, changes []change) error {
-	var writes []platform.Write
+	var writes []ports.Write
 	for _, c := range changes {
 		value, err := c.row.Encode()
 		if err != nil {
-			return errors.Join(platform.ErrNotApplied, err)
+			return errors.Join(ports.ErrNotApplied, err)
 		}
-		writes = append(writes, platform.Write{Key: c.key.String(), Value: value, Revision: c.revision})
+		writes = append(writes, ports.Write{Key: c.key.String(), Value: value, Revision: c.revision})
 	}
-	return platform.Commit(ctx, s.config.Table, rand.Text(), writes...)
+	return ports.Commit(ctx, s.config.Table, rand.Text(), writes...)
 }
 
 // taken activates a slot whose row was written. After an unknown outcome the
@@ -313,9 +313,9 @@
 	defer s.mu.Unlock()
 	s.unsettled = true
 	slot := s.parked[c.key]
-	refused := errors.Is(err, platform.ErrNotApplied) && !errors.Is(err, platform.ErrUnknown)
+	refused := errors.Is(err, ports.ErrNotApplied) && !errors.Is(err, ports.ErrUnknown)
 	switch {
-	case err == nil || errors.Is(err, platform.ErrConflict): // freed, or the row has moved on
+	case err == nil || errors.Is(err, ports.ErrConflict): // freed, or the row has moved on
 		delete(s.parked, c.key)
 	case refused && !s.closing && !slot.unsure:
 		s.ledger.Gain(c.key.workspace, c.key.index, slot.Start, s.gate(time.Now()))
--- a/controller/upstreams/upstreams.go
+++ b/controller/upstreams/upstreams.go
@@ -8,7 +8,7 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 const (
@@ -19,7 +19,7 @@
 // Watch returns a part that reads the list until its context ends and hands
 // the addresses of leaving upstreams to apply. A list that can't be read
 // leaves the last reading in force. A nil list is never read.
-func Watch(list platform.Instances, apply func(map[string]bool), logger log.Interface) func(context.Context) error {
+func Watch(list ports.Instances, apply func(map[string]bool), logger log.Interface) func(context.Context) error {
 	return func(ctx context.Context) error {
 		if list == nil {
 			return nil
@@ -41,7 +41,7 @@
 	}
 }
 
-func read(ctx context.Context, list platform.Instances) (map[string]bool, error) {
+func read(ctx context.Context, list ports.Instances) (map[string]bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	entries, err := list.List(ctx)
--- a/filter/forward_test.go
+++ b/filter/forward_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
 )
 
 const (
@@ -295,7 +295,7 @@
 	check("repeat", "/s/x", "k", "body", 201, "receipt", 1)
 	check("other body", "/s/x", "k", "other", 422, `"code":"idempotency_key_reused","verdict":"may_have_run"`, 1)
 	check("invalid key", "/s/x", "\t\u00e9", "body", 400, "idempotency_key_invalid", 1)
-	e.table.SetHook(func(string, string) platformtest.Fault { return platformtest.Refuse })
+	e.table.SetHook(func(string, string) portstest.Fault { return portstest.Refuse })
 	check("table down", "/s/x", "new", "body", 503, `"code":"claim_unavailable","verdict":"not_run"`, 1)
 	e.table.SetHook(nil)
 
--- a/filter/harness_test.go
+++ b/filter/harness_test.go
@@ -19,7 +19,7 @@
 	"github.com/hibiscusyard/hibiscusyard/balance"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/idempotency"
-	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
@@ -35,7 +35,7 @@
 	edited chan struct{}
 	tables catalog.Catalog
 	route  *Route
-	table  *platformtest.Table
+	table  *portstest.Table
 	logs   *memory.Handler
 	cold   atomic.Bool // no model is loaded
 	tokens atomic.Int64
@@ -109,7 +109,7 @@
 
 // newEntry serves the service route /s/ and the model m over the upstreams.
 func newEntry(t *testing.T, upstreams ...string) *entry {
-	e := &entry{t: t, table: platformtest.NewTable(), logs: memory.New()}
+	e := &entry{t: t, table: portstest.NewTable(), logs: memory.New()}
 	workspace := []catalog.Workspace{{Name: "w", Keys: []string{catalog.HashKey("key")}, Rate: 1, Burst: 1}}
 	e.tables = catalog.Catalog{
 		Routes: []catalog.Route{
--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
@@ -35,8 +35,8 @@
 
 // Store makes and ends claims. It is safe for concurrent use.
 type Store struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   ports.Table
+	Objects ports.Objects
 	// Instance and Incarnation identify this process.
 	Instance    string
 	Incarnation string
@@ -120,19 +120,19 @@
 		return false, err
 	}
 	seen := &witness{Table: s.Table, token: c.row.Token}
-	err = platform.Commit(ctx, seen, c.row.Token, platform.Write{Key: c.key, Value: value, Revision: revision})
+	err = ports.Commit(ctx, seen, c.row.Token, ports.Write{Key: c.key, Value: value, Revision: revision})
 	switch {
 	case err == nil:
 		return true, nil
-	case errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, ports.ErrConflict) && !errors.Is(err, ports.ErrUnknown):
 		// The conflict can be with this claim itself, if its first answer was
 		// lost and the table no longer knows the token of the transaction.
 		row, err := s.Table.Get(ctx, c.key)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, ports.ErrNotFound) {
 			s.abandon(c)
 		}
 		return err == nil && row.Token == c.row.Token, nil
-	case errors.Is(err, platform.ErrNotApplied) && !errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, ports.ErrNotApplied) && !errors.Is(err, ports.ErrUnknown):
 		return false, err
 	}
 	s.abandon(c)
@@ -147,12 +147,12 @@
 
 // witness notes whether a read returned a row that another claim has written.
 type witness struct {
-	platform.Table
+	ports.Table
 	token string
 	other bool
 }
 
-func (w *witness) Get(ctx context.Context, key string) (platform.Row, error) {
+func (w *witness) Get(ctx context.Context, key string) (ports.Row, error) {
 	row, err := w.Table.Get(ctx, key)
 	w.other = w.other || (err == nil && row.Token != w.token)
 	return row, err
@@ -160,7 +160,7 @@
 
 func (s *Store) read(ctx context.Context, key, digest string) (Decision, error) {
 	stored, err := s.Table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, ports.ErrNotFound) {
 		return Decision{Action: Take}, nil
 	}
 	if err != nil {
@@ -206,7 +206,7 @@
 	defer s.setRunning(c.key, false)
 	ended := &Claim{key: c.key, row: Finish(c.row, v != verdict.NotRun, s.keepBody(ctx, outcome)), revision: c.revision}
 	err := s.end(ctx, ended)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, ports.ErrConflict) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.unsaved == nil {
@@ -225,7 +225,7 @@
 	if err != nil {
 		return err
 	}
-	return platform.Commit(ctx, s.Table, s.NewToken(), platform.Write{
+	return ports.Commit(ctx, s.Table, s.NewToken(), ports.Write{
 		Key: c.key, Value: value, Revision: c.revision, ExpiresAt: Expires(c.row, s.Now()),
 	})
 }
@@ -266,7 +266,7 @@
 	s.mu.Unlock()
 	for key, c := range ends {
 		// After a conflict the row has moved on, at the latest by this end.
-		if err := s.end(ctx, c); err == nil || errors.Is(err, platform.ErrConflict) {
+		if err := s.end(ctx, c); err == nil || errors.Is(err, ports.ErrConflict) {
 			s.mu.Lock()
 			delete(s.unsaved, key)
 			s.mu.Unlock()
--- a/idempotency/store_test.go
+++ b/idempotency/store_test.go
@@ -13,8 +13,8 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/platform"
-	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
@@ -37,14 +37,14 @@
 	if data, ok := o[key]; ok {
 		return data, nil
 	}
-	return nil, platform.ErrNotFound
+	return nil, ports.ErrNotFound
 }
 
 // history runs submissions of a few keys at two instances, with faults and
 // kills taken from a script of bytes.
 type history struct {
 	script  []byte
-	table   *platformtest.Table
+	table   *portstest.Table
 	objects objects
 	stores  [2]*Store
 	serial  int
@@ -77,14 +77,14 @@
 		Gone: func(_, incarnation string) bool { return h.gone[incarnation] }, NewToken: h.token, Now: time.Now}
 }
 
-func (h *history) hook(string, string) platformtest.Fault {
+func (h *history) hook(string, string) portstest.Fault {
 	if h.depth < 2 && h.next(6) == 5 {
 		clean := h.clean
 		h.submit(h.next(2)) // another request comes in between
 		h.clean = clean
 	}
-	fault := []platformtest.Fault{platformtest.None, platformtest.None, platformtest.None, platformtest.Refuse, platformtest.LoseAnswer}[h.next(5)]
-	if fault == platformtest.None {
+	fault := []portstest.Fault{portstest.None, portstest.None, portstest.None, portstest.Refuse, portstest.LoseAnswer}[h.next(5)]
+	if fault == portstest.None {
 		h.clean++
 	}
 	return fault
@@ -154,11 +154,11 @@
 func TestRunsAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		h := &history{script: rapid.SliceOfN(rapid.Byte(), 50, 400).Draw(rt, "script"),
-			table: platformtest.NewTable(), objects: objects{}, gone: map[string]bool{}, ran: map[string]int{}}
+			table: portstest.NewTable(), objects: objects{}, gone: map[string]bool{}, ran: map[string]int{}}
 		h.start(0)
 		h.start(1)
 		h.table.SetHook(h.hook)
-		synctest.Test(t, func(*testing.T) { // the pauses of platform.Commit pass at once
+		synctest.Test(t, func(*testing.T) { // the pauses of ports.Commit pass at once
 			for len(h.script) > 0 {
 				h.submit(h.next(2))
 			}
@@ -200,15 +200,15 @@
 // against a key that stays blocked by a claim that was never forwarded.
 func TestTableOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := &history{table: platformtest.NewTable(), objects: objects{}, gone: map[string]bool{}}
+		h := &history{table: portstest.NewTable(), objects: objects{}, gone: map[string]bool{}}
 		h.start(0)
 		h.start(1)
 		request := Request{Workspace: "w", Route: "r", Key: "k", Digest: "d"}
-		lost := func(op, _ string) platformtest.Fault {
+		lost := func(op, _ string) portstest.Fault {
 			if op == "get" {
-				return platformtest.Refuse
+				return portstest.Refuse
 			}
-			return platformtest.LoseAnswer
+			return portstest.LoseAnswer
 		}
 		h.table.SetHook(lost)
 		claim, _, refusal := h.stores[0].Claim(t.Context(), request)
@@ -229,7 +229,7 @@
 		if _, _, refusal = h.stores[1].Claim(t.Context(), request); refusal.Reason != verdict.RequestInProgress || refusal.Verdict() != verdict.MayHaveRun {
 			t.Fatalf("repeat at the instance that runs the request: %v", refusal)
 		}
-		refuse := func(string, string) platformtest.Fault { return platformtest.Refuse }
+		refuse := func(string, string) portstest.Fault { return portstest.Refuse }
 		h.table.SetHook(refuse)
 		if err := h.stores[1].Complete(t.Context(), claim, verdict.MayHaveRun, &Outcome{Status: 200}); err == nil {
 			t.Fatal("an outcome was stored during the outage")
@@ -250,7 +250,7 @@
 // Guards against a table that forgets the token of a transaction and reports a
 // conflict with the claim's own write.
 func TestConflictWithOwnWrite(t *testing.T) {
-	h := &history{table: platformtest.NewTable(), objects: objects{}, gone: map[string]bool{}}
+	h := &history{table: portstest.NewTable(), objects: objects{}, gone: map[string]bool{}}
 	h.start(0)
 	h.stores[0].Table = conflicting{h.table}
 	claim, _, refusal := h.stores[0].Claim(t.Context(), Request{Workspace: "w", Route: "r", Key: "k", Digest: "d"})
@@ -259,11 +259,11 @@
 	}
 }
 
-type conflicting struct{ *platformtest.Table }
+type conflicting struct{ *portstest.Table }
 
-func (c conflicting) Transact(ctx context.Context, token string, writes ...platform.Write) error {
+func (c conflicting) Transact(ctx context.Context, token string, writes ...ports.Write) error {
 	_ = c.Table.Transact(ctx, token, writes...)
-	return platform.ErrConflict
+	return ports.ErrConflict
 }
 
 // Guards against bodies that do not fit a row, and against answers that are
@@ -274,7 +274,7 @@
 		objects  int
 		replayed bool
 	}{{0, 0, true}, {MaxInline, 0, true}, {MaxInline + 1, 1, true}, {MaxStored + 1, 0, false}} {
-		h := &history{table: platformtest.NewTable(), objects: objects{}, gone: map[string]bool{}}
+		h := &history{table: portstest.NewTable(), objects: objects{}, gone: map[string]bool{}}
 		h.start(0)
 		request := Request{Workspace: "w", Route: "r", Key: "k", Digest: "d"}
 		claim, _, _ := h.stores[0].Claim(t.Context(), request)
--- a/instance.go
+++ b/instance.go
@@ -17,13 +17,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
+	"github.com/hibiscusyard/hibiscusyard/awsapi"
 	"github.com/hibiscusyard/hibiscusyard/controller/catalogsync"
 	"github.com/hibiscusyard/hibiscusyard/controller/members"
 	"github.com/hibiscusyard/hibiscusyard/controller/upstreams"
 	"github.com/hibiscusyard/hibiscusyard/filter"
 	"github.com/hibiscusyard/hibiscusyard/idempotency"
 	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 	"github.com/hibiscusyard/hibiscusyard/session"
 	"github.com/hibiscusyard/hibiscusyard/settings"
 )
@@ -38,11 +39,11 @@
 	metrics     *metrics.Set
 	incarnation string
 
-	table     platform.Table
-	objects   platform.Objects
-	weights   platform.Weights // nil if checkpoints are not checked
-	instances platform.Instances
-	upstreams platform.Instances // nil if the list does not show upstreams
+	table     ports.Table
+	objects   ports.Objects
+	weights   ports.Weights // nil if checkpoints are not checked
+	instances ports.Instances
+	upstreams ports.Instances // nil if the list does not show upstreams
 
 	hub       *peer.Hub
 	session   *session.Session
@@ -101,27 +102,27 @@
 func (i *Instance) connectPlatform() error {
 	p := i.settings.Platform
 	client := platformClient(i.metrics)
-	endpoint := func(url string) platform.Endpoint {
-		return platform.Endpoint{URL: url, Region: p.Region, AccessKey: p.AccessKey, SecretKey: p.SecretKey, HTTP: client}
+	endpoint := func(url string) awsapi.Endpoint {
+		return awsapi.Endpoint{URL: url, Region: p.Region, AccessKey: p.AccessKey, SecretKey: p.SecretKey, HTTP: client}
 	}
-	table, err := platform.NewDynamoTable(endpoint(p.Table), p.TableName)
+	table, err := awsapi.NewDynamoTable(endpoint(p.Table), p.TableName)
 	if err != nil {
 		return oops.In("platform").Wrapf(err, "table client")
 	}
-	objects, err := platform.NewS3Bucket(endpoint(p.Objects), p.Bucket)
+	objects, err := awsapi.NewS3Bucket(endpoint(p.Objects), p.Bucket)
 	if err != nil {
 		return oops.In("platform").Wrapf(err, "object store client")
 	}
 	i.table, i.objects = table, objects
 	if p.Weights != "" {
-		if i.weights, err = platform.NewS3Bucket(endpoint(p.Weights), p.WeightsBucket); err != nil {
+		if i.weights, err = awsapi.NewS3Bucket(endpoint(p.Weights), p.WeightsBucket); err != nil {
 			return oops.In("platform").Wrapf(err, "weight store client")
 		}
 	}
 	if p.Instances == "" {
 		return nil
 	}
-	list, err := platform.NewCloudMapInstances(endpoint(p.Instances), p.Namespace, p.Service)
+	list, err := awsapi.NewCloudMapInstances(endpoint(p.Instances), p.Namespace, p.Service)
 	if err != nil {
 		return oops.In("platform").Wrapf(err, "instance list client")
 	}
@@ -129,7 +130,7 @@
 	if p.UpstreamService == "" {
 		return nil
 	}
-	upstreams, err := platform.NewCloudMapInstances(endpoint(p.Instances), p.Namespace, p.UpstreamService)
+	upstreams, err := awsapi.NewCloudMapInstances(endpoint(p.Instances), p.Namespace, p.UpstreamService)
 	if err != nil {
 		return oops.In("platform").Wrapf(err, "upstream list client")
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -13,7 +13,7 @@
 	"fmt"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // Config describes one contender for a lease.
@@ -68,7 +68,7 @@
 	// Read asks for both rows; otherwise Writes is a transaction.
 	Read   bool
 	Token  string // transaction token
-	Writes []platform.Write
+	Writes []ports.Write
 }
 
 // Lease is the state machine of one contender. It does no I/O and reads no
@@ -78,9 +78,9 @@
 	held     bool      // the rows name this contender, as far as known
 	token    uint64    // fencing token while held
 	until    time.Time // end of the validity while held
-	leaseRow platform.Row
+	leaseRow ports.Row
 	record   Record
-	fenceRow platform.Row
+	fenceRow ports.Row
 	fence    Fence
 	known    bool      // the rows have been read
 	seenAt   time.Time // when leaseRow's revision was first seen
@@ -120,9 +120,9 @@
 
 // Check returns the write that ties a transaction to this holder's term.
 // The transaction fails once another holder has taken over.
-func (l *Lease) Check() platform.Write {
+func (l *Lease) Check() ports.Write {
 	_, key := Keys(l.cfg.Name)
-	return platform.Write{Key: key, Check: true, Revision: l.fenceRow.Revision}
+	return ports.Write{Key: key, Check: true, Revision: l.fenceRow.Revision}
 }
 
 // Record returns the lease row as last read, for status output.
@@ -173,14 +173,14 @@
 	change(&record)
 	l.attempts++
 	txn := fmt.Sprintf("%s-%s-%d", l.cfg.Name, l.cfg.Incarnation, l.attempts)
-	fence := platform.Write{Key: fenceKey, Revision: l.fenceRow.Revision, Check: true}
+	fence := ports.Write{Key: fenceKey, Revision: l.fenceRow.Revision, Check: true}
 	l.open = &attempt{txn: txn, sent: now, record: record}
 	if takeOver {
 		l.open.fence = &Fence{Holder: record.Holder, Incarnation: record.Incarnation, Token: record.Token}
 		fence.Check = false
 		fence.Value = encode(l.open.fence)
 	}
-	return Step{Token: txn, Writes: []platform.Write{
+	return Step{Token: txn, Writes: []ports.Write{
 		{Key: leaseKey, Revision: l.leaseRow.Revision, Value: encode(record)}, fence,
 	}}
 }
@@ -191,9 +191,9 @@
 	switch {
 	case err == nil:
 		l.applied(now)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, ports.ErrConflict):
 		l.due = now // Read back at once.
-	case errors.Is(err, platform.ErrNotApplied):
+	case errors.Is(err, ports.ErrNotApplied):
 		l.open = nil
 		l.due = now.Add(l.cfg.Renew / 2)
 	default:
@@ -220,7 +220,7 @@
 }
 
 // ReadDone reports the rows as read; a missing row has revision 0.
-func (l *Lease) ReadDone(now time.Time, leaseRow, fenceRow platform.Row, err error) {
+func (l *Lease) ReadDone(now time.Time, leaseRow, fenceRow ports.Row, err error) {
 	if err != nil {
 		l.due = now.Add(l.cfg.Renew / 2)
 		return
@@ -259,10 +259,10 @@
 // Fenced returns the fence row that belongs to a lease row just read, if it is
 // known without reading it: the fence changes only together with the fencing
 // token that the lease row shows.
-func (l *Lease) Fenced(leaseRow platform.Row) (platform.Row, bool) {
+func (l *Lease) Fenced(leaseRow ports.Row) (ports.Row, bool) {
 	var record Record
 	if !l.known || l.open != nil || leaseRow.Revision == 0 || l.fenceRow.Revision == 0 || !decode(leaseRow, &record) {
-		return platform.Row{}, false
+		return ports.Row{}, false
 	}
 	return l.fenceRow, record.Token == l.fence.Token
 }
@@ -278,6 +278,6 @@
 	return data
 }
 
-func decode(row platform.Row, into any) bool {
+func decode(row ports.Row, into any) bool {
 	return row.Revision == 0 || json.Unmarshal(row.Value, into) == nil
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -13,8 +13,8 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/platform"
-	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
 )
 
 func TestMain(m *testing.M) {
@@ -35,7 +35,7 @@
 	next   time.Duration // when the stage ends, in true time
 	lose   bool
 	err    error
-	rows   [2]platform.Row
+	rows   [2]ports.Row
 	stale  bool   // the fence taken as known was not the one in the table
 	sent   []Step // writes that may be delivered once more
 }
@@ -44,7 +44,7 @@
 	return time.Unix(0, 0).Add(time.Duration(float64(now) * c.rate))
 }
 
-func (c *contender) advance(r *rand.Rand, table *platformtest.Table, now time.Duration) {
+func (c *contender) advance(r *rand.Rand, table *portstest.Table, now time.Duration) {
 	delay := func() time.Duration {
 		if r.IntN(10) == 0 {
 			return time.Duration(r.IntN(9000)) * time.Millisecond
@@ -61,7 +61,7 @@
 	case c.stage == 2 && now >= c.next && now >= c.frozen:
 		c.stage = 0
 		if c.lose {
-			c.err = platform.ErrUnknown
+			c.err = ports.ErrUnknown
 		}
 		if c.step.Read {
 			c.ReadDone(c.clock(now), c.rows[0], c.rows[1], c.err)
@@ -71,7 +71,7 @@
 	}
 }
 
-func (c *contender) apply(table *platformtest.Table) {
+func (c *contender) apply(table *portstest.Table) {
 	ctx := context.Background()
 	if !c.step.Read {
 		c.err = table.Transact(ctx, c.step.Token, c.step.Writes...)
@@ -82,7 +82,7 @@
 	leaseKey, fenceKey := Keys("x")
 	for i, key := range []string{leaseKey, fenceKey} {
 		row, err := table.Get(ctx, key)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, ports.ErrNotFound) {
 			c.err = err
 		}
 		c.rows[i] = row
@@ -95,7 +95,7 @@
 
 // repeat delivers an earlier write once more, with its token or, as after the
 // table has forgotten the token, with another one.
-func (c *contender) repeat(r *rand.Rand, table *platformtest.Table) {
+func (c *contender) repeat(r *rand.Rand, table *portstest.Table) {
 	if len(c.sent) == 0 || r.IntN(20) > 0 {
 		return
 	}
@@ -111,7 +111,7 @@
 // grow, with drifting clocks, freezes, late and lost answers, and repeated writes.
 func TestOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		table := platformtest.NewTable()
+		table := portstest.NewTable()
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		var all []*contender
 		for i := range 3 {
@@ -169,7 +169,7 @@
 // not released after the lease time.
 func TestHandOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := portstest.NewTable()
 		start := func(name string) (*Runner, context.CancelFunc, chan struct{}) {
 			r := NewRunner(table, Config{Name: "x", Holder: name, Incarnation: name}, nil)
 			ctx, cancel := context.WithCancel(t.Context())
--- a/lease/runner.go
+++ b/lease/runner.go
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // Runner drives a Lease over a table. Its methods may be called from several
 // goroutines.
 type Runner struct {
-	table platform.Table
+	table ports.Table
 	mu    sync.Mutex
 	lease *Lease
 	wake  chan struct{}
@@ -21,7 +21,7 @@
 }
 
 // NewRunner returns a runner; changed, if set, is called after every step.
-func NewRunner(table platform.Table, cfg Config, changed func()) *Runner {
+func NewRunner(table ports.Table, cfg Config, changed func()) *Runner {
 	return &Runner{table: table, lease: New(cfg), wake: make(chan struct{}, 1), changed: changed}
 }
 
@@ -51,7 +51,7 @@
 
 // Check returns the write that ties a transaction to the current holder, and
 // whether the lease is held.
-func (r *Runner) Check() (platform.Write, bool) {
+func (r *Runner) Check() (ports.Write, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.lease.Check(), r.lease.Held(time.Now())
@@ -126,7 +126,7 @@
 
 // read reads the lease row, and the fence row if the holder has changed. An
 // observer that reads both every second doubles the reads of the whole fleet.
-func (r *Runner) read(ctx context.Context) (lease, fence platform.Row, err error) {
+func (r *Runner) read(ctx context.Context) (lease, fence ports.Row, err error) {
 	leaseKey, fenceKey := Keys(r.lease.cfg.Name)
 	if lease, err = r.get(ctx, leaseKey); err != nil {
 		return lease, fence, err
@@ -145,10 +145,10 @@
 	return lease, fence, err
 }
 
-func (r *Runner) get(ctx context.Context, key string) (platform.Row, error) {
+func (r *Runner) get(ctx context.Context, key string) (ports.Row, error) {
 	row, err := r.table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{}, nil
+	if errors.Is(err, ports.ErrNotFound) {
+		return ports.Row{}, nil
 	}
 	return row, err
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // Member is what is known of one instance.
@@ -35,7 +35,7 @@
 }
 
 // List applies one reading of the platform's list.
-func (t *Table) List(now time.Time, listed []platform.ListedInstance) {
+func (t *Table) List(now time.Time, listed []ports.ListedInstance) {
 	for _, m := range t.members {
 		m.Listed = false
 	}
--- a/placement/history_test.go
+++ b/placement/history_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/hibiscusyard/hibiscusyard/placement"
 	"github.com/hibiscusyard/hibiscusyard/placement/placementtest"
-	"github.com/hibiscusyard/hibiscusyard/platform"
-	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
 )
 
 func TestMain(m *testing.M) {
@@ -194,9 +194,9 @@
 	e := h.Engines[rapid.IntRange(0, len(h.Engines)-1).Draw(t, "engine")]
 	switch rapid.SampledFrom([]string{"outage", "lost answers", "slow", "restart", "cut"}).Draw(t, "upheaval") {
 	case "outage":
-		h.hook(at, last, platformtest.Refuse)
+		h.hook(at, last, portstest.Refuse)
 	case "lost answers":
-		h.hook(at, last, platformtest.LoseAnswer)
+		h.hook(at, last, portstest.LoseAnswer)
 	case "slow":
 		h.After(at, func() { h.TableDelay = 700 * time.Millisecond })
 		h.After(at+last, func() { h.TableDelay = 3 * time.Millisecond })
@@ -208,8 +208,8 @@
 	}
 }
 
-func (h *history) hook(at, last time.Duration, fault platformtest.Fault) {
-	h.After(at, func() { h.Table.Hook = func(string, string) platformtest.Fault { return fault } })
+func (h *history) hook(at, last time.Duration, fault portstest.Fault) {
+	h.After(at, func() { h.Table.Hook = func(string, string) portstest.Fault { return fault } })
 	h.After(at+last, func() { h.Table.Hook = nil })
 }
 
@@ -321,7 +321,7 @@
 	for key := range h.Rows() {
 		row, err := h.Table.Get(t.Context(), key)
 		if err == nil {
-			err = h.Table.Transact(t.Context(), "other", platform.Write{Key: key, Value: row.Value, Revision: row.Revision})
+			err = h.Table.Transact(t.Context(), "other", ports.Write{Key: key, Value: row.Value, Revision: row.Revision})
 		}
 		if err != nil {
 			t.Fatal(err)
--- a/placement/placementtest/controller.go
+++ b/placement/placementtest/controller.go
@@ -8,7 +8,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/lease"
 	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 var background = context.Background()
@@ -160,10 +160,10 @@
 		done := func(err error) func() { return func() { c.Lease.WriteDone(w.Now, err); next() } }
 		w.operate(c, operation{name: "lease.write", delay: w.TableDelay, do: func(bool) func() {
 			return done(w.Table.Transact(background, step.Token, step.Writes...))
-		}, refused: done(platform.ErrNotApplied), lost: done(platform.ErrUnknown)})
+		}, refused: done(ports.ErrNotApplied), lost: done(ports.ErrUnknown)})
 		return
 	}
-	failed := func() { c.Lease.ReadDone(w.Now, platform.Row{}, platform.Row{}, platform.ErrUnknown); next() }
+	failed := func() { c.Lease.ReadDone(w.Now, ports.Row{}, ports.Row{}, ports.ErrUnknown); next() }
 	w.operate(c, operation{name: "lease.read", delay: w.TableDelay, do: func(bool) func() {
 		leaseKey, fenceKey := lease.Keys("placer")
 		fence, err := w.read(fenceKey)
@@ -172,10 +172,10 @@
 	}, refused: failed, lost: failed})
 }
 
-func (w *World) read(key string) (platform.Row, error) {
+func (w *World) read(key string) (ports.Row, error) {
 	row, err := w.Table.Get(background, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{}, nil
+	if errors.Is(err, ports.ErrNotFound) {
+		return ports.Row{}, nil
 	}
 	return row, err
 }
@@ -306,7 +306,7 @@
 		w.on(c, w.TableDelay, result(placement.WriteNotApplied))
 		return
 	}
-	write := platform.Write{Key: placement.Key(a.Pool, a.ID), Revision: a.Revision, Delete: a.Delete}
+	write := ports.Write{Key: placement.Key(a.Pool, a.ID), Revision: a.Revision, Delete: a.Delete}
 	if !a.Delete {
 		write.Value = a.Row.Encode()
 	}
@@ -317,9 +317,9 @@
 		switch {
 		case err == nil:
 			return result(placement.WriteApplied)
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, ports.ErrConflict):
 			return result(placement.WriteConflict)
-		case errors.Is(err, platform.ErrNotApplied):
+		case errors.Is(err, ports.ErrNotApplied):
 			return result(placement.WriteNotApplied)
 		}
 		return result(placement.WriteUnknown)
--- a/placement/placementtest/world.go
+++ b/placement/placementtest/world.go
@@ -11,15 +11,15 @@
 
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/platform"
-	"github.com/hibiscusyard/hibiscusyard/platform/platformtest"
+	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
 )
 
 // World is a table, engines and controllers on virtual time.
 type World struct {
 	Now     time.Time
 	Rand    *rand.Rand
-	Table   *platformtest.Table
+	Table   *portstest.Table
 	Index   *catalog.Index
 	Engines []*Engine
 	// Controllers are all that were ever started, dead ones included.
@@ -90,7 +90,7 @@
 // New returns a world with one fake engine for each engine upstream of the
 // catalogue, and no controller.
 func New(index *catalog.Index, seed uint64) *World {
-	w := &World{Now: time.Unix(0, 0), Rand: rand.New(rand.NewPCG(seed, 1)), Table: platformtest.NewTable(), Index: index,
+	w := &World{Now: time.Unix(0, 0), Rand: rand.New(rand.NewPCG(seed, 1)), Table: portstest.NewTable(), Index: index,
 		NetDelay: time.Millisecond, TableDelay: 3 * time.Millisecond, PollEvery: 2 * time.Second}
 	w.LoadTime = func(_ *Engine, model string, tier placement.Tier) time.Duration { return w.nominal(model, tier) }
 	for _, p := range index.Catalog.Pools {
@@ -197,7 +197,7 @@
 }
 
 // stored turns table rows into the planner's form.
-func stored(rows []platform.Row) []placement.StoredRow {
+func stored(rows []ports.Row) []placement.StoredRow {
 	var list []placement.StoredRow
 	for _, r := range rows {
 		parts := strings.Split(r.Key, "/")
--- a/platform/platform.go
+++ b/ports/ports.go
@@ -1,7 +1,6 @@
-// Package platform holds the interfaces of the services that the platform
-// provides, the errors that tell whether a write took effect, and clients that
-// speak the services' published protocols.
-package platform
+// Package ports holds the interfaces of the services that the platform
+// provides and the errors that tell whether a write took effect.
+package ports
 
 import (
 	"context"
--- a/platform/platformtest/table.go
+++ b/ports/portstest/table.go
@@ -1,5 +1,5 @@
-// Package platformtest provides in-memory fakes of the platform's services.
-package platformtest
+// Package portstest provides in-memory fakes of the platform's services.
+package portstest
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"strings"
 	"sync"
 
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 // Fault decides the fate of one call of a fake.
@@ -20,10 +20,10 @@
 	LoseAnswer       // takes effect and fails
 )
 
-// Table is an in-memory platform.Table.
+// Table is an in-memory ports.Table.
 type Table struct {
 	mu     sync.Mutex
-	rows   map[string]platform.Row
+	rows   map[string]ports.Row
 	tokens map[string]bool
 	// Hook, if set, is called before each operation ("get", "list", "transact") with its key.
 	Hook   func(op, key string) Fault
@@ -33,7 +33,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: map[string]platform.Row{}, tokens: map[string]bool{}}
+	return &Table{rows: map[string]ports.Row{}, tokens: map[string]bool{}}
 }
 
 func (t *Table) fault(op, key string) Fault {
@@ -53,53 +53,53 @@
 	t.Hook = hook
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements ports.Table.
+func (t *Table) Get(ctx context.Context, key string) (ports.Row, error) {
 	if t.fault("get", key) != None || ctx.Err() != nil {
-		return platform.Row{}, platform.ErrUnknown
+		return ports.Row{}, ports.ErrUnknown
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.Reads++
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return ports.Row{}, ports.ErrNotFound
 	}
 	return row, nil
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, kind string) ([]platform.Row, error) {
+// List implements ports.Table.
+func (t *Table) List(ctx context.Context, kind string) ([]ports.Row, error) {
 	if t.fault("list", kind) != None || ctx.Err() != nil {
-		return nil, platform.ErrUnknown
+		return nil, ports.ErrUnknown
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.Reads++
-	var rows []platform.Row
+	var rows []ports.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, kind+"/") {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b ports.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows, nil
 }
 
-// Transact implements platform.Table.
-func (t *Table) Transact(ctx context.Context, token string, writes ...platform.Write) error {
+// Transact implements ports.Table.
+func (t *Table) Transact(ctx context.Context, token string, writes ...ports.Write) error {
 	fault := t.fault("transact", writes[0].Key)
 	if fault == Refuse || ctx.Err() != nil {
-		return platform.ErrNotApplied
+		return ports.ErrNotApplied
 	}
 	err := t.apply(token, writes)
 	if fault == LoseAnswer {
-		return platform.ErrUnknown
+		return ports.ErrUnknown
 	}
 	return err
 }
 
-func (t *Table) apply(token string, writes []platform.Write) error {
+func (t *Table) apply(token string, writes []ports.Write) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.Writes++
@@ -108,7 +108,7 @@
 	}
 	for _, w := range writes {
 		if t.rows[w.Key].Revision != w.Revision {
-			return platform.ErrConflict
+			return ports.ErrConflict
 		}
 	}
 	t.tokens[token] = true
@@ -118,7 +118,7 @@
 		case w.Delete:
 			delete(t.rows, w.Key)
 		default:
-			t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: w.Revision + 1, Token: token}
+			t.rows[w.Key] = ports.Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: w.Revision + 1, Token: token}
 		}
 	}
 	return nil
--- a/session/session.go
+++ b/session/session.go
@@ -12,7 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/platform"
+	"github.com/hibiscusyard/hibiscusyard/ports"
 )
 
 const (
@@ -40,7 +40,7 @@
 
 // Session registers one incarnation. Its methods are safe for concurrent use.
 type Session struct {
-	table    platform.Table
+	table    ports.Table
 	instance string
 	record   Record
 
@@ -53,7 +53,7 @@
 }
 
 // New returns a session that has not been registered yet.
-func New(table platform.Table, instance, incarnation, dataCentre string) *Session {
+func New(table ports.Table, instance, incarnation, dataCentre string) *Session {
 	return &Session{table: table, instance: instance, record: Record{Incarnation: incarnation, DataCentre: dataCentre}}
 }
 
@@ -135,7 +135,7 @@
 	defer cancel()
 	sent := time.Now()
 	row, err := s.table.Get(ctx, Kind+"/"+s.instance)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, ports.ErrNotFound) {
 		return oops.In("session").Wrapf(err, "read session row")
 	}
 	var current Record
@@ -163,7 +163,7 @@
 	if err != nil {
 		return oops.In("session").Wrap(err)
 	}
-	err = platform.Commit(ctx, s.table, uuid.NewString(), platform.Write{Key: Kind + "/" + s.instance, Value: value, Revision: revision})
+	err = ports.Commit(ctx, s.table, uuid.NewString(), ports.Write{Key: Kind + "/" + s.instance, Value: value, Revision: revision})
 	if err != nil {
 		return oops.In("session").Wrapf(err, "write session row")
 	}
--- a/standin/table/table.go
+++ b/standin/table/table.go
@@ -1,6 +1,6 @@
 // Package table is a stand-in of a table with a partition key and a sort key
 // behind the DynamoDB API (JSON 1.0). It knows the operations and the condition
-// expressions that package platform sends, and refuses others.
+// expressions that package awsapi sends, and refuses others.
 package table
 
 import (
