--- /dev/null
+++ b/connpool/pool.go
@@ -0,0 +1,240 @@
+package connpool
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+)
+
+// Config sets the limits of a pool.
+type Config struct {
+	// DialTimeout bounds the set-up of a connection. Default 700ms.
+	DialTimeout time.Duration
+	// SilentAfter is how long sent bytes or probes may stay unacknowledged
+	// before the connection counts as dead. Default 2s.
+	SilentAfter time.Duration
+	// IdleFor is how long an idle connection is kept where the other side
+	// names no time. Default 4s.
+	IdleFor time.Duration
+	// MaxIdle bounds the idle connections to one address. Default 16.
+	MaxIdle int
+}
+
+func (c *Config) applyDefaults() {
+	if c.DialTimeout == 0 {
+		c.DialTimeout = 700 * time.Millisecond
+	}
+	if c.SilentAfter == 0 {
+		c.SilentAfter = 2 * time.Second
+	}
+	if c.IdleFor == 0 {
+		c.IdleFor = 4 * time.Second
+	}
+	if c.MaxIdle == 0 {
+		c.MaxIdle = 16
+	}
+}
+
+// idleShare is the part of the time named by the other side after which an
+// idle connection is no longer used, so that a request never crosses its close.
+const idleShare = 0.6
+
+// Pool keeps idle connections by address. Its methods may be called from
+// several goroutines.
+type Pool struct {
+	config Config
+	dialer net.Dialer
+
+	mu     sync.Mutex
+	idle   map[string][]*Conn
+	opened uint64
+}
+
+// New returns an empty pool.
+func New(config Config) *Pool {
+	config.applyDefaults()
+	p := &Pool{config: config, idle: map[string][]*Conn{}}
+	p.dialer = net.Dialer{
+		Timeout: config.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: max(config.SilentAfter/2, time.Second), Interval: time.Second, Count: 2,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failed error
+			err := raw.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(config.SilentAfter.Milliseconds()))
+			})
+			return errors.Join(err, failed)
+		},
+	}
+	return p
+}
+
+// Opened returns the number of connections dialled since start.
+func (p *Pool) Opened() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// Get returns an idle connection to the address that is still open, or dials.
+func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	for {
+		c := p.take(address)
+		if c == nil {
+			break
+		}
+		if c.clean() == nil {
+			c.wrote = false
+			return c, nil
+		}
+		c.Close()
+	}
+	return p.Dial(ctx, address)
+}
+
+// Dial returns a new connection to the address.
+func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+}
+
+// take removes the most recently used connection that is not too old.
+func (p *Pool) take(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for len(list) > 0 {
+		c := list[len(list)-1]
+		list = list[:len(list)-1]
+		p.idle[address] = list
+		if bootclock.Since(c.idleSince) < p.lifetime(c) {
+			return c
+		}
+		c.Close()
+	}
+	delete(p.idle, address)
+	return nil
+}
+
+func (p *Pool) lifetime(c *Conn) time.Duration {
+	if c.idleFor > 0 {
+		return time.Duration(float64(c.idleFor) * idleShare)
+	}
+	return p.config.IdleFor
+}
+
+// Put returns a connection after a complete answer; one that is broken or has
+// surplus bytes is closed.
+func (p *Pool) Put(c *Conn) {
+	if c.broken || c.reader.Buffered() > 0 {
+		c.Close()
+		return
+	}
+	if err := c.SetDeadline(time.Time{}); err != nil {
+		c.Close()
+		return
+	}
+	c.idleSince = bootclock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= p.config.MaxIdle {
+		c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Sweep closes idle connections that are too old to be used.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if bootclock.Since(c.idleSince) < p.lifetime(c) {
+				kept = append(kept, c)
+			} else {
+				c.Close()
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		} else {
+			p.idle[address] = kept
+		}
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		for _, c := range list {
+			c.Close()
+		}
+		delete(p.idle, address)
+	}
+}
+
+// Answer is a complete answer to a call.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// maxCallAnswer bounds the body of a call's answer.
+const maxCallAnswer = 16 << 20
+
+// Call sends one request and reads the whole answer. Sent reports whether the
+// request may have been received, also with an error.
+func (p *Pool) Call(ctx context.Context, address string, r *Request) (answer *Answer, sent bool, err error) {
+	c, err := p.Get(ctx, address)
+	if err != nil {
+		return nil, false, err
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := c.SetDeadline(deadline); err != nil {
+			c.Close()
+			return nil, false, err
+		}
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	if err := c.Send(r); err != nil {
+		c.Close()
+		return nil, c.wrote, err
+	}
+	head, err := c.Receive(r.Method, "", "")
+	if err != nil {
+		c.Close()
+		return nil, true, err
+	}
+	body, err := io.ReadAll(io.LimitReader(head.Body, maxCallAnswer))
+	if err != nil {
+		c.Close()
+		return nil, true, err
+	}
+	if stop() {
+		p.Put(c)
+	}
+	return &Answer{Status: head.StatusCode, Header: head.Header, Body: body}, true, nil
+}
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,536 @@
+package coordinator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"math"
+	mathrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/peer"
+	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/residency"
+)
+
+const (
+	// tick is the longest time between two looks at the plan and the lease.
+	tick = 100 * time.Millisecond
+	// storeTimeout bounds one call of the store.
+	storeTimeout = time.Second
+	// orderTimeout bounds the wait for an answer to an order.
+	orderTimeout = time.Second
+	// heartbeat is how often the leader sends its state without a change.
+	heartbeat = 500 * time.Millisecond
+	// leaderSilence is how long a leader may be silent before its link is
+	// dropped and the lease row is read.
+	leaderSilence = 1600 * time.Millisecond
+	// lookEvery is the time between two reads of the lease row while there is
+	// no leader; half of it is random, so that instances do not read together.
+	lookEvery = 500 * time.Millisecond
+)
+
+// Engines gives orders to upstreams.
+type Engines interface {
+	Order(ctx context.Context, o residency.Order, holder string, token uint64) (residency.Outcome, error)
+	Report(ctx context.Context, id, address string) (residency.Report, error)
+}
+
+// Config describes one instance's part in the coordination.
+type Config struct {
+	Instance, Boot, Address, DataCentre string
+	Store                               ports.RowStore
+	Engines                             Engines
+	View                                func() *fleet.View
+	Bounds                              quota.CentralBounds
+	// LeaseGap is the time in which two holders must not both give orders.
+	LeaseGap time.Duration
+	// StoreParallel is the number of loads that the weight store serves at
+	// full speed at once.
+	StoreParallel int
+	Log           log.Interface
+	Metrics       *metrics.Set
+}
+
+// Coordinator contends for the lease and acts while it holds it. The embedded
+// Client is the instance's way to whoever holds it.
+type Coordinator struct {
+	config Config
+	client *Client
+	hub    *peer.Hub
+	wake   chan struct{}
+
+	mu      sync.Mutex
+	lease   *Lease
+	planner *residency.Planner // nil unless this instance leads
+	central *quota.Central
+	seen    *fleet.View // view that the planner and the limits are built from
+	pushed  map[string]residency.Placement
+	pushAt  bootclock.Time
+	looked  bootclock.Time
+	leading bool
+	// resigned instances follow others but lead no more.
+	resigned bool
+}
+
+// New returns a coordinator that is not running. Its hub is made by Start.
+func New(config Config) *Coordinator {
+	c := &Coordinator{
+		config: config, wake: make(chan struct{}, 1),
+		lease: NewLease(config.Instance, config.Boot, config.Address, config.LeaseGap),
+	}
+	c.client = newClient(c)
+	return c
+}
+
+// Client returns the instance's way to the leader.
+func (c *Coordinator) Client() *Client { return c.client }
+
+// Notify makes the coordinator look at a changed view at once.
+func (c *Coordinator) Notify() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Start reads the secret that instances authenticate each other with, and
+// makes the hub. It tries until ctx ends.
+func (c *Coordinator) Start(ctx context.Context) (*peer.Hub, error) {
+	for {
+		secret, err := c.secret(ctx)
+		if err == nil {
+			c.hub = c.newHub(secret)
+			return c.hub, nil
+		}
+		c.config.Log.WithError(err).Warn("secret of the instances not read; trying again")
+		if !sleep(ctx, lookEvery) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (c *Coordinator) newHub(secret string) *peer.Hub {
+	self := peer.Identity{Instance: c.config.Instance, Incarnation: c.config.Boot, DataCentre: c.config.DataCentre}
+	hub := peer.NewHub(self, secret, c.config.Log)
+	hub.DialFirst()
+	hub.SetAddress(c.config.Address)
+	hub.Handle(peer.KindNeeds, c.handleNeeds)
+	hub.Handle(peer.KindTakeTokens, c.handleTake)
+	hub.Handle(peer.KindLoadAdapter, c.handleAdapter)
+	hub.Handle(peer.KindPlacements, c.client.handlePlacements)
+	hub.OnChange(c.linkChanged)
+	return hub
+}
+
+// secret reads the shared secret, or creates it with the first instance.
+func (c *Coordinator) secret(ctx context.Context) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	sent := bootclock.Now()
+	page, err := c.config.Store.Read(ctx, Table)
+	if err != nil {
+		return "", err
+	}
+	c.mu.Lock()
+	err = c.lease.Seen(sent, bootclock.Now(), page)
+	c.mu.Unlock()
+	if err != nil {
+		return "", err
+	}
+	if secret := findSecret(page); secret != "" {
+		return secret, nil
+	}
+	fresh := make([]byte, 32)
+	rand.Read(fresh) //nolint:errcheck // crypto/rand.Read never fails.
+	secret := hex.EncodeToString(fresh)
+	page, err = c.config.Store.Commit(ctx, ports.Change{Table: Table, Key: secretKey, Value: []byte(secret)})
+	if errors.Is(err, ports.ErrConflict) {
+		if secret := findSecret(page); secret != "" {
+			return secret, nil
+		}
+	}
+	return secret, err
+}
+
+func findSecret(page ports.Page) string {
+	for _, r := range page.Rows {
+		if r.Table == Table && r.Key == secretKey {
+			return string(r.Value)
+		}
+	}
+	return ""
+}
+
+// Run contends for the lease until ctx ends, then gives it up.
+func (c *Coordinator) Run(ctx context.Context) {
+	go c.client.run(ctx)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		c.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-c.wake:
+		case <-ticker.C:
+		}
+	}
+	c.release()
+}
+
+// Resign gives the lease up for good, before the instance is shut down. It
+// goes on following other leaders until Run ends.
+func (c *Coordinator) Resign() {
+	c.mu.Lock()
+	c.resigned = true
+	c.mu.Unlock()
+	c.release()
+}
+
+// release gives the lease up, so that another instance need not wait for its end.
+func (c *Coordinator) release() {
+	c.mu.Lock()
+	change, ok := c.lease.Release(bootclock.Now())
+	c.stepDown("released")
+	c.mu.Unlock()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	sent := bootclock.Now()
+	page, err := c.config.Store.Commit(ctx, change)
+	if err != nil {
+		c.config.Log.WithError(err).Warn("lease not released; it ends by itself")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Written(sent, bootclock.Now(), page, err)
+}
+
+func (c *Coordinator) step(ctx context.Context) {
+	now := bootclock.Now()
+	c.mu.Lock()
+	held, mine, until := c.lease.Held(now), c.lease.Mine(), c.lease.until
+	if c.leading && !held {
+		c.stepDown("lease expired")
+	}
+	resigned := c.resigned
+	c.mu.Unlock()
+	switch {
+	case mine && resigned:
+		c.release()
+	case mine && held:
+		if until.Sub(now) < leaseTerm-renewEvery {
+			c.contend(ctx)
+		}
+	case !mine && c.client.alive(now):
+	default:
+		c.lookAround(ctx, now)
+	}
+	c.lead(ctx)
+}
+
+// lookAround reads the lease row, follows its holder and takes the lease if it
+// has ended.
+func (c *Coordinator) lookAround(ctx context.Context, now bootclock.Time) {
+	if c.looked != 0 && now.Before(c.looked) {
+		return
+	}
+	c.looked = now.Add(lookEvery/2 + mathrand.N(lookEvery))
+	c.read(ctx)
+	c.contend(ctx)
+	c.follow(ctx)
+}
+
+// follow keeps the link to the holder of the lease.
+func (c *Coordinator) follow(ctx context.Context) {
+	c.mu.Lock()
+	record, ok := c.lease.Record()
+	mine := c.lease.Mine()
+	c.mu.Unlock()
+	if !ok || mine || record.Address == c.config.Address {
+		c.hub.SetTargets(ctx, nil)
+		return
+	}
+	c.client.follow(record)
+	c.hub.SetTargets(ctx, []string{record.Address})
+}
+
+func (c *Coordinator) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	sent := bootclock.Now()
+	page, err := c.config.Store.Read(ctx, Table)
+	if err != nil {
+		c.config.Log.WithError(err).Info("lease row not read")
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.lease.Seen(sent, bootclock.Now(), page); err != nil {
+		c.config.Log.WithError(err).Error("lease row not understood")
+	}
+}
+
+// contend renews the lease or takes it if it is free.
+func (c *Coordinator) contend(ctx context.Context) {
+	c.mu.Lock()
+	unsettled, resigned := c.lease.Unsettled(), c.resigned
+	c.mu.Unlock()
+	if resigned {
+		return
+	}
+	if unsettled {
+		c.read(ctx)
+	}
+	sent := bootclock.Now()
+	c.mu.Lock()
+	change, ok := c.lease.Propose(sent)
+	c.mu.Unlock()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	page, err := c.config.Store.Commit(ctx, change)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Written(sent, bootclock.Now(), page, err)
+	if err != nil {
+		c.config.Log.WithError(err).Info("lease not written")
+	}
+}
+
+// stepDown ends the duties of a leader. The caller holds mu.
+func (c *Coordinator) stepDown(reason string) {
+	if !c.leading {
+		return
+	}
+	c.leading, c.planner, c.central, c.seen = false, nil, nil, nil
+	c.client.lost()
+	c.config.Log.WithFields(log.Fields{"reason": reason, "token": c.lease.Token()}).Info("leadership ended")
+}
+
+// lead plans and sends orders while the lease is held.
+func (c *Coordinator) lead(ctx context.Context) {
+	now := bootclock.Now()
+	c.mu.Lock()
+	if !c.lease.Held(now) {
+		c.mu.Unlock()
+		return
+	}
+	if !c.leading {
+		c.begin(now)
+	}
+	if v := c.config.View(); v != c.seen && v.Config != nil {
+		c.seen = v
+		c.planner.Observe(now, v)
+		c.central.SetLimits(now, limits(v.Config))
+	}
+	var ask []*fleet.Upstream
+	var orders []residency.Order
+	if c.lease.MayOrder(now) {
+		ask = c.planner.Unsure(now)
+		orders = c.planner.Plan(now)
+	}
+	token := c.lease.Token()
+	update, full := c.update(now)
+	c.mu.Unlock()
+	if update != nil {
+		c.push(ctx, update, full)
+	}
+	for _, u := range ask {
+		go c.ask(ctx, u)
+	}
+	for _, o := range orders {
+		go c.order(ctx, o, token)
+	}
+}
+
+func (c *Coordinator) begin(now bootclock.Time) {
+	c.leading = true
+	c.planner = residency.NewPlanner(c.config.StoreParallel)
+	c.central = quota.NewCentral(c.config.Bounds, c.lease.FirstEver())
+	c.pushed, c.seen = nil, nil
+	c.config.Log.WithFields(log.Fields{"token": c.lease.Token(), "orders_in_ms": max(c.lease.ordersAt.Sub(now).Milliseconds(), 0)}).Info("leadership taken")
+}
+
+func limits(config *fleet.Config) []quota.CentralLimit {
+	list := make([]quota.CentralLimit, 0, len(config.Workspaces))
+	for _, w := range config.Workspaces {
+		if w.Limited() {
+			list = append(list, quota.CentralLimit{Workspace: w.Name, Rate: w.Rate, Burst: w.Burst})
+		}
+	}
+	return list
+}
+
+// ask gets the report of an upstream whose state is in doubt.
+func (c *Coordinator) ask(ctx context.Context, u *fleet.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	asked := bootclock.Now()
+	report, err := c.config.Engines.Report(ctx, u.ID, u.Address)
+	if err != nil {
+		c.config.Log.WithError(err).WithField("upstream", u.ID).Info("report not received")
+		return
+	}
+	c.mu.Lock()
+	if c.planner != nil {
+		c.planner.Reported(bootclock.Now(), asked, u.ID, u.Started, report)
+	}
+	c.mu.Unlock()
+	c.Notify()
+}
+
+// order sends one order. The lease is checked right before, since the process
+// may have been suspended since the decision.
+func (c *Coordinator) order(ctx context.Context, o residency.Order, token uint64) residency.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	c.mu.Lock()
+	may := c.lease.MayOrder(bootclock.Now()) && c.lease.Token() == token
+	c.mu.Unlock()
+	outcome, err := residency.NotSent, error(nil)
+	if may {
+		outcome, err = c.config.Engines.Order(ctx, o, c.config.Instance, token)
+	}
+	c.mu.Lock()
+	if c.planner != nil {
+		c.planner.Sent(bootclock.Now(), o, outcome)
+	}
+	c.mu.Unlock()
+	entry := c.config.Log.WithFields(log.Fields{
+		"upstream": o.Upstream, "unload": o.Unload, "model": o.Model, "adapter": o.Adapter, "source": o.Source.String(),
+		"sequence": o.Sequence, "token": token, "outcome": outcome.String(),
+	})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("placement decision")
+	c.config.Metrics.GetOrCreateCounter(`hibiscusyard_orders_total{outcome="` + outcome.String() + `"}`).Inc()
+	c.Notify()
+	return outcome
+}
+
+// update is a message of the leader: what has changed since the last one.
+type update struct {
+	Full    bool                  `cbor:"1,keyasint"`
+	Members int                   `cbor:"2,keyasint"`
+	Changed []residency.Placement `cbor:"3,keyasint"`
+	Gone    []string              `cbor:"4,keyasint"`
+	Ready   []readyIn             `cbor:"5,keyasint"`
+}
+
+// readyIn says when a model that requests wait for will be served.
+type readyIn struct {
+	Service string        `cbor:"1,keyasint"`
+	Model   string        `cbor:"2,keyasint"`
+	In      time.Duration `cbor:"3,keyasint"`
+}
+
+// update returns what to send to the instances, nil for nothing, and the whole
+// state for instances that are new. The caller holds mu.
+func (c *Coordinator) update(now bootclock.Time) (changed, full *update) {
+	list := c.planner.Placements()
+	members := len(c.hub.Connected()) + 1
+	changed = &update{Members: members, Ready: c.ready(now)}
+	present := make(map[string]residency.Placement, len(list))
+	for _, p := range list {
+		present[p.Upstream] = p
+		if old, ok := c.pushed[p.Upstream]; !ok || !samePlacement(old, p) {
+			changed.Changed = append(changed.Changed, p)
+		}
+	}
+	for id := range c.pushed {
+		if _, ok := present[id]; !ok {
+			changed.Gone = append(changed.Gone, id)
+		}
+	}
+	if len(changed.Changed) == 0 && len(changed.Gone) == 0 && now.Sub(c.pushAt) < heartbeat {
+		return nil, nil
+	}
+	c.pushed, c.pushAt = present, now
+	return changed, &update{Full: true, Members: members, Changed: list, Ready: changed.Ready}
+}
+
+// ready lists the models under way that were asked for.
+func (c *Coordinator) ready(now bootclock.Time) []readyIn {
+	var list []readyIn
+	for _, w := range c.planner.Waiting(now) {
+		if in, known := c.planner.ReadyIn(now, w.Service, w.Model); known {
+			list = append(list, readyIn{Service: w.Service, Model: w.Model, In: in})
+		}
+	}
+	return list
+}
+
+func samePlacement(a, b residency.Placement) bool {
+	if a.Started != b.Started || len(a.Models) != len(b.Models) {
+		return false
+	}
+	for model, adapters := range a.Models {
+		other, ok := b.Models[model]
+		if !ok || len(other) != len(adapters) {
+			return false
+		}
+		for i := range adapters {
+			if adapters[i] != other[i] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// push sends an update to all instances.
+func (c *Coordinator) push(ctx context.Context, changed, full *update) {
+	c.client.adopt(c.config.Instance, changed)
+	for _, id := range c.hub.Connected() {
+		message := changed
+		if c.client.newcomer(id.Instance, id.Incarnation) {
+			message = full
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+			defer cancel()
+			if err := c.hub.Notify(ctx, id.Instance, peer.KindPlacements, message); err != nil {
+				c.config.Log.WithError(err).WithField("peer", id.Instance).Debug("placements not sent")
+				c.client.forget(id.Instance)
+			}
+		}()
+	}
+}
+
+// linkChanged forgets what an instance has been told when its link ends.
+func (c *Coordinator) linkChanged(id peer.Identity, up bool) {
+	c.client.forget(id.Instance)
+	if up {
+		c.mu.Lock()
+		c.pushAt = math.MinInt64 / 2
+		c.mu.Unlock()
+	} else {
+		c.client.linkLost(id.Instance)
+	}
+	c.Notify()
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/coordinator/leader.go
@@ -0,0 +1,125 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/peer"
+	"github.com/hibiscusyard/hibiscusyard/residency"
+)
+
+// adapterPoll is the pause before an order that has to wait for another one.
+const adapterPoll = 10 * time.Millisecond
+
+var (
+	errNotLeading = errors.New("this instance does not hold the lease")
+	errNoHost     = errors.New("no upstream serves the model")
+)
+
+type takeQuestion struct {
+	Workspace string `cbor:"1,keyasint"`
+	Tokens    int64  `cbor:"2,keyasint"`
+}
+
+type takeAnswer struct {
+	Granted bool          `cbor:"1,keyasint"`
+	After   time.Duration `cbor:"2,keyasint"`
+}
+
+type adapterQuestion struct {
+	Service string `cbor:"1,keyasint"`
+	Model   string `cbor:"2,keyasint"`
+	Adapter string `cbor:"3,keyasint"`
+}
+
+type adapterAnswer struct {
+	Upstream string `cbor:"1,keyasint"`
+}
+
+func (c *Coordinator) handleNeeds(_ context.Context, from peer.Identity, body []byte) (any, error) {
+	var needs []residency.Need
+	if err := cbor.Unmarshal(body, &needs); err != nil {
+		return nil, err
+	}
+	c.needs(from.Instance, needs)
+	return nil, nil
+}
+
+// needs takes over an instance's report while this instance leads.
+func (c *Coordinator) needs(from string, needs []residency.Need) {
+	urgent := false
+	for _, n := range needs {
+		urgent = urgent || n.Waiting > 0
+	}
+	c.mu.Lock()
+	if c.planner != nil {
+		c.planner.Needs(bootclock.Now(), from, needs)
+	}
+	c.mu.Unlock()
+	if urgent {
+		c.Notify()
+	}
+}
+
+func (c *Coordinator) handleTake(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
+	var q takeQuestion
+	if err := cbor.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	return c.take(ctx, q)
+}
+
+// take spends tokens of a workspace. The lease is checked at the moment of the
+// grant: nobody else grants until it ends.
+func (c *Coordinator) take(_ context.Context, q takeQuestion) (takeAnswer, error) {
+	now := bootclock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.leading || c.seen == nil || !c.lease.Held(now) {
+		return takeAnswer{}, errNotLeading
+	}
+	granted, after := c.central.Take(now, q.Workspace, q.Tokens)
+	return takeAnswer{Granted: granted, After: after}, nil
+}
+
+func (c *Coordinator) handleAdapter(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
+	var q adapterQuestion
+	if err := cbor.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	return c.loadAdapter(ctx, q)
+}
+
+// loadAdapter has an adapter loaded and waits until an upstream serves it.
+func (c *Coordinator) loadAdapter(ctx context.Context, q adapterQuestion) (adapterAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	for {
+		now := bootclock.Now()
+		c.mu.Lock()
+		if !c.leading || !c.lease.MayOrder(now) {
+			c.mu.Unlock()
+			return adapterAnswer{}, errNotLeading
+		}
+		step, token := c.planner.Adapter(now, q.Service, q.Model, q.Adapter), c.lease.Token()
+		c.mu.Unlock()
+		pause := adapterPoll
+		switch {
+		case step.Loaded:
+			return adapterAnswer{Upstream: step.Upstream}, nil
+		case step.Order != nil:
+			if c.order(ctx, *step.Order, token) == residency.Accepted && !step.Order.Unload {
+				pause = residency.AdapterReady
+			}
+		case !step.Wait:
+			return adapterAnswer{}, errNoHost
+		}
+		if !sleep(ctx, pause) {
+			return adapterAnswer{}, ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/coordinator/lease.go
@@ -0,0 +1,212 @@
+// Package coordinator keeps the one instance at a time that gives orders to
+// engines and grants tokens of the workspaces' limits, and the other
+// instances' way to it. What must outlive the instance is one row in the
+// platform's store.
+package coordinator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/ports"
+)
+
+// Rows of the coordinator in the store.
+const (
+	Table     = "hibiscusyard"
+	leaseKey  = "lease"
+	secretKey = "secret"
+)
+
+const (
+	// leaseTerm is how long a renewal lasts. Keyed requests are not served for
+	// longer than this during an outage of the store in any case.
+	leaseTerm = 3500 * time.Millisecond
+	// renewEvery leaves two tries for a renewal whose answer is lost.
+	renewEvery = time.Second
+	// clockMargin is kept for the different speeds of two machines' clocks.
+	clockMargin = 100 * time.Millisecond
+	// takeoverSlack is added to the time in which two holders must not both
+	// give orders.
+	takeoverSlack = 300 * time.Millisecond
+)
+
+// Record is the value of the lease row.
+type Record struct {
+	Holder  string `json:"holder"`
+	Boot    string `json:"boot"` // one run of the holder's process
+	Address string `json:"address"`
+	Token   uint64 `json:"fencing_token"`
+	// Expires is on the store's clock, so that any instance can tell at once
+	// whether the lease has ended.
+	Expires time.Duration `json:"expires_ns"`
+	Nonce   uint64        `json:"nonce"`
+}
+
+// Lease is one contender's state machine. It does no I/O and reads no clock.
+type Lease struct {
+	holder, boot, address string
+	// quiet is how long a new holder gives no orders after another machine held
+	// the lease, since engines that check no fencing tokens can't tell them apart.
+	quiet time.Duration
+
+	version   int64
+	record    Record
+	known     bool
+	clock     time.Duration // of the store, at an unknown moment between sent and received
+	sent      bootclock.Time
+	received  bootclock.Time
+	open      *Record // write without a definite answer
+	until     bootclock.Time
+	ordersAt  bootclock.Time
+	firstEver bool
+	nonce     uint64
+}
+
+// NewLease returns a contender that holds nothing.
+func NewLease(holder, boot, address string, leaseGap time.Duration) *Lease {
+	return &Lease{holder: holder, boot: boot, address: address, quiet: leaseGap + takeoverSlack}
+}
+
+// Record returns the row as last seen.
+func (l *Lease) Record() (Record, bool) { return l.record, l.known && l.version > 0 }
+
+// Held reports whether the lease is certainly held.
+func (l *Lease) Held(now bootclock.Time) bool { return now.Before(l.until) }
+
+// MayOrder reports whether orders may be given.
+func (l *Lease) MayOrder(now bootclock.Time) bool { return l.Held(now) && !now.Before(l.ordersAt) }
+
+// Token returns the fencing token of the present term.
+func (l *Lease) Token() uint64 { return l.record.Token }
+
+// FirstEver reports whether nobody held the lease before this holder.
+func (l *Lease) FirstEver() bool { return l.firstEver }
+
+// Mine reports whether the row names this run.
+func (l *Lease) Mine() bool { return l.known && l.record.Holder == l.holder && l.record.Boot == l.boot }
+
+// Unsettled reports whether the effect of a write is unknown, so that the row
+// has to be read before anything else.
+func (l *Lease) Unsettled() bool { return !l.known || l.open != nil }
+
+// Seen takes over the row as read by a call that was sent and answered then.
+func (l *Lease) Seen(sent, received bootclock.Time, page ports.Page) error {
+	l.note(sent, received, page.Clock)
+	var row ports.VersionedRow
+	for _, r := range page.Rows {
+		if r.Table == Table && r.Key == leaseKey {
+			row = r
+		}
+	}
+	var record Record
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &record); err != nil {
+			return fmt.Errorf("lease row: %w", err)
+		}
+	}
+	if l.open != nil && record.Nonce == l.open.Nonce && record.Boot == l.boot {
+		l.taken(row.Version, *l.open)
+		return nil
+	}
+	l.open = nil
+	l.version, l.record, l.known = row.Version, record, true
+	if !l.Mine() {
+		l.until = 0
+	}
+	return nil
+}
+
+func (l *Lease) note(sent, received bootclock.Time, clock time.Duration) {
+	if clock > 0 {
+		l.clock, l.sent, l.received = clock, sent, received
+	}
+}
+
+// free reports whether the lease may be taken at the store's present time. The
+// process that held it on this machine before has ended.
+func (l *Lease) free(now bootclock.Time) bool {
+	if l.version == 0 || l.record.Boot == "" {
+		return true
+	}
+	if l.record.Holder == l.holder && l.record.Address == l.address && l.record.Boot != l.boot {
+		return true
+	}
+	// The store's clock has advanced at least by the time since the answer.
+	return l.clock+now.Sub(l.received) > l.record.Expires
+}
+
+// Propose returns the write that takes or renews the lease, and whether there
+// is one to send now.
+func (l *Lease) Propose(now bootclock.Time) (ports.Change, bool) {
+	if l.Unsettled() || l.clock == 0 || (!l.Mine() && !l.free(now)) {
+		return ports.Change{}, false
+	}
+	next := l.record
+	if !l.Mine() {
+		next = Record{Holder: l.holder, Boot: l.boot, Address: l.address, Token: l.record.Token + 1}
+	}
+	l.nonce++
+	next.Nonce = l.nonce
+	next.Expires = l.clock + now.Sub(l.received) + leaseTerm
+	return l.write(next), true
+}
+
+// Release returns the write that gives the lease up.
+func (l *Lease) Release(now bootclock.Time) (ports.Change, bool) {
+	if !l.Mine() || l.Unsettled() {
+		return ports.Change{}, false
+	}
+	l.until = 0
+	next := l.record
+	l.nonce++
+	next.Nonce, next.Expires = l.nonce, 0
+	return l.write(next), true
+}
+
+func (l *Lease) write(next Record) ports.Change {
+	value, err := json.Marshal(next)
+	if err != nil {
+		panic(err) // the record consists of plain fields
+	}
+	l.open = &next
+	return ports.Change{Table: Table, Key: leaseKey, Value: value, Expect: l.version}
+}
+
+// Written takes over the answer to the write that Propose or Release returned.
+func (l *Lease) Written(sent, received bootclock.Time, page ports.Page, err error) {
+	switch {
+	case err == nil:
+		l.note(sent, received, page.Clock)
+		l.taken(page.Version, *l.open)
+	case errors.Is(err, ports.ErrConflict):
+		if failed := l.Seen(sent, received, page); failed != nil {
+			l.known = false
+		}
+	case errors.Is(err, ports.ErrNotApplied):
+		l.open = nil
+	}
+}
+
+// taken records that a write of this run is in effect.
+func (l *Lease) taken(version int64, record Record) {
+	if !l.Mine() {
+		other := l.version > 0 && l.record.Holder != l.holder
+		l.firstEver = l.version == 0
+		l.ordersAt = 0
+		if other {
+			l.ordersAt = l.received.Add(l.quiet)
+		}
+	}
+	l.open = nil
+	l.version, l.record, l.known = version, record, true
+	// The store's clock may have been read as early as when the call was sent.
+	l.until = l.sent.Add(record.Expires - l.clock - clockMargin)
+	if record.Expires == 0 { // released
+		l.until = 0
+		l.record.Boot = ""
+	}
+}
--- /dev/null
+++ b/dispatch/health.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/fleet"
+)
+
+const (
+	// failureWeight is the weight of the newest answer in the share of failures.
+	failureWeight = 0.2
+	// ejectShare is the share of failures from which an upstream is ejected,
+	// on top of twice the usual share of its kind.
+	ejectShare = 0.4
+	// ejectBase is the first ejection; each further one is twice as long, up
+	// to ejectMax.
+	ejectBase = time.Second
+	ejectMax  = 8 * time.Second
+	// unreachableAfter is how many failed connections in a row eject.
+	unreachableAfter = 2
+	// latencyWeight is the weight of the newest latency.
+	latencyWeight = 0.2
+	// maxSlowness bounds the effect of latencies on the choice.
+	maxSlowness = 8.0
+)
+
+// health is the passive health check of one upstream.
+type health struct {
+	failures  float64 // moving share of failures
+	refused   int     // failed connections in a row
+	until     bootclock.Time
+	ejections int
+	slow      float64 // moving ratio of latency to the expected one, 0 if unknown
+}
+
+func (h *health) ejected(now bootclock.Time) bool { return now.Before(h.until) }
+
+func (h *health) served() {
+	h.failures *= 1 - failureWeight
+	h.refused = 0
+	if h.failures < ejectShare/4 {
+		h.ejections = 0
+	}
+}
+
+func (h *health) failed(now bootclock.Time, typical float64) {
+	h.failures += failureWeight * (1 - h.failures)
+	h.refused = 0
+	if h.failures > max(ejectShare, 2*typical) {
+		h.eject(now)
+	}
+}
+
+func (h *health) unreachable(now bootclock.Time) {
+	if h.refused++; h.refused >= unreachableAfter {
+		h.refused = 0
+		h.eject(now)
+	}
+}
+
+func (h *health) eject(now bootclock.Time) {
+	if h.ejected(now) {
+		return
+	}
+	h.until = now.Add(min(ejectBase<<min(h.ejections, 4), ejectMax))
+	h.ejections++
+	// After the ejection a few failures in a row are enough for the next one.
+	h.failures = ejectShare / 2
+}
+
+// latency compares the time to the first event with the expected one.
+func (h *health) latency(got, expected time.Duration) {
+	ratio := min(float64(got)/float64(max(expected, time.Millisecond)), maxSlowness)
+	if h.slow == 0 {
+		h.slow = 1
+	}
+	h.slow += latencyWeight * (max(ratio, 1) - h.slow)
+}
+
+func (h *health) slowness() float64 { return max(h.slow, 1) }
+
+// coldGate limits this instance's share of the requests to a cold upstream.
+type coldGate struct {
+	entry *fleet.Upstream
+	until bootclock.Time
+	next  bootclock.Time
+	gap   time.Duration
+}
+
+// open reports whether a request may be sent now. An entry says for how long
+// the upstream stays cold from when it was written.
+func (g *coldGate) open(now bootclock.Time, u *fleet.Upstream, s *fleet.Service, members int) bool {
+	if g.entry != u {
+		g.entry = u
+		if u.ColdFor > 0 {
+			g.until = now.Add(time.Duration(u.ColdFor) * time.Millisecond)
+		}
+	}
+	if s.ColdPerSecond <= 0 || !now.Before(g.until) {
+		g.gap = 0
+		return true
+	}
+	g.gap = time.Duration(float64(time.Second) * float64(max(members, 1)) / (s.ColdPerSecond * coldShare))
+	return !now.Before(g.next)
+}
+
+func (g *coldGate) sent(now bootclock.Time) { g.next = now.Add(g.gap) }
--- a/filter/handler.go
+++ b/filter/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -31,19 +30,6 @@
 	MaxHeader int
 }
 
-// refusalBody is the one JSON form of all refusals.
-type refusalBody struct {
-	Error refusalDetail `json:"error"`
-}
-
-type refusalDetail struct {
-	Message    string `json:"message"`
-	Type       string `json:"type"`
-	Code       string `json:"code"`
-	Verdict    string `json:"verdict"`
-	RetryAfter int64  `json:"retry_after_seconds,omitempty"`
-}
-
 // ServeHTTP answers one request: with the upstream's answer or a refusal.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	r := &Request{
@@ -113,7 +99,7 @@
 
 // WriteRefusal answers with the JSON form of a refusal.
 func WriteRefusal(w http.ResponseWriter, refusal *verdict.Refusal) {
-	body := describe(refusal)
+	body := verdict.Describe(refusal)
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatInt(body.Error.RetryAfter, 10))
 	}
@@ -139,30 +125,9 @@
 // WriteErrorEvent ends an event stream that can't be completed. Only whole
 // events have been passed on before it.
 func WriteErrorEvent(w *ResponseWriter, refusal *verdict.Refusal) error {
-	data, err := json.Marshal(describe(refusal))
+	data, err := json.Marshal(verdict.Describe(refusal))
 	if err != nil {
 		return err
 	}
 	return w.send(fmt.Appendf(nil, "event: error\ndata: %s\n\n", data), true)
 }
-
-func describe(refusal *verdict.Refusal) refusalBody {
-	return refusalBody{Error: refusalDetail{
-		Message: refusal.Message, Type: errorType(refusal.Status()),
-		Code: string(refusal.Reason), Verdict: refusal.Verdict().String(),
-		RetryAfter: int64(math.Ceil(refusal.RetryAfter.Seconds())),
-	}}
-}
-
-func errorType(status int) string {
-	switch {
-	case status == http.StatusTooManyRequests:
-		return "rate_limit_error"
-	case status == http.StatusUnauthorized, status == http.StatusForbidden:
-		return "authentication_error"
-	case status >= http.StatusInternalServerError:
-		return "server_error"
-	default:
-		return "invalid_request_error"
-	}
-}
--- a/filter/request.go
+++ b/filter/request.go
@@ -3,13 +3,13 @@
 package filter
 
 import (
-	"context"
 	"net/http"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/chain"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
@@ -48,23 +48,11 @@
 	return r.Chat.Model
 }
 
-// Next hands a request to the rest of the chain. A nil error means that the
-// answer is complete.
-type Next func(ctx context.Context, r *Request) error
+// Next hands a request to the rest of the chain.
+type Next = chain.Next[*Request]
 
 // Filter does one job for every request.
-type Filter interface {
-	Serve(ctx context.Context, r *Request, next Next) error
-}
+type Filter = chain.Filter[*Request]
 
 // Chain returns the filters as one Next.
-func Chain(filters ...Filter) Next {
-	next := Next(func(_ context.Context, r *Request) error {
-		return r.Attempt.Refuse(verdict.InternalError, "the chain has no last filter")
-	})
-	for i := len(filters) - 1; i >= 0; i-- {
-		f, inner := filters[i], next
-		next = func(ctx context.Context, r *Request) error { return f.Serve(ctx, r, inner) }
-	}
-	return next
-}
+func Chain(filters ...Filter) Next { return chain.New(filters...) }
--- /dev/null
+++ b/gateway/budget.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+)
+
+// BudgetConfig bounds the sends beyond the first one of each request. The
+// bound holds for the sum over all instances.
+type BudgetConfig struct {
+	Ratio  float64       // of a service's requests
+	Slack  float64       // on top, over all instances
+	Window time.Duration // in which both are counted
+}
+
+const (
+	budgetBuckets = 20
+	// budgetShare is the part of the budget that is used, for requests that
+	// instances count in different windows.
+	budgetShare = 0.8
+)
+
+// Budget counts one instance's share of the retries. Its methods may be called
+// from several goroutines.
+type Budget struct {
+	config BudgetConfig
+	mu     sync.Mutex
+	sums   map[string]*window
+}
+
+// window counts requests and retries of one service over the last buckets.
+type window struct {
+	requests, retries [budgetBuckets]int
+	newest            int64
+}
+
+// NewBudget returns an unused budget.
+func NewBudget(config BudgetConfig) *Budget {
+	return &Budget{config: config, sums: map[string]*window{}}
+}
+
+func (b *Budget) window(now bootclock.Time, service string) *window {
+	w := b.sums[service]
+	if w == nil {
+		w = &window{}
+		b.sums[service] = w
+	}
+	bucket := int64(now) / int64(b.config.Window/budgetBuckets)
+	for n := 0; w.newest < bucket && n < budgetBuckets; n++ {
+		w.newest = max(w.newest+1, bucket-budgetBuckets+1)
+		w.requests[w.newest%budgetBuckets], w.retries[w.newest%budgetBuckets] = 0, 0
+	}
+	w.newest = max(w.newest, bucket)
+	return w
+}
+
+// Request counts the first send of a request.
+func (b *Budget) Request(now bootclock.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(now, service)
+	w.requests[w.newest%budgetBuckets]++
+}
+
+// Retry reports whether one more send is within this instance's share, and
+// counts it if so.
+func (b *Budget) Retry(now bootclock.Time, service string, members int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(now, service)
+	requests, retries := 0, 0
+	for i := range budgetBuckets {
+		requests += w.requests[i]
+		retries += w.retries[i]
+	}
+	if float64(retries+1) > budgetShare*(b.config.Ratio*float64(requests)+b.config.Slack/float64(max(members, 1))) {
+		return false
+	}
+	w.retries[w.newest%budgetBuckets]++
+	return true
+}
--- /dev/null
+++ b/gateway/filters.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/verdict"
+)
+
+const (
+	// staleAnswer is the age of the desired state above which an instance does
+	// not say that a route or key does not exist: a newer version may have it.
+	staleAnswer = 2500 * time.Millisecond
+	// comeBack is when a caller may try again where nothing better is known:
+	// the balancer gives it another instance.
+	comeBack = 500 * time.Millisecond
+	// defaultTimeout bounds a request whose route names no time.
+	defaultTimeout = 30 * time.Second
+)
+
+// Identify finds the route and the workspace of a request.
+type Identify struct {
+	State State
+	// StaleAfter is the age of the desired state above which requests with a
+	// key are refused, since the key may have been withdrawn.
+	StaleAfter time.Duration
+}
+
+// Serve implements Filter.
+func (f Identify) Serve(ctx context.Context, r *Request, next Next) error {
+	r.View = f.State.View()
+	config := r.View.Config
+	if config == nil {
+		return verdict.New(verdict.ConfigurationStale, "this instance has no desired state yet").After(comeBack)
+	}
+	age := f.State.Age(r.Arrived)
+	r.Route = config.Route(hostOf(r.HTTP), r.HTTP.URL.Path)
+	if r.Route == nil {
+		if age > staleAnswer {
+			return verdict.New(verdict.ConfigurationStale, "the route is not known here").After(comeBack)
+		}
+		return verdict.New(verdict.UnknownRoute, "no route matches")
+	}
+	if config.Keyed() && !r.Route.Public {
+		if age > f.StaleAfter {
+			return verdict.New(verdict.ConfigurationStale, "this instance can't prove that keys are current").After(comeBack)
+		}
+		if r.Workspace = config.Workspace(r.Key); r.Workspace == nil {
+			if age > staleAnswer {
+				return verdict.New(verdict.ConfigurationStale, "the key is not known here").After(comeBack)
+			}
+			return verdict.New(verdict.InvalidKey, "the key is not valid")
+		}
+	}
+	r.Deadline = r.Arrived.Add(timeout(r))
+	r.Patience = r.Deadline
+	if p := r.Route.Patience(); p > 0 {
+		r.Patience = r.Arrived.Add(p)
+	}
+	return next(ctx, r)
+}
+
+// timeout returns the time for the final answer: the route's, or the caller's
+// if that is shorter.
+func timeout(r *Request) time.Duration {
+	limit := r.Route.Timeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if r.HasDeadline {
+		limit = min(limit, r.Call.Deadline)
+	}
+	return limit
+}
+
+func hostOf(r *http.Request) string {
+	host, _, _ := strings.Cut(r.Host, ":")
+	return strings.ToLower(host)
+}
+
+// ReadBody reads the whole request before anything is sent on, so that a
+// caller who breaks off never leaves half a request at an upstream.
+type ReadBody struct{}
+
+// Serve implements Filter.
+func (ReadBody) Serve(ctx context.Context, r *Request, next Next) error {
+	limits := r.View.Config.Limits
+	if limits.BodyBytes > 0 && r.HTTP.ContentLength > limits.BodyBytes {
+		return verdict.New(verdict.BodyTooLarge, "the body exceeds %d bytes", limits.BodyBytes)
+	}
+	body := io.Reader(r.HTTP.Body)
+	if limits.BodyBytes > 0 {
+		body = http.MaxBytesReader(r.Writer.inner, r.HTTP.Body, limits.BodyBytes)
+	}
+	data, err := io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return verdict.New(verdict.BodyTooLarge, "the body exceeds %d bytes", limits.BodyBytes)
+	case err != nil:
+		return verdict.New(verdict.CallerGone, "the body was not received").Because(err)
+	}
+	r.Body = data
+	if r.Left(bootclock.Now()) <= 0 {
+		return verdict.New(verdict.DeadlineTooShort, "the deadline passed while the body was received")
+	}
+	return next(ctx, r)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,168 @@
+// Package gateway takes the requests of callers on the platform's ingress and
+// carries them through a chain of filters to an upstream. The decisions stand
+// in packages dispatch, quota and residency; this package holds the I/O.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/chain"
+	"github.com/hibiscusyard/hibiscusyard/dispatch"
+	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/verdict"
+)
+
+// Part is one part of a prompt that other requests may share.
+type Part struct {
+	ID     string
+	Tokens int64
+}
+
+// Call is what a caller's headers say of a request.
+type Call struct {
+	ID           string
+	Key          string
+	Model        string
+	Adapter      string
+	Resume       string // last event that the caller has
+	Deadline     time.Duration
+	HasDeadline  bool
+	PromptTokens int64
+	OutputTokens int64
+	Sized        bool // the tokens are known
+	Prefix       []Part
+}
+
+// Session identifies the prompt that the call shares with the most specific
+// group of others: the last part but its own.
+func (c *Call) Session() string {
+	if len(c.Prefix) == 0 {
+		return ""
+	}
+	return c.Prefix[max(len(c.Prefix)-2, 0)].ID
+}
+
+// Forwarding is what the system tells an upstream beside the caller's request.
+type Forwarding struct {
+	Left      time.Duration // time for the answer
+	Upstream  string        // the only upstream that may run it
+	Workspace string
+	Priority  int    // -1 for none
+	Resume    string // last event that was passed on, empty from the start
+}
+
+// AnswerHead is what the headers of an upstream's answer say.
+type AnswerHead struct {
+	NotRun   bool // the upstream did not run the request
+	Signed   bool // the upstream vouches for the answer
+	Upstream string
+	ID       string
+	Load     int // requests at the upstream, if Loaded
+	Loaded   bool
+}
+
+// Dialect translates the headers of one kind of ingress.
+type Dialect interface {
+	IDHeader() string
+	ReadCall(http.Header) (Call, error)
+	Forward(http.Header, Forwarding)
+	ReadAnswer(status int, h http.Header) AnswerHead
+	RetryAfter(time.Duration) string
+}
+
+// State is what the instance knows of the system.
+type State interface {
+	View() *fleet.View
+	// Age is how long ago the desired state was proved to be the newest.
+	Age(now bootclock.Time) time.Duration
+	// Members is the number of instances.
+	Members() int
+}
+
+// Placement brings models to upstreams. Its methods may be called from
+// several goroutines.
+type Placement interface {
+	dispatch.Residence
+	// Changed returns a channel that is closed at the next change of what is
+	// served where.
+	Changed() <-chan struct{}
+	// Want reports a request that waits for a model; done ends it.
+	Want(service, model string, deadline bootclock.Time) (done func())
+	// Ran reports that a request runs at an upstream; done ends it.
+	Ran(service, model, upstream string) (done func())
+	// Adapter has an adapter loaded beside its model.
+	Adapter(ctx context.Context, service, model, adapter string) error
+	// ReadyIn estimates when a model that is not loaded will be served. It is
+	// not known as long as nothing was decided.
+	ReadyIn(service, model string) (d time.Duration, known bool)
+	// Absent records that an upstream does not hold what it was thought to hold.
+	Absent(upstream, model, adapter string)
+}
+
+// Limiter enforces the limits of workspaces over all instances.
+type Limiter interface {
+	// Take spends tokens or returns a refusal.
+	Take(ctx context.Context, workspace *fleet.Workspace, tokens int64) *verdict.Refusal
+}
+
+// Request is one caller's request on its way through the chain. It belongs to
+// one goroutine.
+type Request struct {
+	Call
+	Arrived  bootclock.Time
+	Deadline bootclock.Time // of the final answer
+	// Patience is when the caller gives up a stream that has not begun.
+	Patience bootclock.Time
+	HTTP     *http.Request
+	Writer   *Writer
+	Body     []byte
+
+	View      *fleet.View
+	Route     *fleet.Route
+	Service   string
+	Workspace *fleet.Workspace // nil on public routes and without workspaces
+
+	Attempt verdict.Attempt
+	Log     log.Interface
+	runs    int // upstreams that may have run it
+	last    string
+	choice  dispatch.Choice
+}
+
+// Left returns the time until the final answer is due.
+func (r *Request) Left(now bootclock.Time) time.Duration { return r.Deadline.Sub(now) }
+
+// WaitLeft returns the time for which the request may wait for an upstream.
+func (r *Request) WaitLeft(now bootclock.Time) time.Duration {
+	return min(r.Deadline, r.Patience).Sub(now)
+}
+
+// Priority returns the rank that upstreams are told, 0 for the most urgent.
+func (r *Request) Priority() int {
+	if r.Workspace != nil && r.Workspace.Priority >= 0 {
+		return r.Workspace.Priority
+	}
+	return r.Route.Priority
+}
+
+// Tokens returns the cost of the request against its workspace's limit.
+func (r *Request) Tokens() int64 {
+	if r.Sized {
+		return r.PromptTokens + r.OutputTokens
+	}
+	if r.Workspace != nil {
+		return r.Workspace.PlainTokens
+	}
+	return 0
+}
+
+// Next and Filter are the chain of this package.
+type (
+	Next   = chain.Next[*Request]
+	Filter = chain.Filter[*Request]
+)
--- /dev/null
+++ b/gateway/route.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/dispatch"
+	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/verdict"
+)
+
+const (
+	// recheck bounds the time between two looks at a waiting request: upstreams
+	// become eligible again by time alone.
+	recheck = 50 * time.Millisecond
+	// reserve is what is kept of the deadline for the refusal to arrive.
+	reserve = 100 * time.Millisecond
+	// adapterWait bounds one call to have an adapter loaded.
+	adapterWait = time.Second
+	// busyWait bounds the wait for an upstream that turned requests away, as a
+	// share of the latency objective: later answers are worth a third.
+	busyWait = 0.5
+	// maxSends bounds the sends of one request, those that found no room included.
+	maxSends = 4
+)
+
+// Route finds an upstream for a request, waits for one where that helps, and
+// retries where that is safe. It is the last filter of the chain.
+type Route struct {
+	State     State
+	Placement Placement
+	Limiter   Limiter
+	Forward   *Forward
+	Budget    *Budget
+	// StaleAfter is as in Identify.
+	StaleAfter time.Duration
+
+	mu       sync.Mutex
+	balancer *dispatch.Balancer
+}
+
+// NewRoute returns a filter that balances for an instance.
+func NewRoute(instance, dataCentre string) *Route {
+	return &Route{balancer: dispatch.NewBalancer(instance, dataCentre)}
+}
+
+// Forget drops the history of upstreams that are gone.
+func (f *Route) Forget(v *fleet.View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancer.Forget(v)
+}
+
+// Serve implements Filter.
+func (f *Route) Serve(ctx context.Context, r *Request, _ Next) error {
+	r.Service = pickService(r.Route.Targets)
+	demand := dispatch.Demand{
+		Service: r.Service, Model: r.Model, Adapter: r.Adapter, Prompt: r.PromptTokens,
+		Tokens: r.PromptTokens + r.OutputTokens, Session: r.Session(),
+	}
+	f.Budget.Request(r.Arrived, r.Service)
+	var last error
+	for sends := 0; ; sends++ {
+		u, refusal := f.acquire(ctx, r, demand, last != nil)
+		if refusal != nil {
+			if last != nil {
+				return last
+			}
+			return refusal
+		}
+		if refusal := f.mayStillRun(ctx, r, sends); refusal != nil {
+			return refusal
+		}
+		try := f.try(ctx, r, demand, u)
+		if try.err == nil {
+			return nil
+		}
+		last = try.err
+		demand.Tried = append(demand.Tried, u.ID)
+		if sends+1 >= maxSends || !f.mayRetry(ctx, r, try) {
+			return last
+		}
+		r.Log.WithFields(log.Fields{"upstream": u.ID, "result": try.result.String(), "resume": try.resume}).Info("request is tried at another upstream")
+	}
+}
+
+// mayStillRun checks what can have changed since the request arrived, right
+// before it is sent: the age of the desired state and the workspace's limit.
+func (f *Route) mayStillRun(ctx context.Context, r *Request, sends int) error {
+	if r.Workspace == nil {
+		return nil
+	}
+	if f.State.Age(bootclock.Now()) > f.StaleAfter {
+		return r.Attempt.Refuse(verdict.ConfigurationStale, "this instance can't prove that keys are current").After(comeBack)
+	}
+	if sends > 0 || !r.Workspace.Limited() {
+		return nil
+	}
+	limited, cancel := context.WithTimeout(ctx, r.WaitLeft(bootclock.Now())-reserve)
+	defer cancel()
+	if refusal := f.Limiter.Take(limited, r.Workspace, r.Tokens()); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
+// acquire waits for an upstream that can run the request.
+func (f *Route) acquire(ctx context.Context, r *Request, d dispatch.Demand, retry bool) (*fleet.Upstream, error) {
+	var done func()
+	defer func() {
+		if done != nil {
+			done()
+		}
+	}()
+	for {
+		changed := f.Placement.Changed()
+		now := bootclock.Now()
+		view := f.State.View()
+		f.mu.Lock()
+		f.balancer.Members = f.State.Members()
+		choice := f.balancer.Pick(now, view, f.Placement, d)
+		f.mu.Unlock()
+		r.choice = choice
+		if choice.Upstream != nil {
+			return choice.Upstream, nil
+		}
+		if refusal := f.hopeless(now, r, choice, retry); refusal != nil {
+			return nil, refusal
+		}
+		if choice.Reason == dispatch.NoAdapter {
+			if err := f.loadAdapter(ctx, r); err == nil {
+				continue
+			}
+		}
+		if done == nil && d.Model != "" {
+			done = f.Placement.Want(d.Service, d.Model, min(r.Deadline, r.Patience))
+		}
+		timer := time.NewTimer(min(recheck, max(r.WaitLeft(now), time.Millisecond)))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection")
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (f *Route) loadAdapter(ctx context.Context, r *Request) error {
+	ctx, cancel := context.WithTimeout(ctx, min(adapterWait, r.WaitLeft(bootclock.Now())-reserve))
+	defer cancel()
+	err := f.Placement.Adapter(ctx, r.Service, r.Model, r.Adapter)
+	if err != nil && ctx.Err() == nil {
+		r.Log.WithError(err).WithField("adapter", r.Adapter).Info("adapter not loaded")
+	}
+	return err
+}
+
+// hopeless returns the refusal of a request for which waiting does not help.
+func (f *Route) hopeless(now bootclock.Time, r *Request, c dispatch.Choice, retry bool) error {
+	left, waited := r.WaitLeft(now), now.Sub(r.Arrived)
+	switch {
+	case left <= reserve:
+		return r.Attempt.Refuse(verdict.DeadlineTooShort, "no upstream became free in time: %s", c.Reason)
+	case c.Reason == dispatch.NoUpstream:
+		return r.Attempt.Refuse(verdict.NoUpstream, "no upstream of %s is in service", r.Service).After(comeBack)
+	case c.Reason == dispatch.AllBusy && (retry || waited > time.Duration(busyWait*float64(r.Route.Target))):
+		return r.Attempt.Refuse(verdict.QueueFull, "no upstream has room").After(comeBack)
+	case c.Reason == dispatch.NotLoaded:
+		ready, known := f.Placement.ReadyIn(r.Service, r.Model)
+		if known && ready > left-reserve {
+			return r.Attempt.Refuse(verdict.DeadlineTooShort, "the model will be served in %d ms", ready.Milliseconds()).After(ready)
+		}
+	}
+	return nil
+}
+
+// mayRetry decides whether a request is sent once more.
+func (f *Route) mayRetry(ctx context.Context, r *Request, t attempt) bool {
+	if ctx.Err() != nil || r.Left(bootclock.Now()) <= reserve || r.Writer.Complete() {
+		return false
+	}
+	switch {
+	case r.Writer.Begun() && !t.resume:
+		return false
+	case t.notRun && t.result == dispatch.Refused:
+		return true // nothing arrived anywhere
+	case t.notRun:
+	case !r.Route.Repeatable() || r.runs >= r.Route.Attempts:
+		return false
+	}
+	return f.Budget.Retry(bootclock.Now(), r.Service, f.State.Members())
+}
+
+// attempt is the end of one send.
+type attempt struct {
+	err    error
+	result dispatch.Outcome
+	notRun bool // the upstream certainly did not run it
+	resume bool // a begun stream can go on elsewhere
+}
+
+// try sends a request to an upstream and relays the answer.
+func (f *Route) try(ctx context.Context, r *Request, d dispatch.Demand, u *fleet.Upstream) attempt {
+	if r.Model != "" {
+		defer f.Placement.Ran(r.Service, r.Model, u.ID)()
+	}
+	f.mu.Lock()
+	ticket := f.balancer.Start(bootclock.Now(), u, d)
+	f.mu.Unlock()
+	r.last = u.ID
+	observe := observer{
+		first: func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			ticket.First(bootclock.Now())
+		},
+		load: func(requests int) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			ticket.Reported(bootclock.Now(), requests)
+		},
+	}
+	a := f.Forward.try(ctx, r, u, observe)
+	f.mu.Lock()
+	f.balancer.Finish(bootclock.Now(), ticket, a.result)
+	f.mu.Unlock()
+	if !a.notRun {
+		r.runs++
+	}
+	if errors.Is(a.err, errAbsent) {
+		f.Placement.Absent(u.ID, r.Model, r.Adapter)
+	}
+	r.Log.WithFields(log.Fields{
+		"route": r.Route.Name, "upstream": u.ID, "reason": r.choice.Reason, "eligible": r.choice.Eligible,
+		"model": r.Model, "config": r.View.Config.Version, "result": a.result.String(), "runs": r.runs,
+		"after_ms": bootclock.Since(r.Arrived).Milliseconds(),
+	}).Info("upstream chosen")
+	return a
+}
+
+// pickService chooses among the services of a route by their weights.
+func pickService(targets []fleet.Target) string {
+	total := 0
+	for _, t := range targets {
+		total += max(t.Weight, 0)
+	}
+	if total > 0 {
+		n := rand.IntN(total)
+		for _, t := range targets {
+			if n -= max(t.Weight, 0); n < 0 {
+				return t.Service
+			}
+		}
+	}
+	return targets[0].Service
+}
--- /dev/null
+++ b/node/nodecmd/nodecmd.go
@@ -0,0 +1,118 @@
+// Package nodecmd implements the command line of the daemon for the users'
+// platform.
+package nodecmd
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	apexjson "github.com/apex/log/handlers/json"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/hibiscusyard/hibiscusyard/cli"
+	"github.com/hibiscusyard/hibiscusyard/logsink"
+	"github.com/hibiscusyard/hibiscusyard/node"
+)
+
+// settingsVariable names the file of the settings if no option does.
+const settingsVariable = "HIBISCUSYARD_SETTINGS"
+
+type common struct {
+	Settings string `long:"settings" value-name:"FILE" description:"settings file in JSON; default: the file that HIBISCUSYARD_SETTINGS names"`
+	out      io.Writer
+}
+
+func (c *common) load() (node.Settings, error) {
+	path := c.Settings
+	if path == "" {
+		path = os.Getenv(settingsVariable)
+	}
+	if path == "" {
+		return node.Settings{}, fmt.Errorf("%w: --settings or %s must name a file", cli.ErrUsage, settingsVariable)
+	}
+	return node.LoadSettings(path)
+}
+
+type serveCommand struct{ common }
+
+type validateCommand struct{ common }
+
+type options struct {
+	Serve    serveCommand    `command:"serve" description:"Run one instance until SIGTERM or SIGINT"`
+	Validate validateCommand `command:"validate" description:"Check a settings file and report all errors"`
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	opts := &options{}
+	opts.Serve.out, opts.Validate.out = stdout, stdout
+	parser := flags.NewNamedParser("hibiscusyard-front", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", opts); err != nil {
+		fmt.Fprintln(stderr, err)
+		return cli.Failed
+	}
+	_, err := parser.ParseArgs(args)
+	return cli.Exit(err, stdout, stderr)
+}
+
+// Execute implements flags.Commander.
+func (c *validateCommand) Execute(args []string) error {
+	if err := cli.NoArguments(args); err != nil {
+		return err
+	}
+	if _, err := c.load(); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.out, "the settings are valid")
+	return nil
+}
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute(args []string) error {
+	if err := cli.NoArguments(args); err != nil {
+		return err
+	}
+	settings, err := c.load()
+	if err != nil {
+		return err
+	}
+	level, err := log.ParseLevel(settings.LogLevel)
+	if err != nil {
+		return err
+	}
+	sink := logsink.New(c.out)
+	defer sink.Close()
+	logger := &log.Logger{Handler: apexjson.New(sink), Level: level}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	instance := node.New(settings, logger)
+	if err := instance.Start(); err != nil {
+		return err
+	}
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		c.reload(logger, settings)
+	}
+	instance.Shutdown()
+	return nil
+}
+
+// reload checks the changed settings. All of them describe the machine or the
+// deployment's promises, so that they apply at the next start.
+func (c *serveCommand) reload(logger log.Interface, current node.Settings) {
+	changed, err := c.load()
+	switch {
+	case err != nil:
+		logger.WithError(err).Error("changed settings are not valid; the present ones stay in force")
+	case changed != current:
+		logger.Warn("settings have changed; they apply at the next start")
+	default:
+		logger.Info("settings read again; nothing has changed")
+	}
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Settings configures one instance on the users' platform. The platform fills
+// them in from deploy/settings.json.
+type Settings struct {
+	// Instance is the unique name of the machine. Required.
+	Instance string `json:"instance"`
+	// DataCentre is where the machine stands. Required.
+	DataCentre string `json:"data_centre"`
+	// CallerListen is the address for callers. Required.
+	CallerListen string `json:"caller_listen"`
+	// ReadyListen is the address at which the platform asks for readiness. Required.
+	ReadyListen string `json:"ready_listen"`
+	// PeerListen is the address for other instances. Required.
+	PeerListen string `json:"peer_listen"`
+	// MetricsListen is the address of the metrics. Required.
+	MetricsListen string `json:"metrics_listen"`
+	// Store is the address of the platform's store. Required.
+	Store string `json:"store"`
+	// MemoryMB is the memory that the process may use, in MB. Required.
+	MemoryMB float64 `json:"memory_mb"`
+	// LogLevel is "debug", "info", "warn" or "error". Default "info".
+	LogLevel string `json:"log_level"`
+	// StoreParallel is the number of loads that the weight store serves at
+	// full speed at once. Default 4.
+	StoreParallel int `json:"store_parallel"`
+	// Bounds are the promises of the deployment. Required.
+	Bounds Bounds `json:"bounds"`
+}
+
+// Bounds are the figures of the deployment that limits are derived from.
+type Bounds struct {
+	// RevokeMS is after which time a withdrawn key must not be served, in milliseconds.
+	RevokeMS float64 `json:"revoke_ms"`
+	// GraceS is the time from SIGTERM to SIGKILL, in seconds.
+	GraceS float64 `json:"grace_s"`
+	// LeaseMS is the time in which two instances must not both give orders, in milliseconds.
+	LeaseMS float64 `json:"lease_ms"`
+	// BudgetRatio, BudgetSlack and BudgetWindowS bound the retries of all
+	// instances: a share of the requests, a number on top, and the window in seconds.
+	BudgetRatio   float64 `json:"budget_ratio"`
+	BudgetSlack   float64 `json:"budget_slack"`
+	BudgetWindowS float64 `json:"budget_window_s"`
+	// QuotaWindowS, QuotaOverage and QuotaSlack bound what workspaces spend
+	// over their limits: the window in seconds, a share, and tokens on top.
+	QuotaWindowS float64 `json:"quota_window_s"`
+	QuotaOverage float64 `json:"quota_overage"`
+	QuotaSlack   float64 `json:"quota_slack"`
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, oops.In("settings").Wrapf(err, "read settings")
+	}
+	s, err := ParseSettings(data)
+	if err != nil {
+		return s, oops.In("settings").Wrapf(err, "%s", path)
+	}
+	return s, nil
+}
+
+// ParseSettings decodes and checks settings. All errors are reported at once.
+func ParseSettings(data []byte) (Settings, error) {
+	s := Settings{LogLevel: "info", StoreParallel: 4}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		line := 1 + bytes.Count(data[:min(int(decoder.InputOffset()), len(data))], []byte("\n"))
+		return s, fmt.Errorf("near line %d: %w", line, err)
+	}
+	return s, s.validate()
+}
+
+func (s *Settings) validate() error {
+	var problems []error
+	report := func(field, format string, args ...any) {
+		problems = append(problems, fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...)))
+	}
+	for field, value := range map[string]string{"instance": s.Instance, "data_centre": s.DataCentre} {
+		if value == "" {
+			report(field, "must be set")
+		}
+	}
+	for field, value := range map[string]string{
+		"caller_listen": s.CallerListen, "ready_listen": s.ReadyListen, "peer_listen": s.PeerListen,
+		"metrics_listen": s.MetricsListen, "store": s.Store,
+	} {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			report(field, "must be an IP address with a port, not %q", value)
+		}
+	}
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		report("log_level", "unknown level %q", s.LogLevel)
+	}
+	if s.StoreParallel < 1 {
+		report("store_parallel", "must be at least 1")
+	}
+	for field, value := range map[string]float64{
+		"memory_mb": s.MemoryMB, "bounds.revoke_ms": s.Bounds.RevokeMS, "bounds.grace_s": s.Bounds.GraceS,
+		"bounds.lease_ms": s.Bounds.LeaseMS, "bounds.budget_window_s": s.Bounds.BudgetWindowS,
+		"bounds.quota_window_s": s.Bounds.QuotaWindowS,
+	} {
+		if !(value > 0) {
+			report(field, "must be above 0")
+		}
+	}
+	for field, value := range map[string]float64{
+		"bounds.budget_ratio": s.Bounds.BudgetRatio, "bounds.budget_slack": s.Bounds.BudgetSlack,
+		"bounds.quota_overage": s.Bounds.QuotaOverage, "bounds.quota_slack": s.Bounds.QuotaSlack,
+	} {
+		if !(value >= 0) {
+			report(field, "must not be negative")
+		}
+	}
+	return errors.Join(problems...)
+}
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -41,6 +41,9 @@
 	secret []byte
 	client *http.Client
 	log    log.Interface
+	// dialFirst lets this instance dial at once whatever its address, for
+	// links that the other side never dials.
+	dialFirst bool
 
 	mu       sync.RWMutex
 	handlers map[Kind]Handler
@@ -64,6 +67,20 @@
 // before the first link.
 func (h *Hub) SetAddress(address string) { h.self.Address = address }
 
+// DialFirst makes the hub dial its targets without leaving them time to dial
+// first. It must be called before the first link.
+func (h *Hub) DialFirst() { h.dialFirst = true }
+
+// Drop ends the link to an instance. A target is dialled again.
+func (h *Hub) Drop(instance string) {
+	h.mu.RLock()
+	l := h.links[instance]
+	h.mu.RUnlock()
+	if l != nil {
+		l.close()
+	}
+}
+
 // Handle registers the handler of a kind. It must be called before the first link.
 func (h *Hub) Handle(kind Kind, handler Handler) {
 	h.mu.Lock()
@@ -180,7 +197,7 @@
 func (h *Hub) keepDialled(ctx context.Context, address string) {
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = minRedial, maxRedial
-	if address < h.self.Address && !duration.Sleep(ctx, secondDial) {
+	if !h.dialFirst && address < h.self.Address && !duration.Sleep(ctx, secondDial) {
 		return
 	}
 	for ctx.Err() == nil {
--- a/peer/message.go
+++ b/peer/message.go
@@ -26,6 +26,10 @@
 	KindPlacementView
 	KindUpstreamEvent
 	KindUpstreamAges
+	KindNeeds
+	KindPlacements
+	KindTakeTokens
+	KindLoadAdapter
 )
 
 // envelope frames every message after the handshake. Replies repeat the ID of
--- /dev/null
+++ b/ports/rows.go
@@ -0,0 +1,51 @@
+package ports
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrHistoryGone means that a feed can't be continued because the store has
+// dropped the changes in between. The table has to be read anew.
+var ErrHistoryGone = errors.New("history gone")
+
+// VersionedRow is one row of a RowStore.
+type VersionedRow struct {
+	Table   string
+	Key     string
+	Value   []byte
+	Version int64
+	Deleted bool // only in feeds
+}
+
+// Page is an answer of a RowStore.
+type Page struct {
+	Rows []VersionedRow
+	// Version is the newest version that the answer covers.
+	Version int64
+	// Clock is the store's steady clock when it answered.
+	Clock time.Duration
+}
+
+// Change is one conditional write of a transaction.
+type Change struct {
+	Table   string
+	Key     string
+	Value   []byte
+	Expect  int64 // version that the row must have; 0 means that it must not exist
+	Replace bool  // write whatever the version is
+}
+
+// RowStore is a linearizable store of versioned rows with a feed of changes.
+// Clients do not retry by themselves.
+type RowStore interface {
+	// Read returns all rows of a table.
+	Read(ctx context.Context, table string) (Page, error)
+	// Feed returns the rows that changed after a version, waiting up to wait
+	// for the first one, or ErrHistoryGone.
+	Feed(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
+	// Commit applies all changes or none. With ErrConflict the page holds the
+	// present rows.
+	Commit(ctx context.Context, changes ...Change) (Page, error)
+}
--- /dev/null
+++ b/residency/adapter.go
@@ -0,0 +1,124 @@
+package residency
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+)
+
+// AdapterStep is what has to be done for an adapter.
+type AdapterStep struct {
+	Loaded   bool   // an upstream serves it
+	Upstream string // that serves it
+	Order    *Order // to be sent now
+	Wait     bool   // another order at the upstream has to end first
+}
+
+// Adapter decides the next step for an adapter beside its model. The place of
+// the adapter counts as taken from the order on.
+func (p *Planner) Adapter(now bootclock.Time, service, model, adapter string) AdapterStep {
+	var best *host
+	wait := false
+	for _, id := range slices.Sorted(maps.Keys(p.hosts)) {
+		h := p.hosts[id]
+		r := h.models[model]
+		if h.entry.Service != service || r == nil || r.retiring || !p.usable(h) ||
+			(h.order != nil && h.order.order.Model == model) {
+			continue
+		}
+		if _, ok := r.adapters[adapter]; ok {
+			if h.adapter != nil && h.adapter.order.Model == model && h.adapter.order.Adapter == adapter {
+				return AdapterStep{Wait: true}
+			}
+			r.adapters[adapter] = now
+			return AdapterStep{Loaded: true, Upstream: id}
+		}
+		if h.unsure || h.sequence == sequenceUnknown || h.adapter != nil || (h.order != nil && !h.order.accepted) || now.Before(h.after) {
+			wait = true
+			continue
+		}
+		if best == nil || h.adapters() < best.adapters() {
+			best = h
+		}
+	}
+	if best == nil {
+		return AdapterStep{Wait: wait}
+	}
+	return best.adapterOrder(now, model, adapter)
+}
+
+// adapterOrder makes a place for the adapter or orders it.
+func (h *host) adapterOrder(now bootclock.Time, model, adapter string) AdapterStep {
+	m := h.engine.Models[model]
+	if m == nil {
+		return AdapterStep{}
+	}
+	o := Order{Model: model, Adapter: adapter}
+	if h.adapters() >= h.engine.AdapterSlots || h.used()+m.AdapterMB > h.engine.WeightsMB {
+		idleModel, idle, ok := h.idleAdapter(now)
+		if !ok {
+			return AdapterStep{Wait: true}
+		}
+		o = Order{Model: idleModel, Adapter: idle, Unload: true}
+	} else {
+		h.models[model].adapters[adapter] = now
+	}
+	o.Upstream, o.Address, o.Started, o.Sequence = h.entry.ID, h.entry.Address, h.entry.Started, h.sequence
+	h.adapter = &pending{order: o, sent: now, due: now.Add(adapterReady)}
+	return AdapterStep{Order: &o, Wait: o.Unload}
+}
+
+// idleAdapter returns the adapter that has not been used for the longest time.
+func (h *host) idleAdapter(now bootclock.Time) (model, adapter string, ok bool) {
+	var oldest bootclock.Time
+	for name, r := range h.models {
+		for a, used := range r.adapters {
+			if now.Sub(used) >= adapterIdle && (!ok || used < oldest || (used == oldest && a < adapter)) {
+				model, adapter, oldest, ok = name, a, used, true
+			}
+		}
+	}
+	return model, adapter, ok
+}
+
+// adapterSent takes over what the upstream said of an adapter's order.
+func (h *host) adapterSent(now bootclock.Time, o Order, outcome Outcome) {
+	if h.adapter == nil || h.adapter.order != o {
+		return
+	}
+	r := h.models[o.Model]
+	h.adapterAt = now
+	switch outcome {
+	case Accepted, Holds:
+		h.sequence = max(h.sequence, o.Sequence)
+		if outcome == Accepted || o.Unload {
+			h.sequence = max(h.sequence, o.Sequence+1)
+		}
+		if r != nil && o.Unload {
+			delete(r.adapters, o.Adapter)
+		}
+		if outcome == Holds && !o.Unload {
+			h.unsure = true
+		}
+	default:
+		if r != nil && !o.Unload {
+			delete(r.adapters, o.Adapter)
+		}
+		h.unsure = true
+		h.asked = 0
+	}
+	h.adapter = nil
+}
+
+// AdapterUsed records the use of an adapter at an upstream.
+func (p *Planner) AdapterUsed(now bootclock.Time, upstream, model, adapter string) {
+	if h := p.hosts[upstream]; h != nil && h.models[model] != nil {
+		if _, ok := h.models[model].adapters[adapter]; ok {
+			h.models[model].adapters[adapter] = now
+		}
+	}
+}
+
+// AdapterReady is how long after the answer to its order an adapter is served.
+const AdapterReady = adapterReady
--- /dev/null
+++ b/residency/host.go
@@ -0,0 +1,231 @@
+package residency
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/fleet"
+)
+
+func halve(d, life time.Duration) float64 { return math.Exp2(-float64(d) / float64(life)) }
+
+// resident is a model that an upstream serves.
+type resident struct {
+	adapters map[string]bootclock.Time // time of the last use
+	used     bootclock.Time
+	retiring bool // the instances have been told that it goes
+	retired  bootclock.Time
+}
+
+// pending is an order that has been sent and has not come to its end.
+type pending struct {
+	order    Order
+	sent     bootclock.Time
+	due      bootclock.Time // when it should be done
+	accepted bool
+}
+
+// host is what is known of one upstream with an engine.
+type host struct {
+	entry    *fleet.Upstream
+	engine   *fleet.Engine
+	models   map[string]*resident
+	memory   []string
+	disk     []string
+	sequence int64
+	order    *pending // of a model
+	adapter  *pending // of an adapter
+	unsure   bool     // a report is needed before the next order
+	asked    bootclock.Time
+	after    bootclock.Time // no order before then
+	// adapterAt is when the last order of an adapter was answered.
+	adapterAt bootclock.Time
+}
+
+func newHost(u *fleet.Upstream, e *fleet.Engine) *host {
+	h := &host{entry: u, engine: e, models: map[string]*resident{}, sequence: sequenceUnknown, unsure: true}
+	h.adopt(0, u.Models)
+	h.copies(u)
+	return h
+}
+
+// sequenceUnknown is the number of accepted orders until a report has told it.
+const sequenceUnknown = -1
+
+// adopt takes over the models that an upstream says it serves. What it says of
+// adapters is late, so that those ordered a moment ago are kept.
+func (h *host) adopt(now bootclock.Time, models map[string][]string) {
+	for name := range h.models {
+		if _, ok := models[name]; !ok {
+			delete(h.models, name)
+		}
+	}
+	for name, adapters := range models {
+		r := h.models[name]
+		if r == nil {
+			r = &resident{adapters: map[string]bootclock.Time{}, used: now}
+			h.models[name] = r
+		}
+		if now.Sub(h.adapterAt) < adapterLag {
+			continue
+		}
+		listed := map[string]bool{}
+		for _, a := range adapters {
+			a = adapterName(a)
+			listed[a] = true
+			if _, ok := r.adapters[a]; !ok {
+				r.adapters[a] = 0
+			}
+		}
+		for a := range r.adapters {
+			if !listed[a] {
+				delete(r.adapters, a)
+			}
+		}
+	}
+}
+
+// adapterName strips the version from a reported adapter.
+func adapterName(s string) string {
+	s, _, _ = strings.Cut(s, "@")
+	return s
+}
+
+func (h *host) copies(u *fleet.Upstream) {
+	if u.KnowsCopies {
+		h.memory, h.disk = u.Copies.Memory, u.Copies.Disk
+	}
+}
+
+// observe takes over a newer entry of the same run.
+func (h *host) observe(now bootclock.Time, u *fleet.Upstream) {
+	h.entry = u
+	h.copies(u)
+	h.settle(now, u.Models)
+}
+
+// report takes over the answer to a question that was asked at a time.
+func (h *host) report(now, asked bootclock.Time, r Report) {
+	if r.Disk != nil || r.Memory != nil {
+		h.memory, h.disk = r.Memory, r.Disk
+	}
+	if p := h.order; p != nil && !p.accepted && asked.After(p.sent) {
+		switch {
+		case r.Sequence > p.order.Sequence:
+			p.accepted = true
+		case !r.Busy && now.Sub(p.sent) > reportLag:
+			// Not carried out so far. The next order with the same sequence
+			// makes it void, should it still come.
+			h.drop(now)
+		}
+	}
+	h.unsure = false
+	h.sequence = max(h.sequence, r.Sequence)
+	h.settle(now, r.Models)
+	if r.Busy && h.order == nil {
+		// An order that this instance does not know is under way.
+		h.after = now.Add(retryAfter)
+		h.unsure = true
+	}
+	if h.order != nil && !h.order.accepted {
+		h.unsure = true
+	}
+	if h.order != nil && h.order.accepted {
+		h.order.due = max(h.order.due, now.Add(retryAfter))
+	}
+}
+
+// settle compares what an upstream says it serves with the order under way.
+func (h *host) settle(now bootclock.Time, models map[string][]string) {
+	if p := h.order; p != nil {
+		if _, holds := models[p.order.Model]; holds == p.order.Unload {
+			return
+		}
+		h.sequence = max(h.sequence, p.order.Sequence+1)
+		h.order = nil
+	}
+	h.adopt(now, models)
+}
+
+// used returns the memory that is taken, a load under way included.
+func (h *host) used() float64 {
+	sum := 0.0
+	for name, r := range h.models {
+		if m := h.engine.Models[name]; m != nil {
+			sum += m.WeightsMB + float64(len(r.adapters))*m.AdapterMB
+		}
+	}
+	if p := h.order; p != nil && !p.order.Unload && h.models[p.order.Model] == nil {
+		if m := h.engine.Models[p.order.Model]; m != nil {
+			sum += m.WeightsMB
+		}
+	}
+	return sum
+}
+
+// adapters returns the number of adapter places that are taken.
+func (h *host) adapters() int {
+	n := 0
+	for _, r := range h.models {
+		n += len(r.adapters)
+	}
+	return n
+}
+
+// source returns from where a load would come.
+func (h *host) source(model string) Source {
+	switch {
+	case slices.Contains(h.memory, model):
+		return FromMemory
+	case slices.Contains(h.disk, model):
+		return FromDisk
+	}
+	return FromStore
+}
+
+// loadTime returns how long a load takes from a source.
+func loadTime(m *fleet.Model, s Source) time.Duration {
+	switch {
+	case s == FromMemory && m.Warm > 0:
+		return m.Warm
+	case s != FromStore && m.Disk > 0:
+		return m.Disk
+	}
+	return m.Load
+}
+
+// busy reports whether no order for a model can be given now.
+func (h *host) busy(now bootclock.Time) bool {
+	return h.order != nil || h.unsure || h.sequence == sequenceUnknown || now.Before(h.after) || h.retiring() != nil
+}
+
+func (h *host) retiring() *resident {
+	for _, r := range h.models {
+		if r.retiring {
+			return r
+		}
+	}
+	return nil
+}
+
+// serving returns the models that requests may be sent for.
+func (h *host) serving() map[string][]string {
+	models := map[string][]string{}
+	for name, r := range h.models {
+		if r.retiring || (h.order != nil && h.order.order.Model == name) {
+			continue
+		}
+		adapters := []string{}
+		for a := range r.adapters {
+			if h.adapter == nil || h.adapter.order.Model != name || h.adapter.order.Adapter != a {
+				adapters = append(adapters, a)
+			}
+		}
+		slices.Sort(adapters)
+		models[name] = adapters
+	}
+	return models
+}
