Retire models only when nothing runs; let requests wait for tokens; hand leadership over

Cause: unloads met requests that had begun since the last report (hosts blocked for 2.5 s), adapter orders raced with model orders (203 of 362 refused), and a new leader began with empty buckets. Change: instances object to a retirement at once; one order a host at a time; grants for later use; a leader that has lost the store offers the lease and the levels to another instance.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -177,6 +177,13 @@
 	now := bootclock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if u.Resigned {
+		if l.leader == from {
+			l.leader, l.heard = "", 0
+			l.broadcast()
+		}
+		return
+	}
 	if l.leader != from {
 		l.leader, l.boot = from, ""
 	}
@@ -184,7 +191,9 @@
 	if u.Full {
 		clear(l.placements)
 	}
+	object := false
 	for _, p := range u.Changed {
+		object = object || l.runsGoing(p)
 		l.placements[p.Upstream] = p
 		for a := range l.absent {
 			if a.upstream == p.Upstream {
@@ -202,6 +211,37 @@
 	if u.Full || len(u.Changed) > 0 || len(u.Gone) > 0 {
 		l.broadcast()
 	}
+	if object {
+		l.hurry()
+	}
+}
+
+// runsGoing reports whether requests run for a model that is about to be
+// unloaded. The leader is told at once, as its last report may be too old to
+// show them.
+func (l *Client) runsGoing(p residency.Placement) bool {
+	before, ok := l.placements[p.Upstream]
+	if !ok || before.Started != p.Started {
+		return false
+	}
+	for k, n := range l.needs {
+		if n.running[p.Upstream] == 0 {
+			continue
+		}
+		_, was := before.Models[k.model]
+		if _, is := p.Models[k.model]; was && !is {
+			return true
+		}
+	}
+	return false
+}
+
+// hurry has the needs reported at once.
+func (l *Client) hurry() {
+	select {
+	case l.urgent <- struct{}{}:
+	default:
+	}
 }
 
 // Models implements dispatch.Residence: the leader's word, or the entry of the
@@ -282,10 +322,7 @@
 	n.deadlines[id] = deadline
 	n.arrived++
 	l.mu.Unlock()
-	select {
-	case l.urgent <- struct{}{}:
-	default:
-	}
+	l.hurry()
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -407,7 +444,7 @@
 
 // Take implements gateway.Limiter. Without a leader the request waits a while
 // for one: most changes of leader are short.
-func (l *Client) Take(ctx context.Context, w *fleet.Workspace, tokens int64) *verdict.Refusal {
+func (l *Client) Take(ctx context.Context, w *fleet.Workspace, tokens int64, patience time.Duration) *verdict.Refusal {
 	deadline, ok := ctx.Deadline()
 	hold := noLeaderRetry
 	if ok {
@@ -417,10 +454,13 @@
 	for {
 		changed := l.Changed()
 		call, cancel := context.WithTimeout(ctx, takeTimeout)
-		answer, err := ask(call, l, peer.KindTakeTokens, takeQuestion{w.Name, tokens}, l.c.take)
+		answer, err := ask(call, l, peer.KindTakeTokens, takeQuestion{w.Name, tokens, patience}, l.c.take)
 		cancel()
 		switch {
 		case err == nil && answer.Granted:
+			if !sleep(ctx, answer.After) {
+				return verdict.New(verdict.CallerGone, "the caller closed the connection")
+			}
 			return nil
 		case err == nil:
 			return verdict.New(verdict.RateLimited, "workspace %s is over its limit", w.Name).After(answer.After)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -33,6 +33,9 @@
 	// leaderSilence is how long a leader may be silent before its link is
 	// dropped and the lease row is read.
 	leaderSilence = 1600 * time.Millisecond
+	// handOverAfter is how long after its last renewal a leader that has lost the
+	// store offers the lease to another instance.
+	handOverAfter = 2200 * time.Millisecond
 	// lookEvery is the time between two reads of the lease row while there is
 	// no leader; half of it is random, so that instances do not read together.
 	lookEvery = 500 * time.Millisecond
@@ -77,6 +80,10 @@
 	pushAt  bootclock.Time
 	looked  bootclock.Time
 	leading bool
+	// levels were handed over by the holder of a term.
+	levels      map[string]float64
+	levelsToken uint64
+	renewed     bootclock.Time // when the last successful renewal was sent
 	// resigned instances follow others but lead no more.
 	resigned bool
 }
@@ -126,6 +133,7 @@
 	hub.Handle(peer.KindNeeds, c.handleNeeds)
 	hub.Handle(peer.KindTakeTokens, c.handleTake)
 	hub.Handle(peer.KindLoadAdapter, c.handleAdapter)
+	hub.Handle(peer.KindHandover, c.handleHandover)
 	hub.Handle(peer.KindPlacements, c.client.handlePlacements)
 	hub.OnChange(c.linkChanged)
 	return hub
@@ -220,11 +228,21 @@
 	now := bootclock.Now()
 	c.mu.Lock()
 	held, mine, until := c.lease.Held(now), c.lease.Mine(), c.lease.until
-	if c.leading && !held {
+	var offer handover
+	switch {
+	case c.leading && !held:
 		c.stepDown("lease expired")
+	case c.leading && now.Sub(c.renewed) > handOverAfter && len(c.hub.Connected()) > 0:
+		offer = handover{Token: c.lease.Abandon(now), Levels: c.central.Levels(now)}
+		c.stepDown("lease can't be renewed")
+		held = false
+		c.looked = now.Add(leaderSilence)
 	}
 	resigned := c.resigned
 	c.mu.Unlock()
+	if offer.Token != 0 {
+		c.handOver(ctx, offer)
+	}
 	switch {
 	case mine && resigned:
 		c.release()
@@ -307,7 +325,9 @@
 	c.lease.Written(sent, bootclock.Now(), page, err)
 	if err != nil {
 		c.config.Log.WithError(err).Info("lease not written")
+		return
 	}
+	c.renewed = sent
 }
 
 // stepDown ends the duties of a leader. The caller holds mu.
@@ -317,6 +337,7 @@
 	}
 	c.leading, c.planner, c.central, c.seen = false, nil, nil, nil
 	c.client.lost()
+	c.tell(&update{Resigned: true})
 	c.config.Log.WithFields(log.Fields{"reason": reason, "token": c.lease.Token()}).Info("leadership ended")
 }
 
@@ -346,7 +367,7 @@
 	update, full := c.update(now)
 	c.mu.Unlock()
 	if update != nil {
-		c.push(ctx, update, full)
+		c.push(update, full)
 	}
 	for _, u := range ask {
 		go c.ask(ctx, u)
@@ -360,6 +381,10 @@
 	c.leading = true
 	c.planner = residency.NewPlanner(c.config.StoreParallel)
 	c.central = quota.NewCentral(c.config.Bounds, c.lease.FirstEver())
+	if c.levels != nil && c.levelsToken+1 == c.lease.Token() {
+		c.central.Restore(c.levels)
+	}
+	c.levels = nil
 	c.pushed, c.seen = nil, nil
 	c.config.Log.WithFields(log.Fields{"token": c.lease.Token(), "orders_in_ms": max(c.lease.ordersAt.Sub(now).Milliseconds(), 0)}).Info("leadership taken")
 }
@@ -429,6 +454,8 @@
 	Changed []residency.Placement `cbor:"3,keyasint"`
 	Gone    []string              `cbor:"4,keyasint"`
 	Ready   []readyIn             `cbor:"5,keyasint"`
+	// Resigned says that the sender leads no more.
+	Resigned bool `cbor:"6,keyasint,omitempty"`
 }
 
 // readyIn says when a model that requests wait for will be served.
@@ -493,21 +520,30 @@
 }
 
 // push sends an update to all instances.
-func (c *Coordinator) push(ctx context.Context, changed, full *update) {
+func (c *Coordinator) push(changed, full *update) {
 	c.client.adopt(c.config.Instance, changed)
 	for _, id := range c.hub.Connected() {
 		message := changed
 		if c.client.newcomer(id.Instance, id.Incarnation) {
 			message = full
 		}
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-			defer cancel()
-			if err := c.hub.Notify(ctx, id.Instance, peer.KindPlacements, message); err != nil {
-				c.config.Log.WithError(err).WithField("peer", id.Instance).Debug("placements not sent")
-				c.client.forget(id.Instance)
-			}
-		}()
+		go c.send(id.Instance, message)
+	}
+}
+
+// tell sends the same message to all instances.
+func (c *Coordinator) tell(message *update) {
+	for _, id := range c.hub.Connected() {
+		go c.send(id.Instance, message)
+	}
+}
+
+func (c *Coordinator) send(instance string, message *update) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := c.hub.Notify(ctx, instance, peer.KindPlacements, message); err != nil {
+		c.config.Log.WithError(err).WithField("peer", instance).Debug("placements not sent")
+		c.client.forget(instance)
 	}
 }
 
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hibiscusyard/hibiscusyard/bootclock"
@@ -23,8 +25,12 @@
 type takeQuestion struct {
 	Workspace string `cbor:"1,keyasint"`
 	Tokens    int64  `cbor:"2,keyasint"`
+	// Patience is how long the request may wait for its tokens.
+	Patience time.Duration `cbor:"3,keyasint"`
 }
 
+// takeAnswer grants tokens for use after a time, or tells after which time to
+// ask again.
 type takeAnswer struct {
 	Granted bool          `cbor:"1,keyasint"`
 	After   time.Duration `cbor:"2,keyasint"`
@@ -82,7 +88,7 @@
 	if !c.leading || c.seen == nil || !c.lease.Held(now) {
 		return takeAnswer{}, errNotLeading
 	}
-	granted, after := c.central.Take(now, q.Workspace, q.Tokens)
+	granted, after := c.central.Take(now, q.Workspace, q.Tokens, q.Patience)
 	return takeAnswer{Granted: granted, After: after}, nil
 }
 
@@ -123,3 +129,39 @@
 		}
 	}
 }
+
+// handover is what a leader that can't renew its lease tells its successor. It
+// has stopped acting before it sends this.
+type handover struct {
+	Token  uint64             `cbor:"1,keyasint"`
+	Levels map[string]float64 `cbor:"2,keyasint"` // of the workspaces' buckets
+}
+
+func (c *Coordinator) handleHandover(_ context.Context, from peer.Identity, body []byte) (any, error) {
+	var h handover
+	if err := cbor.Unmarshal(body, &h); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.lease.Handed(from.Instance, h.Token)
+	c.levels, c.levelsToken = h.Levels, h.Token
+	c.looked = 0
+	c.mu.Unlock()
+	c.config.Log.WithFields(log.Fields{"from": from.Instance, "token": h.Token}).Info("leadership offered")
+	c.Notify()
+	return nil, nil
+}
+
+// handOver offers the lease to another instance, since this one can't renew
+// it. The caller has stepped down.
+func (c *Coordinator) handOver(ctx context.Context, h handover) {
+	peers := c.hub.Connected()
+	if len(peers) == 0 {
+		return
+	}
+	to := peers[rand.N(len(peers))].Instance
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	err := c.hub.Notify(ctx, to, peer.KindHandover, h)
+	c.config.Log.WithFields(log.Fields{"to": to, "token": h.Token, "sent": err == nil}).Info("leadership handed over")
+}
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -64,6 +64,7 @@
 	ordersAt  bootclock.Time
 	firstEver bool
 	nonce     uint64
+	handed    uint64 // token of a term whose holder has offered the lease
 }
 
 // NewLease returns a contender that holds nothing.
@@ -135,10 +136,30 @@
 	if l.record.Holder == l.holder && l.record.Address == l.address && l.record.Boot != l.boot {
 		return true
 	}
+	if l.handed != 0 && l.handed == l.record.Token {
+		return true
+	}
 	// The store's clock has advanced at least by the time since the answer.
 	return l.clock+now.Sub(l.received) > l.record.Expires
 }
 
+// Handed records that the holder of a term has stopped acting and offers the lease.
+func (l *Lease) Handed(holder string, token uint64) {
+	if l.record.Holder == holder || l.record.Token < token {
+		l.handed = token
+	}
+}
+
+// Abandon ends the present term without a write, because the store can't be
+// reached. It returns the token, 0 if the lease was not held.
+func (l *Lease) Abandon(now bootclock.Time) uint64 {
+	if !l.Held(now) {
+		return 0
+	}
+	l.until = 0
+	return l.record.Token
+}
+
 // Propose returns the write that takes or renews the lease, and whether there
 // is one to send now.
 func (l *Lease) Propose(now bootclock.Time) (ports.Change, bool) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,8 +106,9 @@
 
 // Limiter enforces the limits of workspaces over all instances.
 type Limiter interface {
-	// Take spends tokens or returns a refusal.
-	Take(ctx context.Context, workspace *fleet.Workspace, tokens int64) *verdict.Refusal
+	// Take spends tokens, after a wait that is no longer than patience, or
+	// returns a refusal.
+	Take(ctx context.Context, workspace *fleet.Workspace, tokens int64, patience time.Duration) *verdict.Refusal
 }
 
 // Request is one caller's request on its way through the chain. It belongs to
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -26,6 +26,9 @@
 	// busyWait bounds the wait for an upstream that turned requests away, as a
 	// share of the latency objective: later answers are worth a third.
 	busyWait = 0.5
+	// limitWait is the share of the latency objective for which a request may
+	// wait for its workspace's tokens.
+	limitWait = 0.5
 	// maxSends bounds the sends of one request, those that found no room included.
 	maxSends = 4
 )
@@ -104,12 +107,19 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, r.WaitLeft(bootclock.Now())-reserve)
 	defer cancel()
-	if refusal := f.Limiter.Take(limited, r.Workspace, r.Tokens()); refusal != nil {
+	if refusal := f.Limiter.Take(limited, r.Workspace, r.Tokens(), r.limitPatience(bootclock.Now())); refusal != nil {
 		return refusal
 	}
 	return nil
 }
 
+// limitPatience returns how long the request may wait for its workspace's
+// tokens: what keeps its latency objective, or after that a part of the rest.
+func (r *Request) limitPatience(now bootclock.Time) time.Duration {
+	objective := r.Arrived.Add(time.Duration(limitWait * float64(r.Route.Target))).Sub(now)
+	return max(objective, 0)
+}
+
 // acquire waits for an upstream that can run the request.
 func (f *Route) acquire(ctx context.Context, r *Request, d dispatch.Demand, retry bool) (*fleet.Upstream, error) {
 	var done func()
--- a/peer/message.go
+++ b/peer/message.go
@@ -30,6 +30,7 @@
 	KindPlacements
 	KindTakeTokens
 	KindLoadAdapter
+	KindHandover
 )
 
 // envelope frames every message after the handshake. Replies repeat the ID of
--- a/residency/adapter.go
+++ b/residency/adapter.go
@@ -34,7 +34,7 @@
 			r.adapters[adapter] = now
 			return AdapterStep{Loaded: true, Upstream: id}
 		}
-		if h.unsure || h.sequence == sequenceUnknown || h.adapter != nil || (h.order != nil && !h.order.accepted) || now.Before(h.after) {
+		if h.unsure || h.sequence == sequenceUnknown || h.adapter != nil || h.order != nil || now.Before(h.after) {
 			wait = true
 			continue
 		}
--- a/residency/choose.go
+++ b/residency/choose.go
@@ -16,6 +16,11 @@
 	// lastReplicaMS is added when the last replica of a model goes that has
 	// been asked for.
 	lastReplicaMS = 150.0
+	// unknownMS is the cost of evicting a model that nobody has asked for.
+	unknownMS = 100.0
+	// busyUnknownMS is the same for one of several replicas: the deployments
+	// start with several replicas of the models that are in use.
+	busyUnknownMS = 300.0
 	// recentMS is the cost of evicting a model that was used a moment ago; it
 	// halves every second.
 	recentMS = 400.0
@@ -100,11 +105,15 @@
 			continue
 		}
 		size := m.WeightsMB + float64(len(r.adapters))*m.AdapterMB
+		replicas, _ := p.replicas(now, k, nil)
 		if d == nil {
-			list = append(list, victim{name, 0, size})
+			cost := unknownMS
+			if replicas > 1 {
+				cost = busyUnknownMS
+			}
+			list = append(list, victim{name, cost, size})
 			continue
 		}
-		replicas, _ := p.replicas(now, k, nil)
 		if d.running(now, h.entry.ID) > 0 || (d.waiting(now) > 0 && replicas <= 1) {
 			continue
 		}
--- a/residency/host.go
+++ b/residency/host.go
@@ -199,7 +199,7 @@
 
 // busy reports whether no order for a model can be given now.
 func (h *host) busy(now bootclock.Time) bool {
-	return h.order != nil || h.unsure || h.sequence == sequenceUnknown || now.Before(h.after) || h.retiring() != nil
+	return h.order != nil || h.adapter != nil || h.unsure || h.sequence == sequenceUnknown || now.Before(h.after) || h.retiring() != nil
 }
 
 func (h *host) retiring() *resident {
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -254,6 +254,11 @@
 			if !r.retiring || now.Sub(r.retired) < unloadNotice {
 				continue
 			}
+			if d := p.demands[key{h.entry.Service, name}]; d != nil && d.running(now, id) > 0 {
+				// A request was on its way when the instances were told.
+				r.retiring, r.used = false, now
+				break
+			}
 			orders = append(orders, h.give(now, Order{Unload: true, Model: name}, retryAfter))
 			break
 		}
