Turn away late requests in a shutdown; keep the places of adapters on their way

Change: idle connections are closed and new requests refused as not run 4 s after SIGTERM, waiting ones before the exit; what was loaded a moment ago stays in the ledger; the upstream is chosen again after a wait for tokens.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,6 +122,8 @@
 	HTTP     *http.Request
 	Writer   *Writer
 	Body     []byte
+	// Quit is closed when the instance ends requests that still wait.
+	Quit <-chan struct{}
 
 	View      *fleet.View
 	Route     *fleet.Route
@@ -133,6 +135,8 @@
 	runs    int // upstreams that may have run it
 	last    string
 	choice  dispatch.Choice
+	// grantedAt is when the workspace's tokens were granted, 0 before.
+	grantedAt bootclock.Time
 }
 
 // Left returns the time until the final answer is due.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,12 +24,35 @@
 	Log      log.Interface
 	Metrics  *metrics.Set
 	draining atomic.Bool
+	closing  atomic.Bool
 	active   atomic.Int64
+	quitMu   sync.Mutex
+	quitOnce sync.Once
+	quit     chan struct{}
 }
 
+// lateComeBack is when a caller may come back that an instance about to end
+// has turned away: another instance takes it at once.
+const lateComeBack = 50 * time.Millisecond
+
 // Drain makes all further answers end their connection.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
+// Close turns away all further requests.
+func (h *Handler) Close() { h.closing.Store(true) }
+
+// Quit ends the requests that wait and have not been handed to an upstream.
+func (h *Handler) Quit() { h.quitOnce.Do(func() { close(h.quitting()) }) }
+
+func (h *Handler) quitting() chan struct{} {
+	h.quitMu.Lock()
+	defer h.quitMu.Unlock()
+	if h.quit == nil {
+		h.quit = make(chan struct{})
+	}
+	return h.quit
+}
+
 // Active returns the number of requests without a final answer.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
@@ -40,6 +64,7 @@
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	r.Quit = h.quitting()
 	call, err := h.Dialect.ReadCall(hr.Header)
 	r.Call = call
 	r.Log = h.Log.WithField("request", call.ID)
@@ -47,6 +72,10 @@
 		h.finish(r, verdict.New(verdict.BadRequest, "%v", err))
 		return
 	}
+	if h.closing.Load() {
+		h.finish(r, verdict.New(verdict.Draining, "this instance is about to end").After(lateComeBack))
+		return
+	}
 	h.finish(r, h.run(hr.Context(), r))
 }
 
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscusyard/hibiscusyard/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/dispatch"
 	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/quota"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
@@ -70,16 +71,13 @@
 	f.Budget.Request(r.Arrived, r.Service)
 	var last error
 	for sends := 0; ; sends++ {
-		u, refusal := f.acquire(ctx, r, demand, last != nil)
+		u, refusal := f.admit(ctx, r, demand, last != nil)
 		if refusal != nil {
 			if last != nil {
 				return last
 			}
 			return refusal
 		}
-		if refusal := f.mayStillRun(ctx, r, sends); refusal != nil {
-			return refusal
-		}
 		try := f.try(ctx, r, demand, u)
 		if try.err == nil {
 			return nil
@@ -93,24 +91,36 @@
 	}
 }
 
-// mayStillRun checks what can have changed since the request arrived, right
-// before it is sent: the age of the desired state and the workspace's limit.
-func (f *Route) mayStillRun(ctx context.Context, r *Request, sends int) error {
-	if r.Workspace == nil {
-		return nil
-	}
-	if f.State.Age(bootclock.Now()) > f.StaleAfter {
-		return r.Attempt.Refuse(verdict.ConfigurationStale, "this instance can't prove that keys are current").After(comeBack)
-	}
-	if sends > 0 || !r.Workspace.Limited() {
-		return nil
-	}
-	limited, cancel := context.WithTimeout(ctx, r.WaitLeft(bootclock.Now())-reserve)
-	defer cancel()
-	if refusal := f.Limiter.Take(limited, r.Workspace, r.Tokens(), r.limitPatience(bootclock.Now())); refusal != nil {
-		return refusal
+// admit waits for an upstream and for the workspace's tokens, in this order, so
+// that tokens are spent when the request is sent. The upstream is chosen again
+// after a wait for tokens: it may be leaving by then.
+func (f *Route) admit(ctx context.Context, r *Request, d dispatch.Demand, retry bool) (*fleet.Upstream, error) {
+	for {
+		u, err := f.acquire(ctx, r, d, retry)
+		if err != nil {
+			return nil, err
+		}
+		now := bootclock.Now()
+		if r.Workspace != nil && f.State.Age(now) > f.StaleAfter {
+			return nil, r.Attempt.Refuse(verdict.ConfigurationStale, "this instance can't prove that keys are current").After(comeBack)
+		}
+		if r.Workspace == nil || !r.Workspace.Limited() || r.granted(now) {
+			return u, nil
+		}
+		limited, cancel := context.WithTimeout(ctx, r.WaitLeft(now)-reserve)
+		refusal := f.Limiter.Take(limited, r.Workspace, r.Tokens(), r.limitPatience(now))
+		cancel()
+		if refusal != nil {
+			return nil, refusal
+		}
+		r.grantedAt = bootclock.Now()
 	}
-	return nil
+}
+
+// granted reports whether the request has its tokens: those of a first send
+// count for all, others are for use at once.
+func (r *Request) granted(now bootclock.Time) bool {
+	return r.runs > 0 || (r.grantedAt != 0 && now.Sub(r.grantedAt) < quota.CentralGrantLife)
 }
 
 // limitPatience returns how long the request may wait for its workspace's
@@ -156,6 +166,9 @@
 		case <-ctx.Done():
 			timer.Stop()
 			return nil, r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection")
+		case <-r.Quit:
+			timer.Stop()
+			return nil, r.Attempt.Refuse(verdict.Draining, "this instance is about to end").After(lateComeBack)
 		case <-changed:
 		case <-timer.C:
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -44,9 +44,11 @@
 	memoryShare = 0.6
 	// sweepEvery is how often old idle connections are closed.
 	sweepEvery = 2 * time.Second
-	// readyLag is how long the platform may send new connections after
-	// readiness went off: two missed checks of one a second, and their way.
-	readyLag = 3 * time.Second
+	// closeAfter is when an instance in shutdown takes no more requests: those
+	// that a caller sent before the platform noticed still find their way.
+	closeAfter = 4 * time.Second
+	// quitReserve is kept before the exit for refusing the requests that wait.
+	quitReserve = 400 * time.Millisecond
 	// exitReserve is kept of the grace period for closing connections.
 	exitReserve = 900 * time.Millisecond
 	// firstConfig bounds the time until the listeners open without a desired state.
@@ -255,11 +257,22 @@
 	n.handler.Drain()
 	n.coord.Resign()
 	limit := seconds(n.settings.Bounds.GraceS) - exitReserve
+	closed := false
 	for {
 		elapsed := bootclock.Since(started)
-		if elapsed >= limit || (elapsed >= readyLag && n.handler.Active() == 0) {
+		if elapsed >= limit || (elapsed >= closeAfter && n.handler.Active() == 0) {
 			break
 		}
+		if elapsed >= closeAfter && !closed {
+			closed = true
+			n.handler.Close()
+			for _, server := range n.servers {
+				server.SetKeepAlivesEnabled(false) // closes idle connections
+			}
+		}
+		if elapsed >= limit-quitReserve {
+			n.handler.Quit()
+		}
 		time.Sleep(configPoll)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), exitReserve/2)
--- a/residency/adapter.go
+++ b/residency/adapter.go
@@ -27,14 +27,14 @@
 			(h.order != nil && h.order.order.Model == model) {
 			continue
 		}
-		if _, ok := r.adapters[adapter]; ok {
+		if a := r.adapters[adapter]; a != nil {
 			if h.adapter != nil && h.adapter.order.Model == model && h.adapter.order.Adapter == adapter {
 				return AdapterStep{Wait: true}
 			}
-			r.adapters[adapter] = now
+			a.used = now
 			return AdapterStep{Loaded: true, Upstream: id}
 		}
-		if h.unsure || h.sequence == sequenceUnknown || h.adapter != nil || h.order != nil || now.Before(h.after) {
+		if h.unsure || h.sequence == sequenceUnknown || h.adapter != nil || h.order != nil || h.fetching(now) || now.Before(h.after) {
 			wait = true
 			continue
 		}
@@ -48,6 +48,18 @@
 	return best.adapterOrder(now, model, adapter)
 }
 
+// fetching reports whether as many adapters are on their way to the upstream as
+// it takes at once.
+func (h *host) fetching(now bootclock.Time) bool {
+	h.coming = slices.DeleteFunc(h.coming, func(t bootclock.Time) bool { return now.Sub(t) > adapterReady })
+	return len(h.coming) >= maxComing
+}
+
+// place takes a place for an adapter that is ordered now.
+func (r *resident) place(now bootclock.Time, id string) {
+	r.adapters[id] = &adapter{used: now, ordered: now}
+}
+
 // adapterOrder makes a place for the adapter or orders it.
 func (h *host) adapterOrder(now bootclock.Time, model, adapter string) AdapterStep {
 	m := h.engine.Models[model]
@@ -62,7 +74,8 @@
 		}
 		o = Order{Model: idleModel, Adapter: idle, Unload: true}
 	} else {
-		h.models[model].adapters[adapter] = now
+		h.models[model].place(now, adapter)
+		h.coming = append(h.coming, now)
 	}
 	o.Upstream, o.Address, o.Started, o.Sequence = h.entry.ID, h.entry.Address, h.entry.Started, h.sequence
 	h.adapter = &pending{order: o, sent: now, due: now.Add(adapterReady)}
@@ -73,9 +86,9 @@
 func (h *host) idleAdapter(now bootclock.Time) (model, adapter string, ok bool) {
 	var oldest bootclock.Time
 	for name, r := range h.models {
-		for a, used := range r.adapters {
-			if now.Sub(used) >= adapterIdle && (!ok || used < oldest || (used == oldest && a < adapter)) {
-				model, adapter, oldest, ok = name, a, used, true
+		for id, a := range r.adapters {
+			if now.Sub(a.used) >= adapterIdle && (!ok || a.used < oldest || (a.used == oldest && id < adapter)) {
+				model, adapter, oldest, ok = name, id, a.used, true
 			}
 		}
 	}
@@ -88,7 +101,6 @@
 		return
 	}
 	r := h.models[o.Model]
-	h.adapterAt = now
 	switch outcome {
 	case Accepted, Holds:
 		h.sequence = max(h.sequence, o.Sequence)
@@ -101,12 +113,15 @@
 		if outcome == Holds && !o.Unload {
 			h.unsure = true
 		}
-	default:
+	case NotSent, Conflict, Refused, Fenced:
 		if r != nil && !o.Unload {
 			delete(r.adapters, o.Adapter)
 		}
 		h.unsure = true
 		h.asked = 0
+	default: // it may be carried out later: its place stays taken for a while
+		h.unsure = true
+		h.asked = 0
 	}
 	h.adapter = nil
 }
@@ -114,8 +129,8 @@
 // AdapterUsed records the use of an adapter at an upstream.
 func (p *Planner) AdapterUsed(now bootclock.Time, upstream, model, adapter string) {
 	if h := p.hosts[upstream]; h != nil && h.models[model] != nil {
-		if _, ok := h.models[model].adapters[adapter]; ok {
-			h.models[model].adapters[adapter] = now
+		if a := h.models[model].adapters[adapter]; a != nil {
+			a.used = now
 		}
 	}
 }
--- a/residency/host.go
+++ b/residency/host.go
@@ -14,12 +14,19 @@
 
 // resident is a model that an upstream serves.
 type resident struct {
-	adapters map[string]bootclock.Time // time of the last use
+	adapters map[string]*adapter
 	used     bootclock.Time
-	retiring bool // the instances have been told that it goes
+	loaded   bootclock.Time // when it was first seen
+	retiring bool           // the instances have been told that it goes
 	retired  bootclock.Time
 }
 
+// adapter is one that takes a place at an upstream.
+type adapter struct {
+	used    bootclock.Time
+	ordered bootclock.Time // 0 if this instance did not order it
+}
+
 // pending is an order that has been sent and has not come to its end.
 type pending struct {
 	order    Order
@@ -41,8 +48,8 @@
 	unsure   bool     // a report is needed before the next order
 	asked    bootclock.Time
 	after    bootclock.Time // no order before then
-	// adapterAt is when the last order of an adapter was answered.
-	adapterAt bootclock.Time
+	// coming are the times of the last orders of adapters.
+	coming []bootclock.Time
 }
 
 func newHost(u *fleet.Upstream, e *fleet.Engine) *host {
@@ -55,34 +62,32 @@
 // sequenceUnknown is the number of accepted orders until a report has told it.
 const sequenceUnknown = -1
 
-// adopt takes over the models that an upstream says it serves. What it says of
-// adapters is late, so that those ordered a moment ago are kept.
+// adopt takes over the models that an upstream says it serves. Its word is
+// late: what was loaded a moment ago is kept although it is not listed, so that
+// the memory taken is never underestimated.
 func (h *host) adopt(now bootclock.Time, models map[string][]string) {
-	for name := range h.models {
-		if _, ok := models[name]; !ok {
+	for name, r := range h.models {
+		if _, ok := models[name]; !ok && now.Sub(r.loaded) > reportLag {
 			delete(h.models, name)
 		}
 	}
 	for name, adapters := range models {
 		r := h.models[name]
 		if r == nil {
-			r = &resident{adapters: map[string]bootclock.Time{}, used: now}
+			r = &resident{adapters: map[string]*adapter{}, used: now, loaded: now}
 			h.models[name] = r
 		}
-		if now.Sub(h.adapterAt) < adapterLag {
-			continue
-		}
 		listed := map[string]bool{}
 		for _, a := range adapters {
 			a = adapterName(a)
 			listed[a] = true
-			if _, ok := r.adapters[a]; !ok {
-				r.adapters[a] = 0
+			if r.adapters[a] == nil {
+				r.adapters[a] = &adapter{}
 			}
 		}
-		for a := range r.adapters {
-			if !listed[a] {
-				delete(r.adapters, a)
+		for name, a := range r.adapters {
+			if !listed[name] && (a.ordered == 0 || now.Sub(a.ordered) > adapterLag) {
+				delete(r.adapters, name)
 			}
 		}
 	}
@@ -145,6 +150,11 @@
 			return
 		}
 		h.sequence = max(h.sequence, p.order.Sequence+1)
+		if !p.order.Unload {
+			h.models[p.order.Model] = &resident{adapters: map[string]*adapter{}, used: now, loaded: now}
+		} else {
+			delete(h.models, p.order.Model)
+		}
 		h.order = nil
 	}
 	h.adopt(now, models)
--- a/residency/order.go
+++ b/residency/order.go
@@ -114,8 +114,8 @@
 	reportLag = 600 * time.Millisecond
 	// adapterIdle is how long an adapter must not have been used to make way.
 	adapterIdle = time.Second
-	// adapterAnswer bounds the wait for the answer to an adapter's order.
-	adapterAnswer = time.Second
+	// maxComing is how many adapters may be on their way to one upstream.
+	maxComing = 4
 )
 
 // key names a model of a service.
