Track the use of adapters and their unloads

Change: instances report the adapters in use; the unload of one in use stays pending until a report shows it gone; a conflict pauses the host; requests are turned away 2.8 s after SIGTERM.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -44,6 +44,7 @@
 	arrived   int
 	deadlines map[int]bootclock.Time // of requests that wait
 	running   map[string]int
+	adapters  map[string]int // running requests; 0 for one used since the last report
 }
 
 // Client is an instance's way to the leader. It implements the gateway's
@@ -307,7 +308,7 @@
 	k := modelKey{service, model}
 	n := l.needs[k]
 	if n == nil {
-		n = &need{deadlines: map[int]bootclock.Time{}, running: map[string]int{}}
+		n = &need{deadlines: map[int]bootclock.Time{}, running: map[string]int{}, adapters: map[string]int{}}
 		l.needs[k] = n
 	}
 	return n
@@ -331,15 +332,21 @@
 }
 
 // Ran implements gateway.Placement.
-func (l *Client) Ran(service, model, upstream string) func() {
+func (l *Client) Ran(service, model, adapter, upstream string) func() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := l.need(service, model)
 	n.arrived++
 	n.running[upstream]++
+	if adapter != "" {
+		n.adapters[adapter]++
+	}
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		if adapter != "" {
+			n.adapters[adapter]--
+		}
 		if n.running[upstream]--; n.running[upstream] == 0 {
 			delete(n.running, upstream)
 		}
@@ -401,6 +408,12 @@
 			continue
 		}
 		n.arrived = 0
+		for id, running := range n.adapters {
+			r.Adapters = append(r.Adapters, id)
+			if running == 0 {
+				delete(n.adapters, id)
+			}
+		}
 		list = append(list, r)
 	}
 	due := len(list) > 0 || l.reported
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,7 +94,7 @@
 	// Want reports a request that waits for a model; done ends it.
 	Want(service, model string, deadline bootclock.Time) (done func())
 	// Ran reports that a request runs at an upstream; done ends it.
-	Ran(service, model, upstream string) (done func())
+	Ran(service, model, adapter, upstream string) (done func())
 	// Adapter has an adapter loaded beside its model.
 	Adapter(ctx context.Context, service, model, adapter string) error
 	// ReadyIn estimates when a model that is not loaded will be served. It is
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -233,7 +233,7 @@
 // try sends a request to an upstream and relays the answer.
 func (f *Route) try(ctx context.Context, r *Request, d dispatch.Demand, u *fleet.Upstream) attempt {
 	if r.Model != "" {
-		defer f.Placement.Ran(r.Service, r.Model, u.ID)()
+		defer f.Placement.Ran(r.Service, r.Model, r.Adapter, u.ID)()
 	}
 	f.mu.Lock()
 	ticket := f.balancer.Start(bootclock.Now(), u, d)
--- a/node/node.go
+++ b/node/node.go
@@ -44,13 +44,14 @@
 	memoryShare = 0.6
 	// sweepEvery is how often old idle connections are closed.
 	sweepEvery = 2 * time.Second
-	// closeAfter is when an instance in shutdown takes no more requests: those
-	// that a caller sent before the platform noticed still find their way.
-	closeAfter = 4 * time.Second
+	// closeAfter is when an instance in shutdown takes no more requests: the
+	// platform notices missed readiness within two seconds, and an answer to a
+	// later request might not end in the grace period.
+	closeAfter = 2800 * time.Millisecond
 	// quitReserve is kept before the exit for refusing the requests that wait.
 	quitReserve = 400 * time.Millisecond
 	// exitReserve is kept of the grace period for closing connections.
-	exitReserve = 900 * time.Millisecond
+	exitReserve = 500 * time.Millisecond
 	// firstConfig bounds the time until the listeners open without a desired state.
 	configPoll = 20 * time.Millisecond
 )
@@ -275,7 +276,7 @@
 		}
 		time.Sleep(configPoll)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), exitReserve/2)
+	ctx, cancel := context.WithTimeout(context.Background(), exitReserve/3)
 	defer cancel()
 	for i := len(n.servers) - 1; i >= 0; i-- {
 		if err := n.servers[i].Shutdown(ctx); err != nil {
--- a/residency/adapter.go
+++ b/residency/adapter.go
@@ -101,6 +101,13 @@
 		return
 	}
 	r := h.models[o.Model]
+	if outcome == Accepted && o.Unload {
+		// It is in use: its place stays taken until a report shows it gone, and
+		// the upstream takes no other order meanwhile.
+		h.sequence = max(h.sequence, o.Sequence+1)
+		h.adapter.accepted = true
+		return
+	}
 	switch outcome {
 	case Accepted, Holds:
 		h.sequence = max(h.sequence, o.Sequence)
@@ -117,6 +124,7 @@
 		if r != nil && !o.Unload {
 			delete(r.adapters, o.Adapter)
 		}
+		h.after = now.Add(conflictPause)
 		h.unsure = true
 		h.asked = 0
 	default: // it may be carried out later: its place stays taken for a while
@@ -126,13 +134,22 @@
 	h.adapter = nil
 }
 
-// AdapterUsed records the use of an adapter at an upstream.
-func (p *Planner) AdapterUsed(now bootclock.Time, upstream, model, adapter string) {
-	if h := p.hosts[upstream]; h != nil && h.models[model] != nil {
-		if a := h.models[model].adapters[adapter]; a != nil {
-			a.used = now
+// leaving ends the unload of an adapter that was in use once a report does not
+// list the adapter any more.
+func (h *host) leaving(r Report) {
+	p := h.adapter
+	if p == nil || !p.accepted {
+		return
+	}
+	for _, a := range r.Models[p.order.Model] {
+		if adapterName(a) == p.order.Adapter {
+			return
 		}
 	}
+	if m := h.models[p.order.Model]; m != nil {
+		delete(m.adapters, p.order.Adapter)
+	}
+	h.adapter = nil
 }
 
 // AdapterReady is how long after the answer to its order an adapter is served.
--- a/residency/host.go
+++ b/residency/host.go
@@ -129,6 +129,7 @@
 	}
 	h.unsure = false
 	h.sequence = max(h.sequence, r.Sequence)
+	h.leaving(r)
 	h.settle(now, r.Models)
 	if r.Busy && h.order == nil {
 		// An order that this instance does not know is under way.
--- a/residency/order.go
+++ b/residency/order.go
@@ -75,13 +75,14 @@
 
 // Need is one instance's demand for a model since its last report.
 type Need struct {
-	Service  string         `cbor:"1,keyasint"`
-	Model    string         `cbor:"2,keyasint"`
-	Arrived  int            `cbor:"3,keyasint"`
-	Waiting  int            `cbor:"4,keyasint"`
-	Left     time.Duration  `cbor:"5,keyasint"` // until the earliest deadline of those that wait
-	Running  map[string]int `cbor:"6,keyasint"` // by upstream
-	Priority int            `cbor:"7,keyasint"`
+	Service string         `cbor:"1,keyasint"`
+	Model   string         `cbor:"2,keyasint"`
+	Arrived int            `cbor:"3,keyasint"`
+	Waiting int            `cbor:"4,keyasint"`
+	Left    time.Duration  `cbor:"5,keyasint"` // until the earliest deadline of those that wait
+	Running map[string]int `cbor:"6,keyasint"` // by upstream
+	// Adapters of the model that requests have used since the last report.
+	Adapters []string `cbor:"7,keyasint"`
 }
 
 // Figures of the policy.
@@ -114,6 +115,9 @@
 	reportLag = 600 * time.Millisecond
 	// adapterIdle is how long an adapter must not have been used to make way.
 	adapterIdle = time.Second
+	// conflictPause is the pause after an upstream said that another order is
+	// under way.
+	conflictPause = 150 * time.Millisecond
 	// maxComing is how many adapters may be on their way to one upstream.
 	maxComing = 4
 )
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -93,6 +93,7 @@
 				h.models[n.Model].used = now
 			}
 		}
+		p.useAdapters(now, n)
 	}
 	for _, d := range p.demands {
 		if d.waiting(now) == 0 {
@@ -103,6 +104,21 @@
 	}
 }
 
+// useAdapters notes which adapters of a model are in use.
+func (p *Planner) useAdapters(now bootclock.Time, n Need) {
+	for _, h := range p.hosts {
+		r := h.models[n.Model]
+		if r == nil || h.entry.Service != n.Service {
+			continue
+		}
+		for _, id := range n.Adapters {
+			if a := r.adapters[id]; a != nil {
+				a.used = now
+			}
+		}
+	}
+}
+
 func (p *Planner) demand(k key) *demand {
 	d := p.demands[k]
 	if d == nil {
@@ -141,7 +157,8 @@
 		if o := h.order; o != nil && now.After(o.due.Add(answerSlack)) {
 			h.unsure = true
 		}
-		if h.unsure && now.Sub(h.asked) >= retryAfter {
+		waits := h.adapter != nil && h.adapter.accepted
+		if (h.unsure || waits) && now.Sub(h.asked) >= retryAfter {
 			h.asked = now
 			ask = append(ask, h.entry)
 		}
