--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -18,7 +18,10 @@
 
 const (
 	// needsEvery is how often the needs are reported while there are any.
-	needsEvery = 250 * time.Millisecond
+	needsEvery = 500 * time.Millisecond
+	// beatEvery is how often the leader is told of this instance's clock, by which
+	// the age of what it relays is bounded.
+	beatEvery = 900 * time.Millisecond
 	// needsGap collects needs that arise together.
 	needsGap = 3 * time.Millisecond
 	// absentFor is how long an upstream is believed when it says that it does
@@ -66,13 +69,17 @@
 	urgent     chan struct{}
 	told       map[string]string // instances that have the whole state, by run
 	reported   bool              // the last report held needs
+	beatAt     bootclock.Time    // when the last report was made
+	ages       map[string]relayAge
+	token      uint64   // of the newest leader heard of
+	peers      []string // addresses of all instances, as the leader said last
 }
 
 func newClient(c *Coordinator) *Client {
 	return &Client{
 		c: c, placements: map[string]residency.Placement{}, ready: map[modelKey]bootclock.Time{},
 		absent: map[absence]bootclock.Time{}, needs: map[modelKey]*need{}, changed: make(chan struct{}),
-		urgent: make(chan struct{}, 1), told: map[string]string{},
+		urgent: make(chan struct{}, 1), told: map[string]string{}, ages: map[string]relayAge{},
 	}
 }
 
@@ -99,6 +106,13 @@
 	}
 }
 
+// peerAddresses returns the addresses of all instances as far as known.
+func (l *Client) peerAddresses() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peers
+}
+
 // alive reports whether the leader was heard of lately. A silent link is
 // dropped, as it may be dead without a reset.
 func (l *Client) alive(now bootclock.Time) bool {
@@ -139,6 +153,18 @@
 	return !known
 }
 
+// newcomers reports whether any of the instances has not been sent the whole state.
+func (l *Client) newcomers(ids []peer.Identity) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range ids {
+		if l.told[id.Instance] != id.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Client) forget(instance string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -173,24 +199,44 @@
 	return nil, nil
 }
 
+// hear notes a sign of life of a leader and reports whether it is the newest
+// one. The caller holds mu.
+func (l *Client) hear(from string, token uint64) bool {
+	if token < l.token {
+		return false // its term has ended
+	}
+	l.token = token
+	if l.leader != from {
+		l.leader, l.boot = from, ""
+	}
+	l.heard = bootclock.Now()
+	return true
+}
+
+// lead notes that this instance leads.
+func (l *Client) lead(members int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leader, l.heard, l.members = l.c.config.Instance, bootclock.Now(), members
+}
+
 // adopt takes over an update of the leader.
 func (l *Client) adopt(from string, u *update) {
 	now := bootclock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if u.Resigned {
-		if l.leader == from {
+		if l.leader == from && u.Token >= l.token {
 			l.leader, l.heard = "", 0
 			l.broadcast()
 		}
 		return
 	}
-	if l.leader != from {
-		l.leader, l.boot = from, ""
+	if !l.hear(from, u.Token) {
+		return
 	}
-	l.heard, l.members = now, u.Members
-	if u.Full {
-		clear(l.placements)
+	if len(u.Peers) > 0 {
+		l.peers = u.Peers
 	}
 	object := false
 	for _, p := range u.Changed {
@@ -246,13 +292,13 @@
 }
 
 // Models implements dispatch.Residence: the leader's word, or the entry of the
-// upstream while there is no leader.
+// upstream if that is newer and there is no leader.
 func (l *Client) Models(u *fleet.Upstream) map[string][]string {
 	now := bootclock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	models := u.Models
-	if p, ok := l.placements[u.ID]; ok && p.Started == u.Started && now.Sub(l.heard) < leaderSilence {
+	if p, ok := l.placements[u.ID]; ok && p.Started == u.Started && (now.Sub(l.heard) < leaderSilence || u.Revision <= p.Revision) {
 		models = p.Models
 	}
 	if len(l.absent) == 0 {
@@ -384,7 +430,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	return l.c.hub.Notify(ctx, leader, peer.KindNeeds, needs)
+	return l.c.hub.Notify(ctx, leader, peer.KindNeeds, beat{Needs: needs, Sent: bootclock.Now(), Versions: l.versions(), Weak: l.c.config.Weak})
 }
 
 // collect returns the needs since the last report, and whether they are to be
@@ -416,8 +462,11 @@
 		}
 		list = append(list, r)
 	}
-	due := len(list) > 0 || l.reported
+	due := len(list) > 0 || l.reported || now.Sub(l.beatAt) >= beatEvery
 	l.reported = len(list) > 0
+	if due {
+		l.beatAt = now
+	}
 	return list, l.leader, due
 }
 
@@ -444,7 +493,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if p, ok := l.placements[answer.Upstream]; ok && !slices.Contains(p.Models[model], adapter) {
-		clone := residency.Placement{Upstream: p.Upstream, Started: p.Started, Models: map[string][]string{}}
+		clone := residency.Placement{Upstream: p.Upstream, Started: p.Started, Revision: p.Revision, Models: map[string][]string{}}
 		for k, v := range p.Models {
 			clone.Models[k] = v
 		}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -5,13 +5,14 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"math"
 	mathrand "math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hibiscusyard/hibiscusyard/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/fleet"
@@ -26,19 +27,30 @@
 	tick = 100 * time.Millisecond
 	// storeTimeout bounds one call of the store.
 	storeTimeout = time.Second
+	// renewTimeout bounds one renewal of the lease, so that a lost one is noticed
+	// long before the lease ends.
+	renewTimeout = 600 * time.Millisecond
 	// orderTimeout bounds the wait for an answer to an order.
 	orderTimeout = time.Second
-	// heartbeat is how often the leader sends its state without a change.
-	heartbeat = 500 * time.Millisecond
+	// heartbeatShare is how often the leader sends its state without a change, as
+	// a share of the shortest bound.
+	heartbeatShare = 0.2
 	// leaderSilence is how long a leader may be silent before its link is
 	// dropped and the lease row is read.
 	leaderSilence = 1600 * time.Millisecond
 	// handOverAfter is how long after its last renewal a leader that has lost the
 	// store offers the lease to another instance.
-	handOverAfter = 2200 * time.Millisecond
+	handOverAfter = renewEvery + renewTimeout
 	// lookEvery is the time between two reads of the lease row while there is
 	// no leader; half of it is random, so that instances do not read together.
 	lookEvery = 500 * time.Millisecond
+	// pushGap collects changes of what is served.
+	pushGap = 30 * time.Millisecond
+	// weakDelay is how long a weak instance leaves a free lease to others.
+	weakDelay = 1500 * time.Millisecond
+	// lookers is the number of instances that read the lease row each lookEvery.
+	// A new leader makes itself known to the others.
+	lookers = 8
 )
 
 // Engines gives orders to upstreams.
@@ -53,9 +65,17 @@
 	Store                               ports.RowStore
 	Engines                             Engines
 	View                                func() *fleet.View
-	Bounds                              quota.CentralBounds
+	// Sources are the tables that the leader relays to the other instances.
+	Sources []Source
+	Bounds  quota.CentralBounds
 	// LeaseGap is the time in which two holders must not both give orders.
 	LeaseGap time.Duration
+	// ShortestBound is the time in which an instance has to act on what the store
+	// says: on leaving upstreams and on changes of the desired state.
+	ShortestBound time.Duration
+	// Weak instances have little processor time or a slow link. They lead only
+	// if no other instance does.
+	Weak bool
 	// StoreParallel is the number of loads that the weight store serves at
 	// full speed at once.
 	StoreParallel int
@@ -78,8 +98,18 @@
 	seen    *fleet.View // view that the planner and the limits are built from
 	pushed  map[string]residency.Placement
 	pushAt  bootclock.Time
-	looked  bootclock.Time
-	leading bool
+	// readySent are the models of which the expected time was sent last.
+	readySent []modelKey
+	pulsed    bootclock.Time // when all instances were sent a pulse
+	told      map[string]*told
+	beats     map[string]beat // last word of each instance
+	peers     []string        // addresses of all instances, as last sent
+	looked    bootclock.Time
+	leading   bool
+	// announce are the instances that a new leader dials to make itself known.
+	announce []string
+	// freeSince is when a weak instance first saw the lease free.
+	freeSince bootclock.Time
 	// levels were handed over by the holder of a term.
 	levels      map[string]float64
 	levelsToken uint64
@@ -133,6 +163,7 @@
 	hub.Handle(peer.KindNeeds, c.handleNeeds)
 	hub.Handle(peer.KindTakeTokens, c.handleTake)
 	hub.Handle(peer.KindLoadAdapter, c.handleAdapter)
+	hub.Handle(peer.KindPulse, c.client.handlePulse)
 	hub.Handle(peer.KindHandover, c.handleHandover)
 	hub.Handle(peer.KindPlacements, c.client.handlePlacements)
 	hub.OnChange(c.linkChanged)
@@ -228,20 +259,14 @@
 	now := bootclock.Now()
 	c.mu.Lock()
 	held, mine, until := c.lease.Held(now), c.lease.Mine(), c.lease.until
-	var offer handover
-	switch {
-	case c.leading && !held:
+	if c.leading && !held {
 		c.stepDown("lease expired")
-	case c.leading && now.Sub(c.renewed) > handOverAfter && len(c.hub.Connected()) > 0:
-		offer = handover{Token: c.lease.Abandon(now), Levels: c.central.Levels(now)}
-		c.stepDown("lease can't be renewed")
-		held = false
-		c.looked = now.Add(leaderSilence)
 	}
 	resigned := c.resigned
+	lagging := c.leading && now.Sub(c.renewed) > handOverAfter
 	c.mu.Unlock()
-	if offer.Token != 0 {
-		c.handOver(ctx, offer)
+	if lagging && c.handOver(ctx) {
+		return
 	}
 	switch {
 	case mine && resigned:
@@ -251,6 +276,7 @@
 			c.contend(ctx)
 		}
 	case !mine && c.client.alive(now):
+		c.freeSince = 0
 	default:
 		c.lookAround(ctx, now)
 	}
@@ -263,7 +289,8 @@
 	if c.looked != 0 && now.Before(c.looked) {
 		return
 	}
-	c.looked = now.Add(lookEvery/2 + mathrand.N(lookEvery))
+	pause := lookEvery * time.Duration(max(c.client.Members(), lookers)) / lookers
+	c.looked = now.Add(pause/2 + mathrand.N(pause))
 	c.read(ctx)
 	c.contend(ctx)
 	c.follow(ctx)
@@ -313,11 +340,20 @@
 	sent := bootclock.Now()
 	c.mu.Lock()
 	change, ok := c.lease.Propose(sent)
+	if ok && !c.lease.Mine() && c.config.Weak {
+		if c.freeSince == 0 {
+			c.freeSince = sent
+		}
+		if sent.Sub(c.freeSince) < weakDelay {
+			c.lease.Withdraw()
+			ok = false
+		}
+	}
 	c.mu.Unlock()
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	page, err := c.config.Store.Commit(ctx, change)
 	c.mu.Lock()
@@ -337,7 +373,7 @@
 	}
 	c.leading, c.planner, c.central, c.seen = false, nil, nil, nil
 	c.client.lost()
-	c.tell(&update{Resigned: true})
+	c.tell(&update{Token: c.lease.Token(), Resigned: true})
 	c.config.Log.WithFields(log.Fields{"reason": reason, "token": c.lease.Token()}).Info("leadership ended")
 }
 
@@ -363,12 +399,17 @@
 		ask = c.planner.Unsure(now)
 		orders = c.planner.Plan(now)
 	}
-	token := c.lease.Token()
+	token, announce := c.lease.Token(), c.announce
+	c.announce = nil
 	update, full := c.update(now)
 	c.mu.Unlock()
+	if announce != nil {
+		c.hub.SetTargets(ctx, announce)
+	}
 	if update != nil {
 		c.push(update, full)
 	}
+	c.pulse(now)
 	for _, u := range ask {
 		go c.ask(ctx, u)
 	}
@@ -385,7 +426,9 @@
 		c.central.Restore(c.levels)
 	}
 	c.levels = nil
-	c.pushed, c.seen = nil, nil
+	c.pushed, c.seen, c.beats, c.peers, c.readySent = nil, nil, map[string]beat{}, nil, nil
+	c.told = map[string]*told{}
+	c.announce = c.client.peerAddresses()
 	c.config.Log.WithFields(log.Fields{"token": c.lease.Token(), "orders_in_ms": max(c.lease.ordersAt.Sub(now).Milliseconds(), 0)}).Info("leadership taken")
 }
 
@@ -447,15 +490,18 @@
 	return outcome
 }
 
-// update is a message of the leader: what has changed since the last one.
+// update tells what the engines serve: what has changed since the last one, or
+// all of it.
 type update struct {
-	Full    bool                  `cbor:"1,keyasint"`
-	Members int                   `cbor:"2,keyasint"`
-	Changed []residency.Placement `cbor:"3,keyasint"`
-	Gone    []string              `cbor:"4,keyasint"`
-	Ready   []readyIn             `cbor:"5,keyasint"`
+	Token   uint64                `cbor:"1,keyasint"` // of the sender's term
+	Full    bool                  `cbor:"2,keyasint,omitempty"`
+	Changed []residency.Placement `cbor:"3,keyasint,omitempty"`
+	Gone    []string              `cbor:"4,keyasint,omitempty"`
+	Ready   []readyIn             `cbor:"5,keyasint,omitempty"`
 	// Resigned says that the sender leads no more.
 	Resigned bool `cbor:"6,keyasint,omitempty"`
+	// Peers are the addresses of all instances, for whoever leads next.
+	Peers []string `cbor:"7,keyasint,omitempty"`
 }
 
 // readyIn says when a model that requests wait for will be served.
@@ -468,9 +514,13 @@
 // update returns what to send to the instances, nil for nothing, and the whole
 // state for instances that are new. The caller holds mu.
 func (c *Coordinator) update(now bootclock.Time) (changed, full *update) {
-	list := c.planner.Placements()
-	members := len(c.hub.Connected()) + 1
-	changed = &update{Members: members, Ready: c.ready(now)}
+	if now.Sub(c.pushAt) < pushGap {
+		time.AfterFunc(pushGap, c.Notify)
+		return nil, nil
+	}
+	connected := c.hub.Connected()
+	list, token := c.planner.Placements(), c.lease.Token()
+	changed = &update{Token: token, Ready: c.ready(now), Peers: c.newPeers(connected)}
 	present := make(map[string]residency.Placement, len(list))
 	for _, p := range list {
 		present[p.Upstream] = p
@@ -483,11 +533,42 @@
 			changed.Gone = append(changed.Gone, id)
 		}
 	}
-	if len(changed.Changed) == 0 && len(changed.Gone) == 0 && now.Sub(c.pushAt) < heartbeat {
+	fresh := c.client.newcomers(connected)
+	if len(changed.Changed) == 0 && len(changed.Gone) == 0 && changed.Peers == nil && !fresh && slices.Equal(readyModels(changed.Ready), c.readySent) {
 		return nil, nil
 	}
-	c.pushed, c.pushAt = present, now
-	return changed, &update{Full: true, Members: members, Changed: list, Ready: changed.Ready}
+	c.pushed, c.pushAt, c.readySent = present, now, readyModels(changed.Ready)
+	if c.planner.Told(now) {
+		time.AfterFunc(residency.UnloadNotice, c.Notify)
+	}
+	return changed, &update{Token: token, Peers: c.peers, Full: true, Changed: list, Ready: changed.Ready}
+}
+
+func readyModels(list []readyIn) []modelKey {
+	keys := make([]modelKey, len(list))
+	for i, r := range list {
+		keys[i] = modelKey{r.Service, r.Model}
+	}
+	return keys
+}
+
+// heartbeat is how often the leader sends its state without a change.
+func (c *Coordinator) heartbeat() time.Duration {
+	return time.Duration(heartbeatShare * float64(c.config.ShortestBound))
+}
+
+// newPeers returns the addresses of all instances if they have changed. The
+// caller holds mu.
+func (c *Coordinator) newPeers(connected []peer.Identity) []string {
+	list := []string{c.config.Address}
+	for _, id := range connected {
+		list = append(list, id.Address)
+	}
+	if slices.Equal(list, c.peers) {
+		return nil
+	}
+	c.peers = list
+	return list
 }
 
 // ready lists the models under way that were asked for.
@@ -519,30 +600,44 @@
 	return true
 }
 
-// push sends an update to all instances.
+// push sends an update to all instances. It is encoded once for all.
 func (c *Coordinator) push(changed, full *update) {
 	c.client.adopt(c.config.Instance, changed)
+	var changedBody, fullBody cbor.RawMessage
 	for _, id := range c.hub.Connected() {
+		body := &changedBody
 		message := changed
 		if c.client.newcomer(id.Instance, id.Incarnation) {
-			message = full
+			body, message = &fullBody, full
+		}
+		if *body == nil {
+			*body = c.encode(message)
 		}
-		go c.send(id.Instance, message)
+		go c.send(id.Instance, peer.KindPlacements, *body)
 	}
 }
 
 // tell sends the same message to all instances.
 func (c *Coordinator) tell(message *update) {
+	body := c.encode(message)
 	for _, id := range c.hub.Connected() {
-		go c.send(id.Instance, message)
+		go c.send(id.Instance, peer.KindPlacements, body)
 	}
 }
 
-func (c *Coordinator) send(instance string, message *update) {
+func (c *Coordinator) encode(message any) cbor.RawMessage {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		panic(err) // messages consist of plain fields
+	}
+	return body
+}
+
+func (c *Coordinator) send(instance string, kind peer.Kind, message any) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	if err := c.hub.Notify(ctx, instance, peer.KindPlacements, message); err != nil {
-		c.config.Log.WithError(err).WithField("peer", instance).Debug("placements not sent")
+	if err := c.hub.Notify(ctx, instance, kind, message); err != nil {
+		c.config.Log.WithError(err).WithField("peer", instance).Debug("message not sent")
 		c.client.forget(instance)
 	}
 }
@@ -550,11 +645,11 @@
 // linkChanged forgets what an instance has been told when its link ends.
 func (c *Coordinator) linkChanged(id peer.Identity, up bool) {
 	c.client.forget(id.Instance)
-	if up {
-		c.mu.Lock()
-		c.pushAt = math.MinInt64 / 2
-		c.mu.Unlock()
-	} else {
+	c.mu.Lock()
+	delete(c.told, id.Instance)
+	delete(c.beats, id.Instance)
+	c.mu.Unlock()
+	if !up {
 		c.client.linkLost(id.Instance)
 	}
 	c.Notify()
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -47,11 +47,16 @@
 }
 
 func (c *Coordinator) handleNeeds(_ context.Context, from peer.Identity, body []byte) (any, error) {
-	var needs []residency.Need
-	if err := cbor.Unmarshal(body, &needs); err != nil {
+	var b beat
+	if err := cbor.Unmarshal(body, &b); err != nil {
 		return nil, err
 	}
-	c.needs(from.Instance, needs)
+	c.mu.Lock()
+	if c.leading {
+		c.beats[from.Instance] = b
+	}
+	c.mu.Unlock()
+	c.needs(from.Instance, b.Needs)
 	return nil, nil
 }
 
@@ -130,38 +135,84 @@
 	}
 }
 
-// handover is what a leader that can't renew its lease tells its successor. It
-// has stopped acting before it sends this.
+// handover is what a leader that can't renew its lease tells its successor.
 type handover struct {
-	Token  uint64             `cbor:"1,keyasint"`
-	Levels map[string]float64 `cbor:"2,keyasint"` // of the workspaces' buckets
+	Token uint64 `cbor:"1,keyasint"`
+	// Ready asks only whether the successor reaches the store.
+	Ready  bool               `cbor:"2,keyasint"`
+	Levels map[string]float64 `cbor:"3,keyasint"` // of the workspaces' buckets
 }
 
-func (c *Coordinator) handleHandover(_ context.Context, from peer.Identity, body []byte) (any, error) {
+func (c *Coordinator) handleHandover(ctx context.Context, from peer.Identity, body []byte) (any, error) {
 	var h handover
 	if err := cbor.Unmarshal(body, &h); err != nil {
 		return nil, err
 	}
+	if h.Ready {
+		return c.readyToLead(ctx, h.Token)
+	}
 	c.mu.Lock()
 	c.lease.Handed(from.Instance, h.Token)
 	c.levels, c.levelsToken = h.Levels, h.Token
 	c.looked = 0
 	c.mu.Unlock()
+	c.client.lost()
 	c.config.Log.WithFields(log.Fields{"from": from.Instance, "token": h.Token}).Info("leadership offered")
 	c.Notify()
 	return nil, nil
 }
 
+// readyToLead reports whether this instance could take the lease of a term.
+func (c *Coordinator) readyToLead(ctx context.Context, token uint64) (bool, error) {
+	c.mu.Lock()
+	resigned := c.resigned
+	c.mu.Unlock()
+	if resigned {
+		return false, nil
+	}
+	c.read(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record, ok := c.lease.Record()
+	return ok && record.Token == token && bootclock.Since(c.lease.received) < renewTimeout, nil
+}
+
 // handOver offers the lease to another instance, since this one can't renew
-// it. The caller has stepped down.
-func (c *Coordinator) handOver(ctx context.Context, h handover) {
+// it, and reports whether it was given up. An instance that does not reach the
+// store either does not get it: the store may be down for all.
+func (c *Coordinator) handOver(ctx context.Context) bool {
 	peers := c.hub.Connected()
 	if len(peers) == 0 {
-		return
+		return false
 	}
 	to := peers[rand.N(len(peers))].Instance
+	c.mu.Lock()
+	token := c.lease.Token()
+	for instance, b := range c.beats { // in random order
+		if !b.Weak {
+			to = instance
+			break
+		}
+	}
+	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
+	ready := false
+	if err := c.hub.Call(ctx, to, peer.KindHandover, handover{Token: token, Ready: true}, &ready); err != nil || !ready {
+		c.config.Log.WithFields(log.Fields{"to": to, "token": token, "reachable": err == nil}).Info("leadership kept: the other instance can't take it")
+		return false
+	}
+	now := bootclock.Now()
+	c.mu.Lock()
+	if !c.leading || c.lease.Abandon(now) == 0 {
+		c.mu.Unlock()
+		return false
+	}
+	h := handover{Token: token, Levels: c.central.Levels(now)}
+	c.looked = now.Add(leaderSilence)
+	c.stepDown("lease can't be renewed")
+	c.mu.Unlock()
 	err := c.hub.Notify(ctx, to, peer.KindHandover, h)
-	c.config.Log.WithFields(log.Fields{"to": to, "token": h.Token, "sent": err == nil}).Info("leadership handed over")
+	c.config.Log.WithFields(log.Fields{"to": to, "token": token, "sent": err == nil}).Info("leadership handed over")
+	return true
 }
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -26,7 +26,7 @@
 	// longer than this during an outage of the store in any case.
 	leaseTerm = 3500 * time.Millisecond
 	// renewEvery leaves two tries for a renewal whose answer is lost.
-	renewEvery = time.Second
+	renewEvery = 900 * time.Millisecond
 	// clockMargin is kept for the different speeds of two machines' clocks.
 	clockMargin = 100 * time.Millisecond
 	// takeoverSlack is added to the time in which two holders must not both
@@ -176,6 +176,9 @@
 	return l.write(next), true
 }
 
+// Withdraw takes back a write that was proposed and not sent.
+func (l *Lease) Withdraw() { l.open = nil }
+
 // Release returns the write that gives the lease up.
 func (l *Lease) Release(now bootclock.Time) (ports.Change, bool) {
 	if !l.Mine() || l.Unsettled() {
--- /dev/null
+++ b/coordinator/relay.go
@@ -0,0 +1,223 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/peer"
+	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/residency"
+)
+
+// An instance follows a table itself once the leader has been silent for, or
+// its knowledge is older than, these shares of the shortest bound.
+const (
+	relayFresh = 0.55
+	relayStale = 0.75
+)
+
+// fetchBytes is the size from which a row is not relayed: the instances read it
+// themselves, as the leader's link is no faster than theirs.
+const fetchBytes = 4 << 10
+
+// Source is a table that an instance follows. One feed of the leader serves all
+// instances: a feed by each would cost the store a call for every change and
+// instance.
+type Source interface {
+	Table() string
+	Version() int64
+	Age(now bootclock.Time) time.Duration
+	// Since returns the rows whose changes after a version matter to requests,
+	// if all are known.
+	Since(after int64) (rows []ports.VersionedRow, to int64, ok bool)
+	// Apply takes over all changes after one version up to another one.
+	Apply(from, to int64, rows []ports.VersionedRow, proved bootclock.Time)
+}
+
+// beat is what an instance tells the leader regularly.
+type beat struct {
+	Needs []residency.Need `cbor:"1,keyasint"`
+	Sent  bootclock.Time   `cbor:"2,keyasint"` // on the sender's clock
+	// Versions are those of the sender's sources, in order.
+	Versions []int64 `cbor:"3,keyasint"`
+	// Weak says that the sender leads only if no other instance does.
+	Weak bool `cbor:"4,keyasint,omitempty"`
+}
+
+// pulse is what the leader tells one instance regularly, and at once when a
+// relayed table has changed.
+type pulse struct {
+	Token   uint64 `cbor:"1,keyasint"`
+	Members int    `cbor:"2,keyasint"`
+	// Echo is the time that the receiver has sent last, on its own clock. It
+	// shows how old this message may be at most.
+	Echo bootclock.Time `cbor:"3,keyasint,omitempty"`
+	// Tables are the changes of the relayed tables, in the order of the sources.
+	Tables []relay `cbor:"4,keyasint,omitempty"`
+}
+
+// relay carries the changes of one table.
+type relay struct {
+	From int64         `cbor:"1,keyasint"`
+	To   int64         `cbor:"2,keyasint"`
+	Rows []relayedRow  `cbor:"3,keyasint,omitempty"`
+	Age  time.Duration `cbor:"4,keyasint"` // of the sender's knowledge
+	// Fetch says that the changes are too large: the receiver reads them itself.
+	Fetch bool `cbor:"5,keyasint,omitempty"`
+}
+
+type relayedRow struct {
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint,omitempty"`
+	Version int64  `cbor:"3,keyasint"`
+	Deleted bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// relayAge is what the leader said last of its knowledge of a table.
+type relayAge struct {
+	at    bootclock.Time
+	age   time.Duration
+	fetch bool
+}
+
+// told is up to which versions an instance has been sent changes on its link.
+type told struct{ versions []int64 }
+
+// pulse tells the instances what has changed, and all of them regularly that
+// nothing has.
+func (c *Coordinator) pulse(now bootclock.Time) {
+	c.mu.Lock()
+	if !c.leading {
+		c.mu.Unlock()
+		return
+	}
+	due := now.Sub(c.pulsed) >= c.heartbeat()
+	if due {
+		c.pulsed = now
+	}
+	connected := c.hub.Connected()
+	messages := map[string]*pulse{}
+	for _, id := range connected {
+		p := &pulse{Token: c.lease.Token(), Members: len(connected) + 1}
+		b, beaten := c.beats[id.Instance]
+		news := false
+		if beaten {
+			p.Echo = b.Sent
+			p.Tables, news = c.tables(now, id.Instance, b)
+		}
+		if !due && !news {
+			continue
+		}
+		messages[id.Instance] = p
+		for i, r := range p.Tables {
+			c.told[id.Instance].versions[i] = r.To
+		}
+	}
+	c.mu.Unlock()
+	c.client.lead(len(connected) + 1)
+	for instance, p := range messages {
+		go c.send(instance, peer.KindPulse, p)
+	}
+}
+
+// tables returns the changes that an instance has not been sent, and whether
+// there are any. The caller holds mu.
+func (c *Coordinator) tables(now bootclock.Time, instance string, b beat) (list []relay, news bool) {
+	t := c.told[instance]
+	if t == nil {
+		t = &told{versions: append([]int64(nil), b.Versions...)}
+		c.told[instance] = t
+	}
+	for i, s := range c.config.Sources {
+		if i >= len(t.versions) {
+			break
+		}
+		// An instance that follows a table itself may be further than it was told.
+		t.versions[i] = max(t.versions[i], b.Versions[min(i, len(b.Versions)-1)])
+		rows, to, ok := s.Since(t.versions[i])
+		r := relay{From: t.versions[i], To: max(to, t.versions[i]), Age: s.Age(now)}
+		if !ok {
+			r.To, r.Fetch = max(s.Version(), t.versions[i]), true
+		}
+		size := 0
+		for _, row := range rows {
+			size += len(row.Value)
+			r.Rows = append(r.Rows, relayedRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
+		}
+		if size > fetchBytes {
+			r.Rows, r.Fetch = nil, true
+		}
+		news = news || len(rows) > 0
+		list = append(list, r)
+	}
+	return list, news
+}
+
+// versions returns how far this instance knows the sources.
+func (l *Client) versions() []int64 {
+	versions := make([]int64, len(l.c.config.Sources))
+	for i, s := range l.c.config.Sources {
+		versions[i] = s.Version()
+	}
+	return versions
+}
+
+func (l *Client) handlePulse(_ context.Context, from peer.Identity, body []byte) (any, error) {
+	var p pulse
+	if err := cbor.Unmarshal(body, &p); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	known := l.hear(from.Instance, p.Token)
+	if known {
+		l.members = p.Members
+	}
+	l.mu.Unlock()
+	if known {
+		l.takeRelays(&p)
+	}
+	return nil, nil
+}
+
+// takeRelays applies the tables of a message. The state is proved only as of
+// the time that the leader has echoed, since the message may have been held up
+// on its way for long.
+func (l *Client) takeRelays(p *pulse) {
+	now := bootclock.Now()
+	for i, r := range p.Tables {
+		if i >= len(l.c.config.Sources) {
+			return
+		}
+		s := l.c.config.Sources[i]
+		complete := r.From <= s.Version() && !r.Fetch
+		if complete {
+			var proved bootclock.Time
+			if p.Echo != 0 {
+				proved = p.Echo.Add(-r.Age)
+			}
+			rows := make([]ports.VersionedRow, len(r.Rows))
+			for j, row := range r.Rows {
+				rows[j] = ports.VersionedRow{Table: s.Table(), Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted}
+			}
+			s.Apply(r.From, r.To, rows, proved)
+		}
+		l.mu.Lock()
+		// Until it has read what was not relayed, the instance follows the table itself.
+		l.ages[s.Table()] = relayAge{at: now, age: r.Age, fetch: s.Version() < r.To}
+		l.mu.Unlock()
+	}
+}
+
+// Relays reports whether this instance can rely on the leader for a table. The
+// leader itself can't.
+func (l *Client) Relays(now bootclock.Time, table string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.ages[table]
+	silence, bound := now.Sub(a.at), float64(l.c.config.ShortestBound)
+	return ok && !a.fetch && l.leader != "" && l.leader != l.c.config.Instance &&
+		float64(silence) < relayFresh*bound && float64(silence+a.age) < relayStale*bound
+}
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -24,7 +24,8 @@
 	Started     int64               // Unix milliseconds; tells two runs under one ID apart
 	Models      map[string][]string // loaded models with their adapters
 	Copies      Copies
-	KnowsCopies bool // Copies were reported
+	KnowsCopies bool  // Copies were reported
+	Revision    int64 // of the entry
 }
 
 // Same reports whether both entries come from one run of one process.
@@ -32,6 +33,13 @@
 	return u.ID == o.ID && u.Started == o.Started && u.Address == o.Address
 }
 
+// Equivalent reports whether both entries mean the same to requests, apart from
+// the models, of which the leader knows more than the entries.
+func (u *Upstream) Equivalent(o *Upstream) bool {
+	return u.Same(o) && u.Service == o.Service && u.DataCentre == o.DataCentre && u.Slots == o.Slots &&
+		u.Leaving == o.Leaving && u.ColdFor == o.ColdFor
+}
+
 // Holds reports whether the entry lists the model.
 func (u *Upstream) Holds(model string) bool {
 	_, ok := u.Models[model]
@@ -83,9 +91,6 @@
 	}
 }
 
-// Evacuated lists the data centres that are out of service.
-func (r *Registry) Evacuated() []string { return slices.Sorted(maps.Keys(r.evacuated)) }
-
 // SetUpstream takes over an entry and reports whether it did. An entry of an
 // earlier run under the same ID is late and ignored.
 func (r *Registry) SetUpstream(u *Upstream) bool {
@@ -99,8 +104,8 @@
 // RemoveUpstream drops the entry of an upstream that is gone.
 func (r *Registry) RemoveUpstream(id string) { delete(r.upstreams, id) }
 
-// IDs lists the registered upstreams.
-func (r *Registry) IDs() []string { return slices.Sorted(maps.Keys(r.upstreams)) }
+// Upstream returns the entry of an upstream, nil without one.
+func (r *Registry) Upstream(id string) *Upstream { return r.upstreams[id] }
 
 // View returns the present state.
 func (r *Registry) View() *View {
--- a/node/node.go
+++ b/node/node.go
@@ -30,13 +30,11 @@
 )
 
 const (
-	// desiredWait is how long a feed of the desired state stays open. The age of
-	// the state is counted from when the call was sent.
-	desiredWait = 1200 * time.Millisecond
-	// upstreamWait is the same for the upstreams' entries, whose age matters less.
-	upstreamWait = 10 * time.Second
+	// feedWait is how long a feed of the store stays open without a change. The
+	// age of the state is counted from when the call was sent.
+	feedWait = 700 * time.Millisecond
 	// upstreamGap collects changes of entries that come together.
-	upstreamGap = 150 * time.Millisecond
+	upstreamGap = 200 * time.Millisecond
 	// staleShare is the part of the bound on withdrawn keys after which keyed
 	// requests are refused; the rest covers a request on its way.
 	staleShare = 0.8
@@ -85,22 +83,26 @@
 	store := platform.NewStore(s.Store, n.pool)
 	n.state = newState(n.log)
 	n.state.desired = &watcher{
-		store: store, table: platform.TableDesired, wait: desiredWait, log: n.log,
-		reset: n.state.resetDesired, change: n.state.changeDesired, done: n.state.done,
+		store: store, table: platform.TableDesired, wait: feedWait, log: n.log,
+		change: n.state.changeDesired, done: n.state.done,
 	}
 	n.state.entries = &watcher{
-		store: store, table: platform.TableUpstreams, wait: upstreamWait, gap: upstreamGap, log: n.log,
-		reset: n.state.resetUpstreams, change: n.state.changeUpstream, done: n.state.done,
+		store: store, table: platform.TableUpstreams, wait: feedWait, gap: upstreamGap, log: n.log,
+		change: n.state.changeUpstream, done: n.state.done,
 	}
 	n.coord = coordinator.New(coordinator.Config{
 		Instance: s.Instance, Boot: uuid.NewString(), Address: s.PeerListen, DataCentre: s.DataCentre,
 		Store: store, Engines: &platform.Engines{Pool: n.pool}, View: n.state.View,
+		Sources: []coordinator.Source{n.state.desired, n.state.entries},
 		Bounds: quota.CentralBounds{
 			Window: seconds(s.Bounds.QuotaWindowS), Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack,
 		},
+		Weak: s.Weak(), ShortestBound: milliseconds(min(s.Bounds.DrainMS, s.Bounds.ConfigurationMS)),
 		LeaseGap: milliseconds(s.Bounds.LeaseMS), StoreParallel: s.StoreParallel, Log: n.log, Metrics: n.metrics,
 	})
 	client := n.coord.Client()
+	n.state.desired.relayed = func(now bootclock.Time) bool { return client.Relays(now, platform.TableDesired) }
+	n.state.entries.relayed = func(now bootclock.Time) bool { return client.Relays(now, platform.TableUpstreams) }
 	n.state.members = client.Members
 	n.state.onChange = func() {
 		client.Notify()
--- a/node/settings.go
+++ b/node/settings.go
@@ -31,6 +31,10 @@
 	Store string `json:"store"`
 	// MemoryMB is the memory that the process may use, in MB. Required.
 	MemoryMB float64 `json:"memory_mb"`
+	// CPUShare is the share of a processor that the machine has. Required.
+	CPUShare float64 `json:"cpu_share"`
+	// LinkMbps is the bandwidth of the machine's link in Mbit/s. Required.
+	LinkMbps float64 `json:"link_mbps"`
 	// LogLevel is "debug", "info", "warn" or "error". Default "info".
 	LogLevel string `json:"log_level"`
 	// StoreParallel is the number of loads that the weight store serves at
@@ -40,10 +44,24 @@
 	Bounds Bounds `json:"bounds"`
 }
 
+// Below these the machine counts as weak: leading 85 instances took 0.13 of a
+// processor and several Mbit/s.
+const (
+	weakCPUShare = 0.3
+	weakLinkMbps = 50
+)
+
+// Weak reports whether another instance should lead if there is one.
+func (s *Settings) Weak() bool { return s.CPUShare < weakCPUShare || s.LinkMbps < weakLinkMbps }
+
 // Bounds are the figures of the deployment that limits are derived from.
 type Bounds struct {
 	// RevokeMS is after which time a withdrawn key must not be served, in milliseconds.
 	RevokeMS float64 `json:"revoke_ms"`
+	// DrainMS is after which time a leaving upstream must get no requests, in milliseconds.
+	DrainMS float64 `json:"drain_ms"`
+	// ConfigurationMS is after which time a desired state must be in force, in milliseconds.
+	ConfigurationMS float64 `json:"configuration_ms"`
 	// GraceS is the time from SIGTERM to SIGKILL, in seconds.
 	GraceS float64 `json:"grace_s"`
 	// LeaseMS is the time in which two instances must not both give orders, in milliseconds.
@@ -116,7 +134,8 @@
 		report("store_parallel", "must be at least 1")
 	}
 	for field, value := range map[string]float64{
-		"memory_mb": s.MemoryMB, "bounds.revoke_ms": s.Bounds.RevokeMS, "bounds.grace_s": s.Bounds.GraceS,
+		"memory_mb": s.MemoryMB, "cpu_share": s.CPUShare, "link_mbps": s.LinkMbps, "bounds.revoke_ms": s.Bounds.RevokeMS, "bounds.grace_s": s.Bounds.GraceS,
+		"bounds.drain_ms": s.Bounds.DrainMS, "bounds.configuration_ms": s.Bounds.ConfigurationMS,
 		"bounds.lease_ms": s.Bounds.LeaseMS, "bounds.budget_window_s": s.Bounds.BudgetWindowS,
 		"bounds.quota_window_s": s.Bounds.QuotaWindowS,
 	} {
--- a/node/state.go
+++ b/node/state.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,7 +46,7 @@
 func (s *state) View() *fleet.View { return s.view.Load() }
 
 // Age implements gateway.State.
-func (s *state) Age(now bootclock.Time) time.Duration { return s.desired.age(now) }
+func (s *state) Age(now bootclock.Time) time.Duration { return s.desired.Age(now) }
 
 // defaultMembers is assumed until the leader has told the number of instances;
 // shares of common limits are then rather too small.
@@ -74,25 +73,13 @@
 	}
 }
 
-// resetDesired takes over all rows of the desired state.
-func (s *state) resetDesired(rows []ports.VersionedRow) {
-	s.mu.Lock()
-	out := s.registry.Evacuated()
-	s.mu.Unlock()
-	for _, row := range rows {
-		s.changeDesired(row)
-		if dataCentre, ok := platform.EvacuatedDataCentre(row.Key); ok {
-			out = slices.DeleteFunc(out, func(d string) bool { return d == dataCentre })
-		}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, dataCentre := range out {
-		s.registry.SetEvacuated(dataCentre, false)
-	}
+// changeDesired takes over a row of the desired state. All of them matter to requests.
+func (s *state) changeDesired(row ports.VersionedRow) (matters bool) {
+	s.setDesired(row)
+	return true
 }
 
-func (s *state) changeDesired(row ports.VersionedRow) {
+func (s *state) setDesired(row ports.VersionedRow) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if dataCentre, ok := platform.EvacuatedDataCentre(row.Key); ok {
@@ -113,39 +100,25 @@
 	}
 }
 
-// resetUpstreams takes over all entries.
-func (s *state) resetUpstreams(rows []ports.VersionedRow) {
-	present := map[string]bool{}
-	for _, row := range rows {
-		present[row.Key] = true
-		s.changeUpstream(row)
-	}
-	s.mu.Lock()
-	ids := s.registry.IDs()
-	s.mu.Unlock()
-	for _, id := range ids {
-		if !present[id] {
-			s.changeUpstream(ports.VersionedRow{Key: id, Deleted: true})
-		}
-	}
-}
-
-func (s *state) changeUpstream(row ports.VersionedRow) {
+// changeUpstream takes over an entry and reports whether more than the models
+// has changed.
+func (s *state) changeUpstream(row ports.VersionedRow) (matters bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if row.Deleted {
 		s.lapse(bootclock.Now(), row.Key)
-		return
+		return true
 	}
 	u, err := platform.DecodeUpstream(row.Key, row.Value)
 	if err != nil {
 		s.log.WithError(err).WithFields(log.Fields{"upstream": row.Key, "row_version": row.Version}).Warn("upstream entry not understood")
-		return
+		return true
 	}
+	u.Revision = row.Version
 	delete(s.lapsed, row.Key)
-	old := s.view.Load().ByID[u.ID]
+	old := s.registry.Upstream(u.ID)
 	if !s.registry.SetUpstream(u) {
-		return
+		return false
 	}
 	if old == nil || !old.Same(u) || old.Leaving != u.Leaving {
 		s.log.WithFields(log.Fields{
@@ -153,11 +126,12 @@
 			"leaving": u.Leaving, "cold_ms": u.ColdFor, "models": len(u.Models), "row_version": row.Version,
 		}).Info("upstream registered")
 	}
+	return old == nil || !old.Equivalent(u)
 }
 
 // lapse drops an entry, or keeps it for a while after an outage of the store.
 func (s *state) lapse(now bootclock.Time, id string) {
-	if s.view.Load().ByID[id] == nil {
+	if s.registry.Upstream(id) == nil {
 		s.registry.RemoveUpstream(id)
 		return
 	}
--- a/node/watch.go
+++ b/node/watch.go
@@ -20,31 +20,52 @@
 	readTimeout = 2 * time.Second
 	// watchRetry is the pause after a failed call.
 	watchRetry = 200 * time.Millisecond
+	// relayCheck is the time between two looks whether the relay is still good.
+	relayCheck = 100 * time.Millisecond
 )
 
-// watcher follows one table of the store.
+// watcher follows one table of the store: through the leader's relay while
+// that is fresh, else by a feed of its own.
 type watcher struct {
 	store ports.RowStore
 	table string
 	// wait is how long a feed call stays open without a change, and gap the
 	// pause after a change, which collects those that come together.
 	wait, gap time.Duration
-	// reset takes over the whole table, change one row.
-	reset  func(rows []ports.VersionedRow)
-	change func(row ports.VersionedRow)
+	// change takes over one row; rows come in the order of their versions. It
+	// reports whether the change matters to requests.
+	change func(row ports.VersionedRow) (matters bool)
 	// done is called after each answer, with whether anything changed.
 	done func(changed bool)
-	log  log.Interface
+	// relayed reports whether the leader's relay of the table can be relied on.
+	relayed func(now bootclock.Time) bool
+	log     log.Interface
 
-	mu      sync.Mutex
-	proved  bootclock.Time // a call sent then has seen the newest state
-	failing bool
-	failed  bootclock.Time // first failure of the present or last outage
-	back    bootclock.Time // end of the last outage
+	apply sync.Mutex // orders the calls of change
+
+	mu       sync.Mutex
+	rows     map[string]watchedRow // newest known, dropped ones included
+	baseline int64                 // changes after this version are all in rows
+	version  int64                 // rows are complete up to here
+	synced   bool
+	proved   bootclock.Time // the newest state at that time is known
+	clock    storeClock
+	failing  bool
+	failed   bootclock.Time // first failure of the present or last outage
+	back     bootclock.Time // end of the last outage
+}
+
+// watchedRow is a row and the version of its last change that mattered.
+type watchedRow struct {
+	ports.VersionedRow
+	mattered int64
 }
 
-// age returns how long ago the state was proved to be the newest.
-func (w *watcher) age(now bootclock.Time) time.Duration {
+// Table returns the name of the table.
+func (w *watcher) Table() string { return w.table }
+
+// Age returns how long ago the state was proved to be the newest.
+func (w *watcher) Age(now bootclock.Time) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.proved == 0 {
@@ -53,6 +74,103 @@
 	return now.Sub(w.proved)
 }
 
+// Version returns up to which version the table is known, 0 for not at all.
+func (w *watcher) Version() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.synced {
+		return 0
+	}
+	return w.version
+}
+
+// Since returns the rows whose changes after a version matter to requests, and
+// whether all of them are known.
+func (w *watcher) Since(after int64) (rows []ports.VersionedRow, to int64, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.synced || after < w.baseline {
+		return nil, 0, false
+	}
+	for _, row := range w.rows {
+		if row.mattered > after {
+			rows = append(rows, row.VersionedRow)
+		}
+	}
+	return rows, w.version, true
+}
+
+// Apply takes over rows that another instance relays: all changes after a
+// version up to another one, as of the time proved.
+func (w *watcher) Apply(from, to int64, rows []ports.VersionedRow, proved bootclock.Time) {
+	w.mu.Lock()
+	complete := w.synced && from <= w.version
+	w.mu.Unlock()
+	if !complete {
+		return
+	}
+	if changed := w.take(rows, to, proved); changed {
+		w.done(true)
+	}
+}
+
+// take applies the rows that are newer than the known ones.
+func (w *watcher) take(rows []ports.VersionedRow, to int64, proved bootclock.Time) (changed bool) {
+	w.apply.Lock()
+	defer w.apply.Unlock()
+	for _, row := range rows {
+		if row.Table != w.table || !w.newer(row) {
+			continue
+		}
+		changed = true
+		if w.change(row) {
+			w.mu.Lock()
+			w.rows[row.Key] = watchedRow{row, row.Version}
+			w.mu.Unlock()
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version = max(w.version, to)
+	w.proved = max(w.proved, proved)
+	return changed
+}
+
+// newer records a row and reports whether it is newer than the known one.
+func (w *watcher) newer(row ports.VersionedRow) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known, ok := w.rows[row.Key]
+	if ok && row.Version <= known.Version {
+		return false
+	}
+	w.rows[row.Key] = watchedRow{row, known.mattered}
+	return true
+}
+
+// reset takes over a whole table: known rows that are not in it were dropped.
+func (w *watcher) reset(page ports.Page, proved bootclock.Time) {
+	w.mu.Lock()
+	if w.rows == nil {
+		w.rows = map[string]watchedRow{}
+	}
+	present := map[string]bool{}
+	for _, row := range page.Rows {
+		present[row.Key] = true
+	}
+	rows := page.Rows
+	for key, row := range w.rows {
+		if !present[key] && !row.Deleted && row.Version <= page.Version {
+			rows = append(rows, ports.VersionedRow{Table: w.table, Key: key, Version: page.Version, Deleted: true})
+		}
+	}
+	w.mu.Unlock()
+	w.take(rows, page.Version, proved)
+	w.mu.Lock()
+	w.baseline, w.synced = page.Version, true
+	w.mu.Unlock()
+}
+
 // outage returns when the last outage of the store ended for this instance,
 // and how long it was.
 func (w *watcher) outage() (back bootclock.Time, length time.Duration) {
@@ -63,32 +181,27 @@
 
 // run follows the table until ctx ends.
 func (w *watcher) run(ctx context.Context) {
-	var after int64
-	synced := false
 	for ctx.Err() == nil {
+		if w.Version() > 0 && w.relayed(bootclock.Now()) {
+			w.done(false)
+			duration.Sleep(ctx, relayCheck)
+			continue
+		}
 		sent := bootclock.Now()
-		page, err := w.call(ctx, synced, after)
+		changed, err := w.follow(ctx, sent)
 		switch {
 		case errors.Is(err, ports.ErrHistoryGone):
 			w.log.WithField("table", w.table).Info("history of the store is gone; reading the table anew")
-			synced = false
+			w.mu.Lock()
+			w.synced = false
+			w.mu.Unlock()
 			continue
 		case err != nil:
 			w.fail(err)
 			duration.Sleep(ctx, watchRetry)
 			continue
 		}
-		w.succeed(sent)
-		if !synced {
-			w.reset(page.Rows)
-		}
-		for _, row := range page.Rows {
-			if synced && row.Table == w.table {
-				w.change(row)
-			}
-		}
-		changed := !synced || len(page.Rows) > 0
-		after, synced = max(after, page.Version), true
+		w.succeed()
 		w.done(changed)
 		if changed && w.gap > 0 {
 			duration.Sleep(ctx, w.gap)
@@ -96,15 +209,57 @@
 	}
 }
 
-func (w *watcher) call(ctx context.Context, synced bool, after int64) (ports.Page, error) {
+// follow makes one call of the store and takes over its answer.
+func (w *watcher) follow(ctx context.Context, sent bootclock.Time) (changed bool, err error) {
+	w.mu.Lock()
+	synced, after := w.synced, w.version
+	w.mu.Unlock()
 	if !synced {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		return w.store.Read(ctx, w.table)
+		page, err := w.store.Read(ctx, w.table)
+		if err == nil {
+			w.reset(page, w.asOf(sent, page.Clock))
+		}
+		return true, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, w.wait+feedSlack)
 	defer cancel()
-	return w.store.Feed(ctx, w.table, after, w.wait)
+	page, err := w.store.Feed(ctx, w.table, after, w.wait)
+	if err != nil {
+		return false, err
+	}
+	return w.take(page.Rows, page.Version, w.asOf(sent, page.Clock)), nil
+}
+
+// asOf returns when the store has certainly given its answer, at the earliest.
+func (w *watcher) asOf(sent bootclock.Time, clock time.Duration) bootclock.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock.answered(sent, bootclock.Now(), clock)
+}
+
+// clockDrift is kept for the different speeds of two machines' clocks.
+const clockDrift = 20 * time.Millisecond
+
+// storeClock relates the store's steady clock to this machine's. An answer was
+// given after its call was sent, which bounds the difference of the clocks from
+// below; the call that was answered fastest gives the best bound. By it the
+// answer to a feed, which may stay open for long, proves more than the time at
+// which the feed was sent.
+type storeClock struct {
+	offset bootclock.Time // of this machine's clock over the store's, at least
+	known  bool
+}
+
+func (c *storeClock) answered(sent, received bootclock.Time, clock time.Duration) bootclock.Time {
+	if clock <= 0 {
+		return sent
+	}
+	if offset := sent.Add(-clock); !c.known || offset > c.offset {
+		c.offset, c.known = offset, true
+	}
+	return max(sent, min(received, c.offset.Add(clock-clockDrift)))
 }
 
 func (w *watcher) fail(err error) {
@@ -119,15 +274,15 @@
 	}
 }
 
-func (w *watcher) succeed(sent bootclock.Time) {
+func (w *watcher) succeed() {
 	w.mu.Lock()
 	again := w.failing
 	if again {
 		w.failing, w.back = false, bootclock.Now()
 	}
-	w.proved = max(w.proved, sent)
+	length := w.back.Sub(w.failed)
 	w.mu.Unlock()
 	if again {
-		w.log.WithFields(log.Fields{"table": w.table, "outage_ms": w.back.Sub(w.failed).Milliseconds()}).Info("store regained")
+		w.log.WithFields(log.Fields{"table": w.table, "outage_ms": length.Milliseconds()}).Info("store regained")
 	}
 }
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -155,7 +155,8 @@
 	return cbor.Unmarshal(reply, answer)
 }
 
-// Notify sends a message that expects no reply.
+// Notify sends a message that expects no reply. One that goes to many instances
+// is best encoded once, as a cbor.RawMessage.
 func (h *Hub) Notify(ctx context.Context, instance string, kind Kind, message any) error {
 	h.mu.RLock()
 	l := h.links[instance]
@@ -163,9 +164,13 @@
 	if l == nil {
 		return fmt.Errorf("%s: %w", instance, ErrNotConnected)
 	}
-	body, err := cbor.Marshal(message)
-	if err != nil {
-		return err
+	body, ok := message.(cbor.RawMessage)
+	if !ok {
+		encoded, err := cbor.Marshal(message)
+		if err != nil {
+			return err
+		}
+		body = encoded
 	}
 	return l.write(ctx, envelope{Kind: kind, Body: body})
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -31,6 +31,7 @@
 	KindTakeTokens
 	KindLoadAdapter
 	KindHandover
+	KindPulse
 )
 
 // envelope frames every message after the handshake. Replies repeat the ID of
--- a/residency/host.go
+++ b/residency/host.go
@@ -18,7 +18,7 @@
 	used     bootclock.Time
 	loaded   bootclock.Time // when it was first seen
 	retiring bool           // the instances have been told that it goes
-	retired  bootclock.Time
+	retired  bootclock.Time // when they were told, 0 before
 }
 
 // adapter is one that takes a place at an upstream.
--- a/residency/order.go
+++ b/residency/order.go
@@ -71,6 +71,8 @@
 	Upstream string              `cbor:"1,keyasint"`
 	Started  int64               `cbor:"2,keyasint"`
 	Models   map[string][]string `cbor:"3,keyasint"`
+	// Revision is that of the newest entry of the upstream that was considered.
+	Revision int64 `cbor:"4,keyasint"`
 }
 
 // Need is one instance's demand for a model since its last report.
@@ -91,9 +93,9 @@
 	rateHalfLife = 6 * time.Second
 	// needAge is how long an instance's report counts without a newer one.
 	needAge = 3 * time.Second
-	// unloadNotice is the time between telling the instances that a model goes
+	// UnloadNotice is the time between telling the instances that a model goes
 	// and ordering it, so that no request meets the unload.
-	unloadNotice = 30 * time.Millisecond
+	UnloadNotice = 30 * time.Millisecond
 	// answerSlack is added to the expected time of a load before the upstream
 	// is asked what has become of it.
 	answerSlack = 1500 * time.Millisecond
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -222,7 +222,7 @@
 	list := make([]Placement, 0, len(p.hosts))
 	for _, id := range slices.Sorted(maps.Keys(p.hosts)) {
 		h := p.hosts[id]
-		list = append(list, Placement{Upstream: id, Started: h.entry.Started, Models: h.serving()})
+		list = append(list, Placement{Upstream: id, Started: h.entry.Started, Revision: h.entry.Revision, Models: h.serving()})
 	}
 	return list
 }
@@ -238,6 +238,19 @@
 	cost    float64 // milliseconds
 }
 
+// Told notes that all instances are being told what is served. It reports
+// whether models are to be unloaded after UnloadNotice.
+func (p *Planner) Told(now bootclock.Time) (retiring bool) {
+	for _, h := range p.hosts {
+		for _, r := range h.models {
+			if r.retiring && r.retired == 0 {
+				r.retired, retiring = now, true
+			}
+		}
+	}
+	return retiring
+}
+
 // Plan returns the orders to send now. Each is counted as given.
 func (p *Planner) Plan(now bootclock.Time) []Order {
 	if p.view == nil || p.view.Config == nil {
@@ -268,7 +281,7 @@
 			continue
 		}
 		for name, r := range h.models {
-			if !r.retiring || now.Sub(r.retired) < unloadNotice {
+			if !r.retiring || r.retired == 0 || now.Sub(r.retired) < UnloadNotice {
 				continue
 			}
 			if d := p.demands[key{h.entry.Service, name}]; d != nil && d.running(now, id) > 0 {
@@ -295,7 +308,7 @@
 	if len(c.victims) > 0 {
 		for _, name := range c.victims {
 			r := c.host.models[name]
-			r.retiring, r.retired = true, now
+			r.retiring, r.retired = true, 0
 		}
 		return orders
 	}
