Add a stand-in of the users' platform and tests of the whole path on it

Change: standin/userplatform holds the store with rows, feed and history, engines with orders, adapters and lost answers, plain upstreams with their faults. node's tests play the whole path over it: at most once, hidden repeats, resumed streams, foreign answers, lost store, withdrawn keys, leaving upstreams, limits over instances, shutdown.

--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,7 @@
 	draining atomic.Bool
 
 	callers net.Listener
+	mu      sync.Mutex
 	servers []*http.Server
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
@@ -177,7 +179,7 @@
 }
 
 func (n *Node) serve(l net.Listener, server *http.Server) {
-	n.servers = append(n.servers, server)
+	n.addServer(server)
 	n.group.Go(func() {
 		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			n.log.WithError(err).Error("listener failed")
@@ -185,6 +187,18 @@
 	})
 }
 
+func (n *Node) addServer(server *http.Server) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.servers = append(n.servers, server)
+}
+
+func (n *Node) allServers() []*http.Server {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.servers)
+}
+
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if reason := n.notReady(); reason != "" {
 		http.Error(w, reason, http.StatusServiceUnavailable)
@@ -220,7 +234,7 @@
 		Handler: n.handler, MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout: limits.IdleTimeout, ConnState: noteIdle,
 	}
-	n.servers = append(n.servers, server)
+	n.addServer(server)
 	idle := func() time.Duration { return n.state.View().Config.Limits.IdleTimeout }
 	err := server.Serve(&idleListener{Listener: n.callers, idleFor: idle})
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -269,7 +283,7 @@
 		if elapsed >= closeAfter && !closed {
 			closed = true
 			n.handler.Close()
-			for _, server := range n.servers {
+			for _, server := range n.allServers() {
 				server.SetKeepAlivesEnabled(false) // closes idle connections
 			}
 		}
@@ -280,13 +294,21 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), exitReserve/3)
 	defer cancel()
-	for i := len(n.servers) - 1; i >= 0; i-- {
-		if err := n.servers[i].Shutdown(ctx); err != nil {
+	for _, server := range slices.Backward(n.allServers()) {
+		if err := server.Shutdown(ctx); err != nil {
 			n.log.WithError(err).Warn("connections closed before their requests ended")
-			n.servers[i].Close()
 		}
 	}
+	n.Stop()
+	n.log.WithField("after_ms", bootclock.Since(started).Milliseconds()).Info("instance stopped")
+}
+
+// Stop ends all parts at once. Requests that run are cut.
+func (n *Node) Stop() {
 	n.cancel()
+	for _, server := range n.allServers() {
+		server.Close()
+	}
 	n.group.Wait()
-	n.log.WithField("after_ms", bootclock.Since(started).Milliseconds()).Info("instance stopped")
+	n.pool.Close()
 }
--- /dev/null
+++ b/node/scene_test.go
@@ -0,0 +1,224 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	apexjson "github.com/apex/log/handlers/json"
+
+	"github.com/hibiscusyard/hibiscusyard/node"
+	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
+)
+
+// waitLimit caps every wait on a condition.
+const waitLimit = 20 * time.Second
+
+// scene is a platform with upstreams and instances in one process.
+type scene struct {
+	t       *testing.T
+	store   *userplatform.Store
+	address string
+	engines []*userplatform.Upstream
+	rotas   []*userplatform.Upstream
+	nodes   []*node.Node
+	fronts  []string // addresses for callers
+	ready   []string
+}
+
+// newScene starts a platform with two engines, two plain upstreams and some
+// instances, and waits until all instances are ready.
+func newScene(t *testing.T, instances int) *scene {
+	t.Helper()
+	s := &scene{t: t, store: userplatform.NewStore()}
+	server := httptest.NewServer(s.store.Gate())
+	t.Cleanup(server.Close)
+	s.address = server.Listener.Addr().String()
+	if err := userplatform.Sample().Write(s.store); err != nil {
+		t.Fatal(err)
+	}
+	for i, model := range []string{"notices", "summaries"} {
+		u := &userplatform.Upstream{
+			ID: fmt.Sprintf("engine-%d", i+1), Service: "engine", Zone: "north", Slots: 16, Events: 8, Work: 2 * time.Millisecond,
+			Engine: &userplatform.Engine{Places: 2, AdapterSlots: 4, LoadTime: 50 * time.Millisecond, Models: map[string][]string{model: nil}},
+		}
+		s.engines = append(s.engines, s.start(u))
+		s.rotas = append(s.rotas, s.start(&userplatform.Upstream{
+			ID: fmt.Sprintf("rota-%d", i+1), Service: "rota", Zone: "north", Slots: 6, Work: time.Millisecond,
+		}))
+	}
+	for range instances {
+		s.addNode()
+	}
+	for _, ready := range s.ready {
+		s.eventually("instance is ready", func() bool { return s.status("http://"+ready+"/readiness") == http.StatusOK })
+	}
+	s.eventually("an instance leads", func() bool { return len(s.store.Value("hibiscusyard", "lease")) > 0 })
+	return s
+}
+
+func (s *scene) start(u *userplatform.Upstream) *userplatform.Upstream {
+	s.t.Helper()
+	if err := u.Start(s.store); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(u.Close)
+	return u
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *scene) addNode() *node.Node {
+	s.t.Helper()
+	settings := node.Settings{
+		Instance: fmt.Sprintf("entry-%d", len(s.nodes)+1), DataCentre: "north", CallerListen: freeAddress(s.t),
+		ReadyListen: freeAddress(s.t), PeerListen: freeAddress(s.t), MetricsListen: freeAddress(s.t), Store: s.address,
+		MemoryMB: 256, CPUShare: 1, LinkMbps: 1000, LogLevel: "info", StoreParallel: 4,
+		Bounds: node.Bounds{
+			RevokeMS: 5000, DrainMS: 2000, ConfigurationMS: 2000, GraceS: 8, LeaseMS: 300, BudgetRatio: 0.2,
+			BudgetSlack: 56, BudgetWindowS: 10, QuotaWindowS: 8, QuotaOverage: 0.1, QuotaSlack: 1000,
+		},
+	}
+	var handler log.Handler = discard.New()
+	if testing.Verbose() {
+		handler = apexjson.New(s.t.Output())
+	}
+	n := node.New(settings, &log.Logger{Handler: handler, Level: log.InfoLevel})
+	if err := n.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.nodes = append(s.nodes, n)
+	s.fronts = append(s.fronts, settings.CallerListen)
+	s.ready = append(s.ready, settings.ReadyListen)
+	s.t.Cleanup(n.Stop)
+	return n
+}
+
+func (s *scene) eventually(what string, holds func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(waitLimit); !holds(); {
+		if time.Now().After(end) {
+			s.t.Fatalf("not within %s: %s", waitLimit, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (s *scene) status(url string) int {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// request is one caller's request.
+type request struct {
+	id, method, path, key, model, resume string
+	tokens                               string
+	deadline                             time.Duration
+}
+
+// answer is what a caller got; err is set if the answer was cut.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var requests atomic.Int64
+
+// send makes one request on a connection of its own.
+func (s *scene) send(front int, r request) answer {
+	s.t.Helper()
+
+	if r.id == "" {
+		r.id = fmt.Sprintf("request-%d", requests.Add(1))
+	}
+	if r.method == "" {
+		r.method = http.MethodPost
+	}
+	if r.deadline == 0 {
+		r.deadline = 4 * time.Second
+	}
+	ctx, cancel := context.WithTimeout(s.t.Context(), waitLimit)
+	defer cancel()
+	hr, err := http.NewRequestWithContext(ctx, r.method, "http://"+s.fronts[front]+r.path, strings.NewReader("body"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	hr.Host = "rota.example"
+	hr.Header.Set(userplatform.HeaderID, r.id)
+	hr.Header.Set(userplatform.HeaderDeadline, fmt.Sprint(r.deadline.Milliseconds()))
+	for name, value := range map[string]string{
+		userplatform.HeaderModel: r.model, userplatform.HeaderTokens: r.tokens, userplatform.HeaderResume: r.resume,
+	} {
+		if value != "" {
+			hr.Header.Set(name, value)
+		}
+	}
+	if r.key != "" {
+		hr.Header.Set("Authorization", "Token "+r.key)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(hr)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+// draft is a streaming request for a model.
+func draft(model string) request {
+	return request{path: "/drafts/x", key: "committee-key", model: model, tokens: "100,20"}
+}
+
+// eventIDs returns the IDs of the events of a stream.
+func eventIDs(body string) []string {
+	var ids []string
+	scanner := bufio.NewScanner(strings.NewReader(body))
+	for scanner.Scan() {
+		if id, ok := strings.CutPrefix(scanner.Text(), "id: "); ok {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// runs counts the runs of a request over some upstreams.
+func runs(id string, upstreams ...*userplatform.Upstream) (ran, arrived int) {
+	for _, u := range upstreams {
+		for _, a := range u.Arrivals() {
+			if a.ID == id {
+				arrived++
+				if a.Ran {
+					ran++
+				}
+			}
+		}
+	}
+	return ran, arrived
+}
--- /dev/null
+++ b/standin/userplatform/upstream.go
@@ -0,0 +1,242 @@
+package userplatform
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/duration"
+)
+
+// Headers of the platform as the stand-in speaks them.
+const (
+	HeaderID       = "X-Hibiscusyard-Request-Id"
+	HeaderDeadline = "X-Hibiscusyard-Request-Deadline"
+	HeaderModel    = "X-Hibiscusyard-Model"
+	HeaderTokens   = "X-Hibiscusyard-Token-Count"
+	HeaderTenant   = "X-Hibiscusyard-Tenant"
+	HeaderUpstream = "X-Hibiscusyard-Expected-Instance"
+	HeaderNotRun   = "X-Hibiscusyard-Not-Executed"
+	HeaderSigned   = "X-Hibiscusyard-Server-Signature"
+	HeaderLoad     = "X-Hibiscusyard-Server-Load"
+	HeaderInstance = "X-Hibiscusyard-Instance-Id"
+	HeaderResume   = "Last-Event-Id"
+)
+
+// Fault is a way in which an upstream fails one request.
+type Fault int
+
+// Faults of upstreams.
+const (
+	None         Fault = iota
+	ResetBefore        // the connection is reset before the request is read
+	ResetAfter         // it runs, and its answer is lost
+	CutStream          // the stream ends in the middle of an event
+	ForeignFirst       // an answer to another request comes first
+	Unsigned           // a success that nobody vouches for
+	TurnedAway         // it is full and says that it did not run the request
+	ErrorAnswer        // an error of its own
+)
+
+// Arrival is one request that reached an upstream.
+type Arrival struct {
+	ID, Tenant, Resume, Key string
+	Ran                     bool
+	At                      time.Time
+}
+
+// Upstream is a process that serves requests: a plain service, and an engine
+// if it has an Engine.
+type Upstream struct {
+	ID, Service, Zone string
+	Slots             int
+	// Work is how long a plain request or one event of a stream takes.
+	Work time.Duration
+	// Events is the number of events of a stream.
+	Events int
+	Engine *Engine
+
+	store    *Store
+	listener net.Listener
+	server   *http.Server
+	born     int64
+
+	mu       sync.Mutex
+	running  int
+	beats    int64
+	state    string
+	faults   []Fault // of the next requests
+	arrivals []Arrival
+}
+
+// Start binds the upstream to a loopback port and registers it.
+func (u *Upstream) Start(store *Store) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	u.store, u.listener, u.state, u.born = store, listener, "ready", time.Now().UnixMilli()
+	if u.Engine != nil {
+		u.Engine.upstream = u
+	}
+	u.server = &http.Server{Handler: u}
+	go u.server.Serve(listener) //nolint:errcheck // ends with Close.
+	return u.Register()
+}
+
+// Close ends the upstream like a crash: its entry stays.
+func (u *Upstream) Close() { u.server.Close() }
+
+// Address returns where the upstream listens.
+func (u *Upstream) Address() string { return u.listener.Addr().String() }
+
+// Register writes the upstream's entry.
+func (u *Upstream) Register() error {
+	u.mu.Lock()
+	u.beats++
+	entry := map[string]any{
+		"service": u.Service, "address": u.Address(), "zone": u.Zone, "version": "v1", "slots": u.Slots,
+		"state": u.state, "coldRemainingMs": 0, "sequence": u.beats, "born": u.born,
+	}
+	u.mu.Unlock()
+	if u.Engine != nil {
+		u.Engine.describe(entry)
+	}
+	return u.store.Put("servers", u.ID, entry)
+}
+
+// Leave reports that the upstream is draining.
+func (u *Upstream) Leave() error {
+	u.mu.Lock()
+	u.state = "draining"
+	u.mu.Unlock()
+	return u.Register()
+}
+
+// Fail makes the next requests fail, one each.
+func (u *Upstream) Fail(faults ...Fault) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.faults = append(u.faults, faults...)
+}
+
+// Arrivals returns the requests that reached the upstream.
+func (u *Upstream) Arrivals() []Arrival {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]Arrival(nil), u.arrivals...)
+}
+
+func (u *Upstream) fault() Fault {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.faults) == 0 {
+		return None
+	}
+	f := u.faults[0]
+	u.faults = u.faults[1:]
+	return f
+}
+
+// ServeHTTP implements http.Handler.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+	w.Header().Set(HeaderInstance, u.ID)
+	if expected := r.Header.Get(HeaderUpstream); expected != "" && expected != u.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if u.Engine != nil && (r.URL.Path == "/order" || r.URL.Path == "/report") {
+		u.Engine.control(w, r)
+		return
+	}
+	u.request(w, r)
+}
+
+func (u *Upstream) request(w http.ResponseWriter, r *http.Request) {
+	fault := u.fault()
+	if fault == ResetBefore {
+		hijack(w, "")
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	refusal := 0
+	u.mu.Lock()
+	switch {
+	case fault == TurnedAway || u.running >= u.Slots:
+		refusal = http.StatusServiceUnavailable
+	case u.Engine != nil:
+		refusal = u.Engine.refuses(r.Header.Get(HeaderModel))
+	}
+	u.arrivals = append(u.arrivals, Arrival{
+		ID: r.Header.Get(HeaderID), Tenant: r.Header.Get(HeaderTenant), Resume: r.Header.Get(HeaderResume),
+		Key: r.Header.Get("Authorization"), Ran: refusal == 0, At: time.Now(),
+	})
+	if refusal == 0 {
+		u.running++
+	}
+	w.Header().Set(HeaderLoad, fmt.Sprintf("%d,0,%d", u.running, u.Slots))
+	u.mu.Unlock()
+	if refusal != 0 {
+		w.Header().Set(HeaderNotRun, "1")
+		w.WriteHeader(refusal)
+		return
+	}
+	defer func() {
+		u.mu.Lock()
+		u.running--
+		u.mu.Unlock()
+	}()
+	u.run(w, r, fault)
+}
+
+// run answers a request that runs.
+func (u *Upstream) run(w http.ResponseWriter, r *http.Request, fault Fault) {
+	if !duration.Sleep(r.Context(), u.Work) {
+		return
+	}
+	switch fault {
+	case ResetAfter:
+		hijack(w, "")
+		return
+	case ForeignFirst:
+		const body = "not yours"
+		hijack(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other\r\n%s: x\r\nContent-Length: %d\r\n\r\n%s"+
+			"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Length: 5\r\n\r\nyours",
+			HeaderID, HeaderSigned, len(body), body, HeaderID, r.Header.Get(HeaderID), HeaderSigned))
+		return
+	case ErrorAnswer:
+		w.Header().Set(HeaderSigned, "x")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if fault != Unsigned {
+		w.Header().Set(HeaderSigned, "signature-of-"+u.ID)
+	}
+	if u.Engine != nil {
+		u.Engine.stream(w, r, fault)
+		return
+	}
+	fmt.Fprintf(w, "answer of %s to %s", u.ID, r.Header.Get(HeaderID))
+}
+
+// hijack sends raw bytes and closes the connection.
+func hijack(w http.ResponseWriter, raw string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if raw == "" {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			tcp.SetLinger(0) //nolint:errcheck // closes with a reset where it can.
+		}
+		return
+	}
+	io.WriteString(conn, raw) //nolint:errcheck // the other side may be gone.
+}
