--- /dev/null
+++ b/bootclock/bootclock_test.go
@@ -0,0 +1,77 @@
+package bootclock_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+)
+
+func read(t *testing.T, clock int32) bootclock.Time {
+	t.Helper()
+	var ts unix.Timespec
+	if err := unix.ClockGettime(clock, &ts); err != nil {
+		t.Fatal(err)
+	}
+	return bootclock.Time(ts.Nano())
+}
+
+// Guards against the steady clock, which stops during a suspension: a reading
+// must lie between two readings of the clock that counts it.
+func TestNowCountsSuspension(t *testing.T) {
+	before := read(t, unix.CLOCK_BOOTTIME)
+	now := bootclock.Now()
+	if after := read(t, unix.CLOCK_BOOTTIME); now.Before(before) || now.After(after) {
+		t.Errorf("Now is %d, outside %d to %d of CLOCK_BOOTTIME", now, before, after)
+	}
+}
+
+// Guards every lease, grant, staleness bound and fence against time.Now, whose
+// differences miss a suspension: a paused holder would believe in its lease.
+// Only deadlines of connections and timers may use it.
+func TestBoundsUseThisClock(t *testing.T) {
+	for _, pattern := range []string{
+		"../coordinator/*.go", "../quota/central.go", "../residency/*.go", "../dispatch/*.go",
+		"../node/watch.go", "../node/state.go", "../gateway/route.go", "../gateway/filters.go", "../gateway/budget.go",
+	} {
+		files, err := filepath.Glob(pattern)
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: %v, %v", pattern, files, err)
+		}
+		for _, file := range files {
+			for _, call := range steadyReadings(t, file) {
+				t.Errorf("%s: time.%s misses suspensions", file, call)
+			}
+		}
+	}
+}
+
+// steadyReadings returns the readings of the steady clock in a file, but for
+// waits bounded by a context's deadline.
+func steadyReadings(t *testing.T, file string) []string {
+	t.Helper()
+	if matched, err := filepath.Match("*_test.go", filepath.Base(file)); err != nil || matched {
+		return nil
+	}
+	parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var calls []string
+	ast.Inspect(parsed, func(n ast.Node) bool {
+		selector, ok := n.(*ast.SelectorExpr)
+		if !ok {
+			return true
+		}
+		if pkg, ok := selector.X.(*ast.Ident); ok && pkg.Name == "time" && (selector.Sel.Name == "Now" || selector.Sel.Name == "Since") {
+			calls = append(calls, selector.Sel.Name)
+		}
+		return true
+	})
+	return calls
+}
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against parts of events: however a stream is cut into pieces, only
+// whole events come out, all of them, in order.
+func TestEventsComeOutWhole(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var stream strings.Builder
+		n := rapid.IntRange(1, 20).Draw(r, "events")
+		for i := 1; i <= n; i++ {
+			fmt.Fprintf(&stream, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", rapid.IntRange(0, 30).Draw(r, "size")))
+		}
+		rest, events := stream.String(), Events{}
+		var got strings.Builder
+		for len(rest) > 0 {
+			size := rapid.IntRange(1, len(rest)).Draw(r, "piece")
+			whole, err := events.Add([]byte(rest[:size]))
+			if err != nil {
+				r.Fatal(err)
+			}
+			if len(whole) > 0 && !strings.HasSuffix(string(whole), "\n\n") {
+				r.Fatalf("a part of an event came out: %q", whole)
+			}
+			got.Write(whole)
+			rest = rest[size:]
+		}
+		if got.String() != stream.String() || events.Open() || events.Last != fmt.Sprint(n) {
+			r.Fatalf("got %q, last %s, open %v", got.String(), events.Last, events.Open())
+		}
+	})
+}
+
+// Guards against joining two runs of a stream so that an event is doubled.
+func TestEventsRefuseRepeats(t *testing.T) {
+	events := Events{Last: "4"}
+	if _, err := events.Add([]byte("id: 5\ndata: a\n\n")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := events.Add([]byte("id: 5\ndata: a\n\n")); !errors.Is(err, errSequence) {
+		t.Errorf("a repeated event gave %v", err)
+	}
+}
+
+// Guards against an end inside an event that looks complete.
+func TestEventsKnowAnOpenEnd(t *testing.T) {
+	events := Events{}
+	if _, err := events.Add([]byte("id: 1\ndata: a\n\nid: 2\nda")); err != nil {
+		t.Fatal(err)
+	}
+	if !events.Open() || events.Last != "1" {
+		t.Errorf("open %v, last %q", events.Open(), events.Last)
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\n"), 3)
+	f.Add([]byte("weight-versions: 3\nid: 7\ndata: a\n\nid: 8"), 1)
+	f.Fuzz(func(t *testing.T, stream []byte, size int) {
+		events, out := Events{}, 0
+		if size <= 0 {
+			size = 1
+		}
+		for start := 0; start < len(stream); start += size {
+			whole, err := events.Add(stream[start:min(start+size, len(stream))])
+			if err != nil {
+				return
+			}
+			out += len(whole)
+		}
+		if out > len(stream) {
+			t.Fatalf("%d bytes out of %d", out, len(stream))
+		}
+	})
+}
--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -72,11 +72,24 @@
 				break collect
 			}
 		}
-		if n := s.dropped.Swap(0); n > 0 {
-			batch = fmt.Appendf(batch, "{\"fields\":{\"lines\":%d},\"level\":\"warn\",\"message\":\"log lines dropped\"}\n", n)
-		}
-		if _, err := s.out.Write(batch); err != nil {
-			s.total.Add(1) // nobody is left to tell
-		}
+		s.write(s.noteDropped(batch))
+	}
+	s.write(s.noteDropped(nil))
+}
+
+// noteDropped appends a line about the lines lost since the last such line.
+func (s *Sink) noteDropped(batch []byte) []byte {
+	if n := s.dropped.Swap(0); n > 0 {
+		batch = fmt.Appendf(batch, "{\"fields\":{\"lines\":%d},\"level\":\"warn\",\"message\":\"log lines dropped\"}\n", n)
+	}
+	return batch
+}
+
+func (s *Sink) write(batch []byte) {
+	if len(batch) == 0 {
+		return
+	}
+	if _, err := s.out.Write(batch); err != nil {
+		s.total.Add(1) // nobody is left to tell
 	}
 }
