Keep the lead on strong instances and look at a lease when it ends

Change: strong instances look at the row at the moment the lease ends; weak leaders offer it to strong ones; renewals and offers pause after a failure; the term is 3 s.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -37,7 +37,7 @@
 	heartbeatShare = 0.2
 	// leaderSilence is how long a leader may be silent before its link is
 	// dropped and the lease row is read.
-	leaderSilence = 1600 * time.Millisecond
+	leaderSilence = 1400 * time.Millisecond
 	// handOverAfter is how long after its last renewal a leader that has lost the
 	// store offers the lease to another instance.
 	handOverAfter = renewEvery + renewTimeout
@@ -48,8 +48,17 @@
 	pushGap = 30 * time.Millisecond
 	// weakDelay is how long a weak instance leaves a free lease to others.
 	weakDelay = 1500 * time.Millisecond
-	// lookers is the number of instances that read the lease row each lookEvery.
-	// A new leader makes itself known to the others.
+	// freeSpread is the time over which instances look at a lease that has ended.
+	freeSpread = 100 * time.Millisecond
+	// renewRetry is the pause after a renewal that failed, and offerRetry the one
+	// after an offer that was declined.
+	renewRetry = 150 * time.Millisecond
+	offerRetry = 500 * time.Millisecond
+	// yieldAfter is how long a weak instance leads before it offers the lease to
+	// one that is not.
+	yieldAfter = 2 * time.Second
+	// lookers is the number of weak instances that read the lease row each
+	// lookEvery. A new leader makes itself known to the others.
 	lookers = 8
 )
 
@@ -108,6 +117,9 @@
 	leading   bool
 	// announce are the instances that a new leader dials to make itself known.
 	announce []string
+	since    bootclock.Time // when this instance began to lead
+	renewAt  bootclock.Time // no renewal before then
+	offerAt  bootclock.Time // no offer before then
 	// freeSince is when a weak instance first saw the lease free.
 	freeSince bootclock.Time
 	// levels were handed over by the holder of a term.
@@ -263,16 +275,17 @@
 		c.stepDown("lease expired")
 	}
 	resigned := c.resigned
-	lagging := c.leading && now.Sub(c.renewed) > handOverAfter
+	offer := c.offers(now)
 	c.mu.Unlock()
-	if lagging && c.handOver(ctx) {
+	if offer && c.handOver(ctx) {
 		return
 	}
 	switch {
 	case mine && resigned:
 		c.release()
 	case mine && held:
-		if until.Sub(now) < leaseTerm-renewEvery {
+		if until.Sub(now) < leaseTerm-renewEvery && now.After(c.renewAt) {
+			c.renewAt = now.Add(renewRetry)
 			c.contend(ctx)
 		}
 	case !mine && c.client.alive(now):
@@ -283,17 +296,45 @@
 	c.lead(ctx)
 }
 
+// offers reports whether the lease is to be offered to another instance now:
+// because it can't be renewed, or because this instance is weak and another one
+// is not. The caller holds mu.
+func (c *Coordinator) offers(now bootclock.Time) bool {
+	if !c.leading || now.Before(c.offerAt) {
+		return false
+	}
+	strong := false
+	for _, b := range c.beats {
+		strong = strong || !b.Weak
+	}
+	yields := c.config.Weak && strong && now.Sub(c.since) > yieldAfter
+	if !yields && now.Sub(c.renewed) <= handOverAfter {
+		return false
+	}
+	c.offerAt = now.Add(offerRetry)
+	return true
+}
+
 // lookAround reads the lease row, follows its holder and takes the lease if it
 // has ended.
 func (c *Coordinator) lookAround(ctx context.Context, now bootclock.Time) {
 	if c.looked != 0 && now.Before(c.looked) {
 		return
 	}
-	pause := lookEvery * time.Duration(max(c.client.Members(), lookers)) / lookers
+	pause := lookEvery
+	if c.config.Weak {
+		pause = lookEvery * time.Duration(max(c.client.Members(), lookers)) / lookers
+	}
 	c.looked = now.Add(pause/2 + mathrand.N(pause))
 	c.read(ctx)
 	c.contend(ctx)
 	c.follow(ctx)
+	c.mu.Lock()
+	if free := c.lease.FreeIn(bootclock.Now()); free > 0 && !c.config.Weak {
+		// Looks again when the lease ends, and no sooner.
+		c.looked = min(c.looked.Add(free), now.Add(free+mathrand.N(freeSpread)))
+	}
+	c.mu.Unlock()
 }
 
 // follow keeps the link to the holder of the lease.
@@ -419,7 +460,7 @@
 }
 
 func (c *Coordinator) begin(now bootclock.Time) {
-	c.leading = true
+	c.leading, c.since = true, now
 	c.planner = residency.NewPlanner(c.config.StoreParallel)
 	c.central = quota.NewCentral(c.config.Bounds, c.lease.FirstEver())
 	if c.levels != nil && c.levelsToken+1 == c.lease.Token() {
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -22,9 +22,10 @@
 )
 
 const (
-	// leaseTerm is how long a renewal lasts. Keyed requests are not served for
-	// longer than this during an outage of the store in any case.
-	leaseTerm = 3500 * time.Millisecond
+	// leaseTerm is how long a renewal lasts. It is about the time for which keyed
+	// requests are still owed during an outage of the store, and the time without
+	// a leader after one has lost its power.
+	leaseTerm = 3 * time.Second
 	// renewEvery leaves two tries for a renewal whose answer is lost.
 	renewEvery = 900 * time.Millisecond
 	// clockMargin is kept for the different speeds of two machines' clocks.
@@ -160,6 +161,14 @@
 	return l.record.Token
 }
 
+// FreeIn returns how long the lease that another instance holds may still last.
+func (l *Lease) FreeIn(now bootclock.Time) time.Duration {
+	if !l.known || l.Mine() || l.free(now) {
+		return 0
+	}
+	return l.record.Expires - l.clock - now.Sub(l.received)
+}
+
 // Propose returns the write that takes or renews the lease, and whether there
 // is one to send now.
 func (l *Lease) Propose(now bootclock.Time) (ports.Change, bool) {
--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -74,8 +74,14 @@
 	if !take(t, b, s, end) || b.FirstEver() {
 		t.Fatal("the lease was not taken after its end")
 	}
-	if b.MayOrder(end.Add(gap)) || !b.MayOrder(end.Add(leaseTerm-clockMargin-time.Millisecond)) {
-		t.Error("orders are not held back for the gap between holders")
+	now := end
+	for now < end.Add(gap) {
+		if now = now.Add(renewEvery); !take(t, b, s, now) {
+			t.Fatal("the holder can't renew its lease")
+		}
+		if b.MayOrder(now) != (now >= end.Add(gap+takeoverSlack)) {
+			t.Errorf("orders may be given %s after the change of holder: %v", now.Sub(end), b.MayOrder(now))
+		}
 	}
 	if b.Token() != a.Token()+1 {
 		t.Errorf("fencing tokens %d and %d", a.Token(), b.Token())
