Give busy models a second replica

Change: models with 0.7 requests a second have two replicas; one without a replica is loaded before the next request asks; the lease term is 2.4 s, as no requests are granted while a dead leader's runs.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -29,7 +29,7 @@
 	storeTimeout = time.Second
 	// renewTimeout bounds one renewal of the lease, so that a lost one is noticed
 	// long before the lease ends.
-	renewTimeout = 600 * time.Millisecond
+	renewTimeout = 500 * time.Millisecond
 	// orderTimeout bounds the wait for an answer to an order.
 	orderTimeout = time.Second
 	// heartbeatShare is how often the leader sends its state without a change, as
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -25,9 +25,9 @@
 	// leaseTerm is how long a renewal lasts. It is about the time for which keyed
 	// requests are still owed during an outage of the store, and the time without
 	// a leader after one has lost its power.
-	leaseTerm = 3 * time.Second
+	leaseTerm = 2400 * time.Millisecond
 	// renewEvery leaves two tries for a renewal whose answer is lost.
-	renewEvery = 900 * time.Millisecond
+	renewEvery = 700 * time.Millisecond
 	// clockMargin is kept for the different speeds of two machines' clocks.
 	clockMargin = 100 * time.Millisecond
 	// takeoverSlack is added to the time in which two holders must not both
--- a/residency/order.go
+++ b/residency/order.go
@@ -103,6 +103,12 @@
 	retryAfter = 500 * time.Millisecond
 	// crowded is the number of requests a replica from which another one is added.
 	crowded = 14
+	// spareRate is the demand in requests a second from which a model has a
+	// second replica: a load takes seconds, in which all of them would wait.
+	spareRate = 0.7
+	// absentRate is the demand from which a model without a replica is loaded
+	// before the next request asks for it.
+	absentRate = 0.3
 	// storeBurst is the number of loads that the weight store's rate may be
 	// exceeded by at once.
 	storeBurst = 3
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -262,6 +262,11 @@
 			orders = p.carryOut(now, orders, w, c)
 		}
 	}
+	for _, w := range p.spares(now) {
+		if c, ok := p.choose(now, w, false); ok {
+			orders = p.carryOut(now, orders, w, c)
+		}
+	}
 	if p.Prefetch {
 		for _, w := range p.missing(now) {
 			if c, ok := p.choose(now, w, false); ok && c.source == FromStore {
@@ -349,7 +354,7 @@
 	for k, d := range p.demands {
 		waiting := d.waiting(now)
 		replicas, running := p.replicas(now, k, d)
-		if (waiting > 0 && replicas == 0) || (replicas > 0 && running+waiting > crowded*replicas) {
+		if (replicas == 0 && (waiting > 0 || d.rate.now(now) >= absentRate)) || (replicas > 0 && running+waiting > crowded*replicas) {
 			list = append(list, k)
 		}
 	}
@@ -359,6 +364,25 @@
 	return list
 }
 
+// spares lists the busy models that the loss of one upstream would leave
+// without a replica for the time of a load, the busiest first.
+func (p *Planner) spares(now bootclock.Time) []key {
+	var list []key
+	for k, d := range p.demands {
+		rate := d.rate.now(now)
+		if rate < spareRate {
+			continue
+		}
+		if replicas, _ := p.replicas(now, k, nil); replicas == 1 {
+			list = append(list, k)
+		}
+	}
+	slices.SortFunc(list, func(a, b key) int {
+		return cmp.Or(cmp.Compare(p.demands[b].rate.now(now), p.demands[a].rate.now(now)), cmp.Compare(a.model, b.model))
+	})
+	return list
+}
+
 // urgency sorts by how long requests have been waiting; models that only want
 // another replica come last.
 func (d *demand) urgency() bootclock.Time {
