Answer a stream without events with its upstream's head; add explain and the sample platform

On-call engineers had no way from an ID to the lines of several instances; a newcomer had no first answer on the platform. Result: TestStreamWithoutEvents fails without the change (200 without a signature) and passes with it.

--- a/cmd/hibiscusyard-dev/main.go
+++ b/cmd/hibiscusyard-dev/main.go
@@ -10,23 +10,50 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
+	"github.com/jessevdk/go-flags"
 
+	"github.com/hibiscusyard/hibiscusyard/cli"
 	"github.com/hibiscusyard/hibiscusyard/development"
 )
 
-func main() {
+type options struct {
+	Platform bool `long:"platform" description:"run on a stand-in of the users' platform"`
+}
+
+func main() { os.Exit(cli.Exit(run(), os.Stdout, os.Stderr)) }
+
+func run() error {
+	var opts options
+	args, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).Parse()
+	if err != nil {
+		return err
+	}
+	if err := cli.NoArguments(args); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	log.SetHandler(json.New(os.Stderr))
+	if opts.Platform {
+		return runPlatform(ctx)
+	}
 	system, err := development.Start(ctx, log.Log)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		return err
 	}
 	system.Explain(os.Stdout)
 	<-ctx.Done()
-	if err := system.Stop(context.Background()); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	return system.Stop(context.Background())
+}
+
+func runPlatform(ctx context.Context) error {
+	system, err := development.StartPlatform(ctx, log.Log)
+	if err != nil {
+		return err
 	}
+	defer system.Stop()
+	system.Explain(os.Stdout)
+	<-ctx.Done()
+	fmt.Fprintln(os.Stdout, "stopped")
+	return nil
 }
--- /dev/null
+++ b/development/platform_test.go
@@ -0,0 +1,43 @@
+package development_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/hibiscusyard/hibiscusyard/development"
+)
+
+// Guards the newcomer's first answer on the stand-in of the users' platform.
+func TestPlatformSampleAnswers(t *testing.T) {
+	s, err := development.StartPlatform(t.Context(), &log.Logger{Handler: discard.New()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Stop()
+	var text strings.Builder
+	s.Explain(&text)
+	if !strings.Contains(text.String(), "curl -N http://"+s.Callers()[0]) {
+		t.Errorf("no first request in %q", text.String())
+	}
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.Callers()[0]+"/signup/1", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "rota.example"
+	r.Header.Set("Authorization", "Token "+development.PlatformKey)
+	r.Header.Set("X-Hibiscusyard-Request-Id", "first")
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil || answer.StatusCode != http.StatusOK || !strings.Contains(string(body), "first") {
+		t.Errorf("answer %d %q, %v", answer.StatusCode, body, err)
+	}
+}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,42 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/explain"
+)
+
+const logs = `  9.1 entry-2 {"fields":{"instance":"entry-2","model":"letters","upstream":"e1","unload":false,"outcome":"accepted"},"level":"info","timestamp":"2026-01-01T00:00:09Z","message":"placement decision"}
+{"fields":{"instance":"entry-2","model":"other","upstream":"e2"},"level":"info","timestamp":"2026-01-01T00:00:09Z","message":"placement decision"}
+{"fields":{"instance":"entry-1","request":"r1","model":"letters","code":"deadline_too_short","after_ms":2000},"level":"info","timestamp":"2026-01-01T00:00:10Z","message":"request refused"}
+{"fields":{"instance":"entry-1","request":"r2","code":"rate_limited"},"level":"info","timestamp":"2026-01-01T00:00:10Z","message":"request refused"}
+not a log line
+{"fields":{"instance":"entry-2","token":3},"level":"info","timestamp":"2026-01-01T00:00:04Z","message":"leadership taken"}
+{"fields":{"instance":"entry-2","token":2},"level":"info","timestamp":"2026-01-01T00:00:01Z","message":"leadership taken"}
+`
+
+// Guards the way from a request's ID to its cause: its own lines, and what the
+// instances decided about its model meanwhile, and nothing else.
+func TestChainOfARequest(t *testing.T) {
+	lines, err := explain.Read(strings.NewReader(logs))
+	if err != nil || len(lines) != 6 {
+		t.Fatalf("%d lines, %v", len(lines), err)
+	}
+	chain := explain.Request(lines, "r1", 5*time.Second)
+	var got []string
+	for _, l := range chain {
+		got = append(got, l.Message)
+	}
+	if want := "leadership taken, placement decision, request refused"; strings.Join(got, ", ") != want {
+		t.Errorf("chain is %v, want %s", got, want)
+	}
+	if explain.Request(lines, "unknown", time.Second) != nil {
+		t.Error("a chain of a request that no line names")
+	}
+	var text strings.Builder
+	if err := explain.Print(&text, chain); err != nil || !strings.Contains(text.String(), "* entry-1          request refused: after_ms=2000 code=deadline_too_short") {
+		t.Errorf("printed %q, %v", text.String(), err)
+	}
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -105,6 +105,10 @@
 // looks whole.
 func (h *Handler) finish(r *Request, err error) {
 	outcome := "served"
+	if err == nil && !r.Writer.Begun() {
+		// net/http would answer with a success that no upstream vouches for.
+		err = r.Attempt.Refuse(verdict.InternalError, "the chain ended without an answer")
+	}
 	if err != nil {
 		refusal := verdict.From(err)
 		outcome = string(refusal.Reason)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -83,7 +83,13 @@
 			}
 		}
 		switch {
+		case errors.Is(err, io.EOF) && !events.Open() && !x.r.Writer.Begun() && unframed(answer):
+			return x.cut(ctx, fmt.Errorf("%w: closed without an event", errInvalid))
 		case errors.Is(err, io.EOF) && !events.Open():
+			if !x.r.Writer.Begun() { // nothing is left of a stream that the caller resumed
+				x.writeHead(answer)
+				x.r.Writer.Begin(answer.StatusCode)
+			}
 			x.r.Writer.End()
 			return attempt{result: dispatch.Served}
 		case errors.Is(err, io.EOF):
@@ -94,6 +100,12 @@
 	}
 }
 
+// unframed reports whether the answer ends with its connection, so that its end
+// can't be told from a break.
+func unframed(answer *http.Response) bool {
+	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+}
+
 // pass hands the whole events of a piece to the caller.
 func (x *exchange) pass(ctx context.Context, answer *http.Response, events *Events, piece []byte) (attempt, bool) {
 	whole, err := events.Add(piece)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -142,6 +142,22 @@
 	}
 }
 
+// Guards against a success that no upstream vouches for: a stream without an
+// event keeps its upstream's signature, and one that only closes is no answer.
+// Found by a hunt of cantaro-pozos (hunt-3ab9-11, MIXED).
+func TestStreamWithoutEvents(t *testing.T) {
+	s := newScene(t, 1)
+	s.engines[0].Fail(userplatform.EmptyStream)
+	a := s.send(0, draft("notices"))
+	if a.status != http.StatusOK || a.header.Get(userplatform.HeaderSigned) == "" || a.body != "" {
+		t.Errorf("an empty stream gave %d %v %q", a.status, a.header, a.body)
+	}
+	s.engines[0].Fail(userplatform.ClosedStream)
+	if a := s.send(0, draft("notices")); a.status == http.StatusOK && a.header.Get(userplatform.HeaderSigned) == "" {
+		t.Errorf("a stream that was only closed gave %d %v", a.status, a.header)
+	}
+}
+
 // Guards against showing a caller the answer to another request.
 func TestAnswerOfAnotherRequestIsNeverShown(t *testing.T) {
 	s := newScene(t, 1)
--- a/node/nodecmd/nodecmd.go
+++ b/node/nodecmd/nodecmd.go
@@ -8,12 +8,14 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	apexjson "github.com/apex/log/handlers/json"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/hibiscusyard/hibiscusyard/cli"
+	"github.com/hibiscusyard/hibiscusyard/explain"
 	"github.com/hibiscusyard/hibiscusyard/logsink"
 	"github.com/hibiscusyard/hibiscusyard/node"
 )
@@ -41,7 +43,17 @@
 
 type validateCommand struct{ common }
 
+type explainCommand struct {
+	Before    time.Duration `long:"before" default:"5s" description:"how long before the request changes of state are shown"`
+	Arguments struct {
+		Request string   `positional-arg-name:"REQUEST-ID" required:"yes"`
+		Files   []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+	out io.Writer
+}
+
 type options struct {
+	Explain  explainCommand  `command:"explain" description:"Print what log files of several instances tell of one request, in order of time" long-description:"Example: hibiscusyard-front explain 9c41d07be2a35f68 entry-1.log entry-2.log"`
 	Serve    serveCommand    `command:"serve" description:"Run one instance until SIGTERM or SIGINT"`
 	Validate validateCommand `command:"validate" description:"Check a settings file and report all errors"`
 }
@@ -49,7 +61,7 @@
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	opts := &options{}
-	opts.Serve.out, opts.Validate.out = stdout, stdout
+	opts.Serve.out, opts.Validate.out, opts.Explain.out = stdout, stdout, stdout
 	parser := flags.NewNamedParser("hibiscusyard-front", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", opts); err != nil {
 		fmt.Fprintln(stderr, err)
@@ -116,3 +128,28 @@
 		logger.Info("settings read again; nothing has changed")
 	}
 }
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute(args []string) error {
+	if err := cli.NoArguments(args); err != nil {
+		return err
+	}
+	var lines []explain.Line
+	for _, path := range c.Arguments.Files {
+		file, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		more, err := explain.Read(file)
+		file.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		lines = append(lines, more...)
+	}
+	chain := explain.Request(lines, c.Arguments.Request, c.Before)
+	if len(chain) == 0 {
+		return fmt.Errorf("no line names request %s", c.Arguments.Request)
+	}
+	return explain.Print(c.out, chain)
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"regexp"
 	"time"
 
 	"github.com/samber/oops"
@@ -101,12 +102,33 @@
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&s); err != nil {
-		line := 1 + bytes.Count(data[:min(int(decoder.InputOffset()), len(data))], []byte("\n"))
-		return s, fmt.Errorf("near line %d: %w", line, err)
+		return s, fmt.Errorf("line %d: %w", errorLine(data, decoder, err), err)
 	}
 	return s, s.validate()
 }
 
+// unknownField finds the name in encoding/json's error about a field that the
+// settings do not have; the error has no type and no offset.
+var unknownField = regexp.MustCompile(`unknown field ("(?:[^"\\]|\\.)*")`)
+
+// errorLine returns the line of a decoding error.
+func errorLine(data []byte, decoder *json.Decoder, err error) int {
+	offset := int(decoder.InputOffset())
+	var wrongType *json.UnmarshalTypeError
+	var syntax *json.SyntaxError
+	switch {
+	case errors.As(err, &wrongType):
+		offset = int(wrongType.Offset)
+	case errors.As(err, &syntax):
+		offset = int(syntax.Offset)
+	default:
+		if match := unknownField.FindSubmatch([]byte(err.Error())); match != nil {
+			offset = max(bytes.Index(data, match[1]), 0)
+		}
+	}
+	return 1 + bytes.Count(data[:min(offset, len(data))], []byte("\n"))
+}
+
 func (s *Settings) validate() error {
 	var problems []error
 	report := func(field, format string, args ...any) {
--- a/standin/userplatform/engine.go
+++ b/standin/userplatform/engine.go
@@ -199,6 +199,9 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
+	if fault == EmptyStream {
+		return
+	}
 	for id := last + 1; id <= e.upstream.Events; id++ {
 		if fault == CutStream && id > e.upstream.Events/2 {
 			fmt.Fprintf(w, "id: %d\nda", id)
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -39,6 +39,8 @@
 	Unsigned           // a success that nobody vouches for
 	TurnedAway         // it is full and says that it did not run the request
 	ErrorAnswer        // an error of its own
+	EmptyStream        // a whole stream without an event
+	ClosedStream       // a stream without framing or an event that ends with its connection
 )
 
 // Arrival is one request that reached an upstream.
@@ -210,6 +212,10 @@
 			"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Length: 5\r\n\r\nyours",
 			HeaderID, HeaderSigned, len(body), body, HeaderID, r.Header.Get(HeaderID), HeaderSigned))
 		return
+	case ClosedStream:
+		hijack(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Type: text/event-stream\r\n\r\n",
+			HeaderID, r.Header.Get(HeaderID), HeaderSigned))
+		return
 	case ErrorAnswer:
 		w.Header().Set(HeaderSigned, "x")
 		w.WriteHeader(http.StatusInternalServerError)
