Refuse at once what can't be loaded in time

Change: the leader tells when orders begin; models that wait get an estimate from copies and the weight store's queue; requests that can't make it are refused at once with the time to come back; the desired state's age stands in the request lines.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -62,6 +62,7 @@
 	placements map[string]residency.Placement
 	ready      map[modelKey]bootclock.Time
 	members    int
+	ordersAt   bootclock.Time // when the leader begins to give orders
 	absent     map[absence]bootclock.Time
 	needs      map[modelKey]*need
 	nextWait   int
@@ -251,6 +252,7 @@
 	for _, id := range u.Gone {
 		delete(l.placements, id)
 	}
+	l.ordersAt = now.Add(u.OrdersIn)
 	clear(l.ready)
 	for _, r := range u.Ready {
 		l.ready[modelKey{r.Service, r.Model}] = now.Add(r.In)
@@ -346,8 +348,18 @@
 func (l *Client) ReadyIn(service, model string) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	at, ok := l.ready[modelKey{service, model}]
-	return max(at.Sub(bootclock.Now()), 0), ok
+	now := bootclock.Now()
+	if at, ok := l.ready[modelKey{service, model}]; ok {
+		return max(at.Sub(now), l.ordersAt.Sub(now), 0), true
+	}
+	return l.ordersAt.Sub(now), l.ordersAt.After(now)
+}
+
+// OrdersIn implements gateway.Placement.
+func (l *Client) OrdersIn() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(l.ordersAt.Sub(bootclock.Now()), 0)
 }
 
 func (l *Client) need(service, model string) *need {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -539,6 +539,8 @@
 	Changed []residency.Placement `cbor:"3,keyasint,omitempty"`
 	Gone    []string              `cbor:"4,keyasint,omitempty"`
 	Ready   []readyIn             `cbor:"5,keyasint,omitempty"`
+	// OrdersIn is how long the leader gives no orders yet.
+	OrdersIn time.Duration `cbor:"8,keyasint,omitempty"`
 	// Resigned says that the sender leads no more.
 	Resigned bool `cbor:"6,keyasint,omitempty"`
 	// Peers are the addresses of all instances, for whoever leads next.
@@ -561,7 +563,8 @@
 	}
 	connected := c.hub.Connected()
 	list, token := c.planner.Placements(), c.lease.Token()
-	changed = &update{Token: token, Ready: c.ready(now), Peers: c.newPeers(connected)}
+	ordersIn := max(c.lease.ordersAt.Sub(now), 0)
+	changed = &update{Token: token, OrdersIn: ordersIn, Ready: c.ready(now), Peers: c.newPeers(connected)}
 	present := make(map[string]residency.Placement, len(list))
 	for _, p := range list {
 		present[p.Upstream] = p
@@ -582,7 +585,7 @@
 	if c.planner.Told(now) {
 		time.AfterFunc(residency.UnloadNotice, c.Notify)
 	}
-	return changed, &update{Token: token, Peers: c.peers, Full: true, Changed: list, Ready: changed.Ready}
+	return changed, &update{Token: token, OrdersIn: ordersIn, Peers: c.peers, Full: true, Changed: list, Ready: changed.Ready}
 }
 
 func readyModels(list []readyIn) []modelKey {
--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -39,6 +39,7 @@
 		return verdict.New(verdict.ConfigurationStale, "this instance has no desired state yet").After(comeBack)
 	}
 	age := f.State.Age(r.Arrived)
+	r.ViewAge = age
 	r.Route = config.Route(hostOf(r.HTTP), r.HTTP.URL.Path)
 	if r.Route == nil {
 		if age > staleAnswer {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,6 +100,9 @@
 	// ReadyIn estimates when a model that is not loaded will be served. It is
 	// not known as long as nothing was decided.
 	ReadyIn(service, model string) (d time.Duration, known bool)
+	// OrdersIn returns how long nothing can be loaded, because a new leader has
+	// to wait for the orders of the one before.
+	OrdersIn() time.Duration
 	// Absent records that an upstream does not hold what it was thought to hold.
 	Absent(upstream, model, adapter string)
 }
@@ -126,6 +129,7 @@
 	Quit <-chan struct{}
 
 	View      *fleet.View
+	ViewAge   time.Duration // of the desired state when the request arrived
 	Route     *fleet.Route
 	Service   string
 	Workspace *fleet.Workspace // nil on public routes and without workspaces
@@ -135,6 +139,8 @@
 	runs    int // upstreams that may have run it
 	last    string
 	choice  dispatch.Choice
+	// adapterLogged says that a failed load of the adapter has been logged.
+	adapterLogged bool
 	// grantedAt is when the workspace's tokens were granted, 0 before.
 	grantedAt bootclock.Time
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -149,7 +149,7 @@
 		"begun": r.Writer.Begun(),
 	}
 	if r.Route != nil {
-		fields["route"], fields["config"] = r.Route.Name, r.View.Config.Version
+		fields["route"], fields["config"], fields["config_age_ms"] = r.Route.Name, r.View.Config.Version, r.ViewAge.Milliseconds()
 	}
 	if r.Model != "" {
 		fields["model"], fields["adapter"] = r.Model, r.Adapter
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -180,7 +180,8 @@
 	ctx, cancel := context.WithTimeout(ctx, min(adapterWait, r.WaitLeft(bootclock.Now())-reserve))
 	defer cancel()
 	err := f.Placement.Adapter(ctx, r.Service, r.Model, r.Adapter)
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && !r.adapterLogged {
+		r.adapterLogged = true
 		r.Log.WithError(err).WithField("adapter", r.Adapter).Info("adapter not loaded")
 	}
 	return err
@@ -201,6 +202,10 @@
 		if known && ready > left-reserve {
 			return r.Attempt.Refuse(verdict.DeadlineTooShort, "the model will be served in %d ms", ready.Milliseconds()).After(ready)
 		}
+	case c.Reason == dispatch.NoAdapter:
+		if ready := f.Placement.OrdersIn(); ready > left-reserve {
+			return r.Attempt.Refuse(verdict.DeadlineTooShort, "the adapter can be loaded in %d ms", ready.Milliseconds()).After(ready + reserve)
+		}
 	}
 	return nil
 }
@@ -263,7 +268,7 @@
 	}
 	r.Log.WithFields(log.Fields{
 		"route": r.Route.Name, "upstream": u.ID, "reason": r.choice.Reason, "eligible": r.choice.Eligible,
-		"model": r.Model, "config": r.View.Config.Version, "result": a.result.String(), "runs": r.runs,
+		"model": r.Model, "config": r.View.Config.Version, "config_age_ms": r.ViewAge.Milliseconds(), "result": a.result.String(), "runs": r.runs,
 		"after_ms": bootclock.Since(r.Arrived).Milliseconds(),
 	}).Info("upstream chosen")
 	return a
--- a/residency/order.go
+++ b/residency/order.go
@@ -103,6 +103,9 @@
 	retryAfter = 500 * time.Millisecond
 	// crowded is the number of requests a replica from which another one is added.
 	crowded = 14
+	// swapTime is about how long it takes until a load begins that has to make
+	// room first.
+	swapTime = 500 * time.Millisecond
 	// spareRate is the demand in requests a second from which a model has a
 	// second replica: a load takes seconds, in which all of them would wait.
 	spareRate = 0.7
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -452,12 +452,36 @@
 
 // ReadyIn estimates when a model that is not served will be.
 func (p *Planner) ReadyIn(now bootclock.Time, service, model string) (time.Duration, bool) {
+	k := key{service, model}
+	var m *fleet.Model
+	copied := false
 	for _, h := range p.hosts {
-		if o := h.order; o != nil && h.entry.Service == service && o.order.Model == model && !o.order.Unload {
+		if h.entry.Service != service || !p.usable(h) {
+			continue
+		}
+		if o := h.order; o != nil && o.order.Model == model && !o.order.Unload {
 			return max(o.due.Sub(now), 0), true
 		}
+		m = h.engine.Models[model]
+		copied = copied || h.source(model) != FromStore
+	}
+	switch {
+	case m == nil:
+		return 0, false
+	case copied:
+		return loadTime(m, FromDisk) + swapTime, true
+	}
+	// Loads from the weight store go in turns, the longest waiting model first.
+	ahead := p.storeLoads()
+	for _, w := range p.wanted(now) {
+		if w == k {
+			break
+		}
+		if !p.copied(w) {
+			ahead++
+		}
 	}
-	return 0, false
+	return time.Duration(1+ahead/p.StoreParallel) * m.Load, true
 }
 
 // Waiting lists the models that requests wait for.
