Pass the lead on to the youngest instance, and release it before telling

Change: successors by uptime, never one that is shutting down; hand-over at SIGTERM; release first, then tell; renewals wait 900 ms; no offer while the store is read.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -230,6 +230,7 @@
 		if l.leader == from && u.Token >= l.token {
 			l.leader, l.heard = "", 0
 			l.broadcast()
+			go l.c.lookSoon()
 		}
 		return
 	}
@@ -442,7 +443,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	return l.c.hub.Notify(ctx, leader, peer.KindNeeds, beat{Needs: needs, Sent: bootclock.Now(), Versions: l.versions(), Weak: l.c.config.Weak})
+	return l.c.hub.Notify(ctx, leader, peer.KindNeeds, beat{Needs: needs, Sent: bootclock.Now(), Versions: l.versions(), Weak: l.c.config.Weak, Uptime: bootclock.Since(l.c.started), Resigned: l.c.hasResigned()})
 }
 
 // collect returns the needs since the last report, and whether they are to be
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -28,8 +28,9 @@
 	// storeTimeout bounds one call of the store.
 	storeTimeout = time.Second
 	// renewTimeout bounds one renewal of the lease, so that a lost one is noticed
-	// long before the lease ends.
-	renewTimeout = 500 * time.Millisecond
+	// before the lease ends. A store that is 50 times slower than usual answers a
+	// transaction in 450 ms.
+	renewTimeout = 900 * time.Millisecond
 	// orderTimeout bounds the wait for an answer to an order.
 	orderTimeout = time.Second
 	// heartbeatShare is how often the leader sends its state without a change, as
@@ -95,10 +96,11 @@
 // Coordinator contends for the lease and acts while it holds it. The embedded
 // Client is the instance's way to whoever holds it.
 type Coordinator struct {
-	config Config
-	client *Client
-	hub    *peer.Hub
-	wake   chan struct{}
+	config  Config
+	client  *Client
+	hub     *peer.Hub
+	wake    chan struct{}
+	started bootclock.Time
 
 	mu      sync.Mutex
 	lease   *Lease
@@ -125,7 +127,6 @@
 	// levels were handed over by the holder of a term.
 	levels      map[string]float64
 	levelsToken uint64
-	renewed     bootclock.Time // when the last successful renewal was sent
 	// resigned instances follow others but lead no more.
 	resigned bool
 }
@@ -133,7 +134,7 @@
 // New returns a coordinator that is not running. Its hub is made by Start.
 func New(config Config) *Coordinator {
 	c := &Coordinator{
-		config: config, wake: make(chan struct{}, 1),
+		config: config, wake: make(chan struct{}, 1), started: bootclock.Now(),
 		lease: NewLease(config.Instance, config.Boot, config.Address, config.LeaseGap),
 	}
 	c.client = newClient(c)
@@ -242,19 +243,40 @@
 func (c *Coordinator) Resign() {
 	c.mu.Lock()
 	c.resigned = true
+	leading := c.leading
 	c.mu.Unlock()
+	if leading && c.hub != nil && c.handOver(context.Background()) {
+		return
+	}
 	c.release()
 }
 
+func (c *Coordinator) hasResigned() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.resigned
+}
+
+// lookSoon makes the coordinator look for a leader at once.
+func (c *Coordinator) lookSoon() {
+	c.mu.Lock()
+	c.looked = 0
+	c.mu.Unlock()
+	c.Notify()
+}
+
 // release gives the lease up, so that another instance need not wait for its end.
 func (c *Coordinator) release() {
 	c.mu.Lock()
 	change, ok := c.lease.Release(bootclock.Now())
+	token := c.lease.Token()
 	c.stepDown("released")
 	c.mu.Unlock()
 	if !ok {
 		return
 	}
+	// The others look at the row as soon as they are told.
+	defer c.tell(&update{Token: token, Resigned: true})
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	sent := bootclock.Now()
@@ -273,6 +295,7 @@
 	held, mine, until := c.lease.Held(now), c.lease.Mine(), c.lease.until
 	if c.leading && !held {
 		c.stepDown("lease expired")
+		c.tell(&update{Token: c.lease.Token(), Resigned: true})
 	}
 	resigned := c.resigned
 	offer := c.offers(now)
@@ -308,7 +331,10 @@
 		strong = strong || !b.Weak
 	}
 	yields := c.config.Weak && strong && now.Sub(c.since) > yieldAfter
-	if !yields && now.Sub(c.renewed) <= handOverAfter {
+	// A renewal whose answer was lost counts once the row shows it, and a store
+	// that is read will also be written.
+	reached := now.Sub(c.lease.received) < renewTimeout+renewRetry
+	if !yields && (reached || c.lease.until.Sub(now) >= leaseTerm-handOverAfter) {
 		return false
 	}
 	c.offerAt = now.Add(offerRetry)
@@ -318,14 +344,19 @@
 // lookAround reads the lease row, follows its holder and takes the lease if it
 // has ended.
 func (c *Coordinator) lookAround(ctx context.Context, now bootclock.Time) {
-	if c.looked != 0 && now.Before(c.looked) {
+	c.mu.Lock()
+	early := c.looked != 0 && now.Before(c.looked)
+	c.mu.Unlock()
+	if early {
 		return
 	}
 	pause := lookEvery
 	if c.config.Weak {
 		pause = lookEvery * time.Duration(max(c.client.Members(), lookers)) / lookers
 	}
+	c.mu.Lock()
 	c.looked = now.Add(pause/2 + mathrand.N(pause))
+	c.mu.Unlock()
 	c.read(ctx)
 	c.contend(ctx)
 	c.follow(ctx)
@@ -352,7 +383,7 @@
 }
 
 func (c *Coordinator) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	sent := bootclock.Now()
 	page, err := c.config.Store.Read(ctx, Table)
@@ -402,9 +433,7 @@
 	c.lease.Written(sent, bootclock.Now(), page, err)
 	if err != nil {
 		c.config.Log.WithError(err).Info("lease not written")
-		return
 	}
-	c.renewed = sent
 }
 
 // stepDown ends the duties of a leader. The caller holds mu.
@@ -414,7 +443,6 @@
 	}
 	c.leading, c.planner, c.central, c.seen = false, nil, nil, nil
 	c.client.lost()
-	c.tell(&update{Token: c.lease.Token(), Resigned: true})
 	c.config.Log.WithFields(log.Fields{"reason": reason, "token": c.lease.Token()}).Info("leadership ended")
 }
 
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -14,6 +14,10 @@
 	"github.com/hibiscusyard/hibiscusyard/residency"
 )
 
+// settleTime is how long an instance runs before it is offered the lease: it
+// has to know the tables first.
+const settleTime = time.Second
+
 // adapterPoll is the pause before an order that has to wait for another one.
 const adapterPoll = 10 * time.Millisecond
 
@@ -177,6 +181,23 @@
 	return ok && record.Token == token && bootclock.Since(c.lease.received) < renewTimeout, nil
 }
 
+// successor returns the instance that the lease is offered to: of those that
+// are not weak the one that started last, as it is the last that a rolling
+// restart comes to again. The caller holds mu.
+func (c *Coordinator) successor(peers []peer.Identity) string {
+	best, youngest := "", time.Duration(0)
+	for _, id := range peers {
+		b, ok := c.beats[id.Instance]
+		if ok && !b.Weak && !b.Resigned && b.Uptime >= settleTime && (best == "" || b.Uptime < youngest) {
+			best, youngest = id.Instance, b.Uptime
+		}
+	}
+	if best == "" {
+		best = peers[rand.N(len(peers))].Instance
+	}
+	return best
+}
+
 // handOver offers the lease to another instance, since this one can't renew
 // it, and reports whether it was given up. An instance that does not reach the
 // store either does not get it: the store may be down for all.
@@ -185,15 +206,9 @@
 	if len(peers) == 0 {
 		return false
 	}
-	to := peers[rand.N(len(peers))].Instance
 	c.mu.Lock()
 	token := c.lease.Token()
-	for instance, b := range c.beats { // in random order
-		if !b.Weak {
-			to = instance
-			break
-		}
-	}
+	to := c.successor(peers)
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -45,6 +45,10 @@
 	Versions []int64 `cbor:"3,keyasint"`
 	// Weak says that the sender leads only if no other instance does.
 	Weak bool `cbor:"4,keyasint,omitempty"`
+	// Uptime is how long the sender's process has been running.
+	Uptime time.Duration `cbor:"5,keyasint"`
+	// Resigned says that the sender is shutting down.
+	Resigned bool `cbor:"6,keyasint,omitempty"`
 }
 
 // pulse is what the leader tells one instance regularly, and at once when a
