--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -36,8 +36,10 @@
 	// reportAge is how long the load that an answer carried is used.
 	reportAge = 2 * time.Second
 	// coldShare is the part of a cold upstream's rate that is used, since the
-	// instances' shares are rounded and their clocks are not aligned.
-	coldShare = 0.7
+	// instances' turns are spread by chance and not evenly.
+	coldShare = 0.5
+	// coldTurn is how long an instance's turn at a cold upstream lasts.
+	coldTurn = 400 * time.Millisecond
 )
 
 // Demand describes a request that needs an upstream.
@@ -146,7 +148,7 @@
 		}
 		choice.Reason = worse(choice.Reason, AllBusy)
 		l := b.load(u)
-		if slices.Contains(d.Tried, u.ID) || now.Before(l.fullTill) || l.health.ejected(now) || !l.cold.open(now, u, service, b.Members) {
+		if slices.Contains(d.Tried, u.ID) || now.Before(l.fullTill) || l.health.ejected(now) || !l.cold.open(now, b.Self, u, service, b.Members) {
 			continue
 		}
 		choice.Eligible++
@@ -209,8 +211,17 @@
 	if d.Model == "" {
 		key = b.Self
 	}
-	h := xxhash.Sum64String(key + "\x00" + d.Model + "\x00" + u.ID)
-	return float64(h>>11) / float64(1<<53)
+	return fraction(key, d.Model, u.ID)
+}
+
+// fraction returns a number from 0 to 1 that depends on the texts only.
+func fraction(texts ...string) float64 {
+	h := xxhash.New()
+	for _, text := range texts {
+		h.WriteString(text)   //nolint:errcheck // a hash never fails.
+		h.WriteString("\x00") //nolint:errcheck // as above.
+	}
+	return float64(h.Sum64()>>11) / float64(1<<53)
 }
 
 // Ticket stands for a request at an upstream.
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -81,6 +81,9 @@
 func (h *health) slowness() float64 { return max(h.slow, 1) }
 
 // coldGate limits this instance's share of the requests to a cold upstream.
+// Each instance has a turn of its own in a cycle as long as the sum over all
+// instances allows: a bare rate for each would let all of them send one request
+// in the same moment.
 type coldGate struct {
 	entry *fleet.Upstream
 	until bootclock.Time
@@ -90,7 +93,7 @@
 
 // open reports whether a request may be sent now. An entry says for how long
 // the upstream stays cold from when it was written.
-func (g *coldGate) open(now bootclock.Time, u *fleet.Upstream, s *fleet.Service, members int) bool {
+func (g *coldGate) open(now bootclock.Time, self string, u *fleet.Upstream, s *fleet.Service, members int) bool {
 	if g.entry != u {
 		g.entry = u
 		if u.ColdFor > 0 {
@@ -102,7 +105,12 @@
 		return true
 	}
 	g.gap = time.Duration(float64(time.Second) * float64(max(members, 1)) / (s.ColdPerSecond * coldShare))
-	return !now.Before(g.next)
+	turn := time.Duration(fraction(self, u.ID) * float64(g.gap))
+	sinceTurn := (time.Duration(now) + g.gap - turn) % g.gap
+	return sinceTurn < coldTurn && !now.Before(g.next)
 }
 
-func (g *coldGate) sent(now bootclock.Time) { g.next = now.Add(g.gap) }
+// sent counts a request. The next one is for the next turn.
+func (g *coldGate) sent(now bootclock.Time) {
+	g.next = now.Add(min(g.gap, max(g.gap-coldTurn, g.gap/2)))
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -123,7 +123,7 @@
 func TestStreamGoesOnAtAnotherUpstream(t *testing.T) {
 	s := newScene(t, 1)
 	for _, u := range s.engines { // have both engines serve the model
-		u.Engine.Models["letters"] = nil
+		u.Engine.Serve("letters")
 		if err := u.Register(); err != nil {
 			t.Fatal(err)
 		}
@@ -282,7 +282,7 @@
 func TestShutdownCutsNoRequestAndPassesTheLeadOn(t *testing.T) {
 	s := newScene(t, 2)
 	slow := s.engines[0]
-	slow.Events, slow.Work = 8, 100*time.Millisecond
+	slow.SetPace(8, 100*time.Millisecond)
 	var group sync.WaitGroup
 	for front := range s.fronts {
 		group.Go(func() { wantStream(t, s.send(front, draft("notices"))) })
--- /dev/null
+++ b/node/watch_test.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/ports"
+)
+
+func newWatcher(seen map[string]string) *watcher {
+	return &watcher{
+		table: "t", log: &log.Logger{Handler: discard.New()}, done: func(bool) {},
+		change: func(row ports.VersionedRow) bool {
+			if row.Deleted {
+				delete(seen, row.Key)
+			} else {
+				seen[row.Key] = string(row.Value)
+			}
+			return true
+		},
+	}
+}
+
+func row(key, value string, version int64) ports.VersionedRow {
+	return ports.VersionedRow{Table: "t", Key: key, Value: []byte(value), Version: version}
+}
+
+// Guards against a state that reverts: rows that arrive late or twice, by the
+// feed or the relay, never replace newer ones.
+func TestRowsNeverRevert(t *testing.T) {
+	seen := map[string]string{}
+	w := newWatcher(seen)
+	w.reset(ports.Page{Version: 5, Rows: []ports.VersionedRow{row("a", "5", 5)}}, 1)
+	w.Apply(5, 8, []ports.VersionedRow{row("a", "8", 8)}, 2)
+	w.Apply(5, 7, []ports.VersionedRow{row("a", "7", 7)}, 3)
+	w.take([]ports.VersionedRow{row("a", "6", 6)}, 6, 4)
+	if seen["a"] != "8" || w.Version() != 8 {
+		t.Errorf("value %q at version %d, want 8 at 8", seen["a"], w.Version())
+	}
+}
+
+// Guards against believing in a table with a gap: a relay that begins after
+// what is known is not applied and proves nothing.
+func TestRelayWithAGapIsIgnored(t *testing.T) {
+	seen := map[string]string{}
+	w := newWatcher(seen)
+	w.reset(ports.Page{Version: 5}, 1)
+	w.Apply(7, 9, []ports.VersionedRow{row("a", "9", 9)}, bootclock.Time(time.Hour))
+	if len(seen) != 0 || w.Version() != 5 || w.Age(bootclock.Time(time.Hour)) != time.Hour-1 {
+		t.Errorf("rows %v, version %d, age %s", seen, w.Version(), w.Age(bootclock.Time(time.Hour)))
+	}
+	if _, _, ok := w.Since(4); ok {
+		t.Error("changes before the first read are said to be known")
+	}
+}
+
+// Guards against entries that stay after the history of the store is gone.
+func TestResetDropsWhatIsMissing(t *testing.T) {
+	seen := map[string]string{}
+	w := newWatcher(seen)
+	w.reset(ports.Page{Version: 5, Rows: []ports.VersionedRow{row("a", "1", 1), row("b", "2", 2)}}, 1)
+	w.reset(ports.Page{Version: 9, Rows: []ports.VersionedRow{row("b", "2", 2)}}, 2)
+	if len(seen) != 1 || seen["b"] != "2" {
+		t.Errorf("rows %v, want b only", seen)
+	}
+	if rows, to, ok := w.Since(9); !ok || to != 9 || len(rows) != 0 {
+		t.Errorf("since 9: %v, %d, %v", rows, to, ok)
+	}
+}
+
+// Guards the proof of age: what an answer proves is never later than the time
+// at which the store gave it, for any delays on both ways.
+func TestAnswersNeverProveTooMuch(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var c storeClock
+		now := bootclock.Time(time.Hour)
+		ahead := time.Duration(rapid.Int64Range(-int64(time.Minute), int64(time.Hour)).Draw(r, "ahead"))
+		delay := func(name string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(r, name)) * time.Millisecond
+		}
+		for range rapid.IntRange(1, 30).Draw(r, "calls") {
+			sent := now.Add(delay("pause", 2000))
+			given := sent.Add(delay("there", 800)).Add(delay("open", 1200))
+			received := given.Add(delay("back", 800))
+			clock := time.Duration(given) + ahead
+			if clock <= 0 {
+				continue
+			}
+			if proved := c.answered(sent, received, clock); proved > given || proved < sent {
+				r.Fatalf("proved %s after the answer was given", proved.Sub(given))
+			}
+			now = received
+		}
+	})
+}
--- a/standin/userplatform/engine.go
+++ b/standin/userplatform/engine.go
@@ -50,6 +50,13 @@
 	e.lose = n
 }
 
+// Serve adds a model to those that are loaded.
+func (e *Engine) Serve(model string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Models[model] = nil
+}
+
 // Holders returns who gave orders, in order.
 func (e *Engine) Holders() []string {
 	e.mu.Lock()
@@ -199,17 +206,18 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
+	events, work := e.upstream.pace()
 	if fault == EmptyStream {
 		return
 	}
-	for id := last + 1; id <= e.upstream.Events; id++ {
-		if fault == CutStream && id > e.upstream.Events/2 {
+	for id := last + 1; id <= events; id++ {
+		if fault == CutStream && id > events/2 {
 			fmt.Fprintf(w, "id: %d\nda", id)
 			control.Flush() //nolint:errcheck // the cut follows.
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", id, id)
-		if control.Flush() != nil || !duration.Sleep(r.Context(), e.upstream.Work) {
+		if control.Flush() != nil || !duration.Sleep(r.Context(), work) {
 			return
 		}
 	}
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -125,6 +125,19 @@
 	u.faults = append(u.faults, faults...)
 }
 
+// SetPace changes the number of events of a stream and the time that each takes.
+func (u *Upstream) SetPace(events int, work time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.Events, u.Work = events, work
+}
+
+func (u *Upstream) pace() (events int, work time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.Events, u.Work
+}
+
 // Arrivals returns the requests that reached the upstream.
 func (u *Upstream) Arrivals() []Arrival {
 	u.mu.Lock()
@@ -199,7 +212,7 @@
 
 // run answers a request that runs.
 func (u *Upstream) run(w http.ResponseWriter, r *http.Request, fault Fault) {
-	if !duration.Sleep(r.Context(), u.Work) {
+	if _, work := u.pace(); !duration.Sleep(r.Context(), work) {
 		return
 	}
 	switch fault {
