--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,157 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"github.com/hibiscusyard/hibiscusyard/node"
+	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
+)
+
+// Sizes of the world. The bounds are those of the users' deployments but for
+// the gap between holders of the lease, which would take most of a short run.
+const (
+	instances = 3
+	engines   = 3
+	plain     = 2
+	events    = 6
+	leaseMS   = 500
+	revokeMS  = 5000
+	graceS    = 8
+)
+
+// member is one instance and the proxies in front of its store and its callers.
+type member struct {
+	name          string
+	settings      string
+	callers       string // address of the process
+	ready         string
+	store, ingest *processtest.Proxy
+	process       *processtest.Process
+}
+
+// world is the platform with its upstreams and the instances as processes.
+type world struct {
+	t       *testing.T
+	store   *userplatform.Store
+	members []*member
+
+	mu        sync.Mutex
+	upstreams []*userplatform.Upstream // those that have ended included
+	next      int
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, store: userplatform.NewStore()}
+	server := httptest.NewServer(w.store.Gate())
+	t.Cleanup(server.Close)
+	if err := userplatform.Sample().Write(w.store); err != nil {
+		t.Fatal(err)
+	}
+	for range engines {
+		w.addEngine()
+	}
+	for range plain {
+		w.addPlain()
+	}
+	for range instances {
+		w.addMember(server.Listener.Addr().String())
+	}
+	for _, m := range w.members {
+		w.awaitReady(m)
+	}
+	return w
+}
+
+func (w *world) add(u *userplatform.Upstream) {
+	if err := u.Start(w.store); err != nil {
+		w.t.Error(err)
+		return
+	}
+	w.t.Cleanup(u.Close)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.upstreams = append(w.upstreams, u)
+}
+
+func (w *world) id(kind string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next++
+	return fmt.Sprintf("%s-%d", kind, w.next)
+}
+
+func (w *world) addEngine() {
+	w.add(&userplatform.Upstream{
+		ID: w.id("engine"), Service: "engine", Zone: "north", Slots: 16, Events: events, Work: pace,
+		Engine: &userplatform.Engine{Places: 2, AdapterSlots: 2, LoadTime: 20 * pace, Models: map[string][]string{"notices": nil}},
+	})
+}
+
+func (w *world) addPlain() {
+	w.add(&userplatform.Upstream{ID: w.id("rota"), Service: "rota", Zone: "north", Slots: 6, Work: pace})
+}
+
+func (w *world) all() []*userplatform.Upstream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*userplatform.Upstream(nil), w.upstreams...)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (w *world) addMember(store string) {
+	m := &member{name: fmt.Sprintf("entry-%d", len(w.members)+1), callers: freeAddress(w.t), ready: freeAddress(w.t)}
+	m.store = processtest.NewProxy(w.t, store)
+	m.ingest = processtest.NewProxy(w.t, m.callers)
+	data, err := json.Marshal(node.Settings{
+		Instance: m.name, DataCentre: "north", CallerListen: m.callers, ReadyListen: m.ready, PeerListen: freeAddress(w.t),
+		MetricsListen: freeAddress(w.t), Store: m.store.Address, MemoryMB: 284, CPUShare: 0.4, LinkMbps: 1000, LogLevel: "info", StoreParallel: 4,
+		Bounds: node.Bounds{
+			RevokeMS: revokeMS, DrainMS: 2000, ConfigurationMS: 2000, GraceS: graceS, LeaseMS: leaseMS, BudgetRatio: 0.2,
+			BudgetSlack: 56, BudgetWindowS: 10, QuotaWindowS: 8, QuotaOverage: 0.1, QuotaSlack: 11000,
+		},
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	m.settings = filepath.Join(w.t.TempDir(), "settings.json")
+	if err := os.WriteFile(m.settings, data, 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	w.members = append(w.members, m)
+	w.start(m)
+}
+
+func (w *world) start(m *member) {
+	m.process = processtest.Start(w.t, m.name, "hibiscusyard-front", "serve", "--settings", m.settings)
+}
+
+func (w *world) awaitReady(m *member) {
+	w.t.Helper()
+	processtest.Eventually(w.t, m.name+" is ready", func() bool {
+		response, err := http.Get("http://" + m.ready + "/readiness")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
