--- a/connpool/connpool_test.go
+++ b/connpool/connpool_test.go
@@ -18,6 +18,7 @@
 	net.Listener
 	answers  []string
 	accepted chan struct{}
+	closed   chan struct{}
 	requests chan string
 }
 
@@ -28,7 +29,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	s := &scripted{Listener: l, answers: answers, accepted: make(chan struct{}, 16), requests: make(chan string, 16)}
+	s := &scripted{Listener: l, answers: answers, accepted: make(chan struct{}, 16), closed: make(chan struct{}, 16), requests: make(chan string, 16)}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -43,7 +44,10 @@
 }
 
 func (s *scripted) play(conn net.Conn) {
-	defer conn.Close()
+	defer func() {
+		conn.Close()
+		s.closed <- struct{}{}
+	}()
 	reader := bufio.NewReader(conn)
 	for _, text := range s.answers {
 		r, err := http.ReadRequest(reader)
@@ -103,7 +107,7 @@
 			if a, _, err := call(t, p, s); err != nil || string(a.Body) != "ok" {
 				t.Errorf("%s: %v", name, err)
 			}
-			time.Sleep(20 * time.Millisecond) // lets the close arrive
+			<-s.closed
 		}
 		if n := len(s.accepted); n != 3 {
 			t.Errorf("%s: %d connections for 3 requests", name, n)
--- a/coordinator/leader.go
+++ b/coordinator/duties.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/duration"
 	"github.com/hibiscusyard/hibiscusyard/peer"
 	"github.com/hibiscusyard/hibiscusyard/residency"
 )
@@ -133,7 +134,7 @@
 		case !step.Wait:
 			return adapterAnswer{}, errNoHost
 		}
-		if !sleep(ctx, pause) {
+		if !duration.Sleep(ctx, pause) {
 			return adapterAnswer{}, ctx.Err()
 		}
 	}
--- /dev/null
+++ b/coordinator/needs.go
@@ -0,0 +1,167 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/peer"
+	"github.com/hibiscusyard/hibiscusyard/residency"
+)
+
+// need counts this instance's requests for one model.
+type need struct {
+	arrived   int
+	deadlines map[int]bootclock.Time // of requests that wait
+	running   map[string]int
+	adapters  map[string]int // running requests; 0 for one used since the last report
+}
+
+// runsGoing reports whether requests run for a model that is about to be
+// unloaded. The leader is told at once, as its last report may be too old to
+// show them.
+func (l *Client) runsGoing(p residency.Placement) bool {
+	before, ok := l.placements[p.Upstream]
+	if !ok || before.Started != p.Started {
+		return false
+	}
+	for k, n := range l.needs {
+		if n.running[p.Upstream] == 0 {
+			continue
+		}
+		_, was := before.Models[k.model]
+		if _, is := p.Models[k.model]; was && !is {
+			return true
+		}
+	}
+	return false
+}
+
+// hurry has the needs reported at once.
+func (l *Client) hurry() {
+	select {
+	case l.urgent <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Client) need(service, model string) *need {
+	k := modelKey{service, model}
+	n := l.needs[k]
+	if n == nil {
+		n = &need{deadlines: map[int]bootclock.Time{}, running: map[string]int{}, adapters: map[string]int{}}
+		l.needs[k] = n
+	}
+	return n
+}
+
+// Want implements gateway.Placement.
+func (l *Client) Want(service, model string, deadline bootclock.Time) func() {
+	l.mu.Lock()
+	n := l.need(service, model)
+	l.nextWait++
+	id := l.nextWait
+	n.deadlines[id] = deadline
+	n.arrived++
+	l.mu.Unlock()
+	l.hurry()
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(n.deadlines, id)
+	}
+}
+
+// Ran implements gateway.Placement.
+func (l *Client) Ran(service, model, adapter, upstream string) func() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.need(service, model)
+	n.arrived++
+	n.running[upstream]++
+	if adapter != "" {
+		n.adapters[adapter]++
+	}
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if adapter != "" {
+			n.adapters[adapter]--
+		}
+		if n.running[upstream]--; n.running[upstream] == 0 {
+			delete(n.running, upstream)
+		}
+	}
+}
+
+// run reports the needs to the leader.
+func (l *Client) run(ctx context.Context) {
+	ticker := time.NewTicker(needsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-l.urgent:
+			if !duration.Sleep(ctx, needsGap) {
+				return
+			}
+		}
+		if err := l.report(ctx); err != nil {
+			l.c.config.Log.WithError(err).Debug("needs not reported")
+		}
+	}
+}
+
+func (l *Client) report(ctx context.Context) error {
+	needs, leader, due := l.collect()
+	if !due || leader == "" {
+		return nil
+	}
+	if leader == l.c.config.Instance {
+		l.c.needs(leader, needs)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	return l.c.hub.Notify(ctx, leader, peer.KindNeeds, beat{Needs: needs, Sent: bootclock.Now(), Versions: l.versions(), Weak: l.c.config.Weak, Uptime: bootclock.Since(l.c.started), Resigned: l.c.hasResigned()})
+}
+
+// collect returns the needs since the last report, and whether they are to be
+// sent: one report without needs ends the ones before.
+func (l *Client) collect() ([]residency.Need, string, bool) {
+	now := bootclock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []residency.Need
+	for k, n := range l.needs {
+		r := residency.Need{Service: k.service, Model: k.model, Arrived: n.arrived, Waiting: len(n.deadlines), Running: map[string]int{}}
+		for _, deadline := range n.deadlines {
+			if left := deadline.Sub(now); r.Left == 0 || left < r.Left {
+				r.Left = left
+			}
+		}
+		for id, running := range n.running {
+			r.Running[id] = running
+		}
+		if r.Arrived == 0 && r.Waiting == 0 && len(r.Running) == 0 {
+			continue
+		}
+		n.arrived = 0
+		for id, running := range n.adapters {
+			r.Adapters = append(r.Adapters, id)
+			if running == 0 {
+				delete(n.adapters, id)
+			}
+		}
+		list = append(list, r)
+	}
+	due := len(list) > 0 || l.reported || now.Sub(l.beatAt) >= beatEvery
+	l.reported = len(list) > 0
+	if due {
+		l.beatAt = now
+	}
+	return list, l.leader, due
+}
--- a/node/scene_test.go
+++ b/node/scene_test.go
@@ -18,12 +18,10 @@
 	apexjson "github.com/apex/log/handlers/json"
 
 	"github.com/hibiscusyard/hibiscusyard/node"
+	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
 
-// waitLimit caps every wait on a condition.
-const waitLimit = 20 * time.Second
-
 // scene is a platform with upstreams and instances in one process.
 type scene struct {
 	t       *testing.T
@@ -115,12 +113,7 @@
 
 func (s *scene) eventually(what string, holds func() bool) {
 	s.t.Helper()
-	for end := time.Now().Add(waitLimit); !holds(); {
-		if time.Now().After(end) {
-			s.t.Fatalf("not within %s: %s", waitLimit, what)
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
+	processtest.Eventually(s.t, what, holds)
 }
 
 func (s *scene) status(url string) int {
@@ -162,7 +155,7 @@
 	if r.deadline == 0 {
 		r.deadline = 4 * time.Second
 	}
-	ctx, cancel := context.WithTimeout(s.t.Context(), waitLimit)
+	ctx, cancel := context.WithTimeout(s.t.Context(), processtest.WaitCap)
 	defer cancel()
 	hr, err := http.NewRequestWithContext(ctx, r.method, "http://"+s.fronts[front]+r.path, strings.NewReader("body"))
 	if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/hibiscusyard/hibiscusyard/duration"
 	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
@@ -55,7 +56,7 @@
 			revoked = w.revoke()
 		}
 		w.fault(random)
-		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond) // the pace of the faults
+		w.wait(time.Duration(random.IntN(400)) * time.Millisecond)
 	}
 	w.heal()
 	w.recovers()
@@ -75,6 +76,9 @@
 	return time.Now()
 }
 
+// wait lets a fault last.
+func (w *world) wait(d time.Duration) { duration.Sleep(w.t.Context(), d) }
+
 // fault brings one fault about.
 func (w *world) fault(random *rand.Rand) {
 	m := w.members[random.IntN(len(w.members))]
@@ -88,7 +92,7 @@
 		w.start(m)
 	case 1:
 		m.process.Freeze()
-		time.Sleep(pause)
+		w.wait(pause)
 		m.process.Thaw()
 	case 2:
 		m.process.Terminate()
@@ -96,19 +100,19 @@
 		w.start(m)
 	case 3:
 		m.store.Cut()
-		time.Sleep(pause)
+		w.wait(pause)
 		m.store.Heal()
 	case 4:
 		m.store.Blackhole()
-		time.Sleep(2 * pause)
+		w.wait(2 * pause)
 		m.store.Heal()
 	case 5:
 		m.ingest.Reset()
-		time.Sleep(pause / 4)
+		w.wait(pause / 4)
 		m.ingest.Heal()
 	case 6:
 		w.store.Gate().SetFaults(standin.Faults{Outage: standin.OutageError})
-		time.Sleep(pause)
+		w.wait(pause)
 		w.store.Gate().SetFaults(standin.Faults{})
 	case 7:
 		w.store.Gate().SetFaults(standin.Faults{LoseAnswers: 3})
