Try again while no slot of a workspace can be found, instead of refusing

Cause: when the only known holder of a workspace's slots ended, its answer said that the slots had moved, and until the rows were read again (up to 1 s later, minRefreshGap) the instance knew of no holder. Each request was refused at once as rate_limited, although it was within the rate. The wait for slots looked at the rows only, which still named the old holder. The wait looks at the holders as corrected by answers. AwaitSlots is now a part of Admit.

--- /dev/null
+++ b/controller/quotasync/passing_test.go
@@ -0,0 +1,56 @@
+package quotasync
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/quota"
+)
+
+// Guards against requests within the rate that are refused as over it while
+// the only holder of the workspace's slots shuts down and another instance
+// has not read the rows again yet.
+func TestSlotsPassOnWithoutRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a")
+		defer c.close()
+		wait(15 * time.Second)
+		c.want(quota.Slots, "alone")
+		c.list("b", "run-1-b")
+		b := c.start("b", "run-1-b")
+		wait(5 * time.Second)
+		if c.slots()["b"] != 0 {
+			t.Fatalf("slots %v before the members were unchanged for long enough", c.slots())
+		}
+		refused, admitted := 0, 0
+		spend := func(until time.Duration) {
+			for began := time.Now(); time.Since(began) < until; wait(20 * time.Millisecond) {
+				if _, err := b.Admit(context.Background(), team, 1); err != nil {
+					refused++
+					t.Logf("%v after the start of the shutdown: %v", time.Since(began), err)
+				} else {
+					admitted++
+				}
+			}
+		}
+		// The next reading of the rows comes minRefreshGap after this one.
+		if err := b.Refresh(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		b.wake()
+		wait(10 * time.Millisecond)
+		a := c.nodes["a"]
+		go func() {
+			a.stop()
+			if err := a.Shutdown(context.Background()); err != nil {
+				t.Error(err)
+			}
+		}()
+		spend(6 * time.Second)
+		if refused > 0 || admitted < 150 {
+			t.Errorf("%d requests within the rate refused, %d admitted", refused, admitted)
+		}
+	})
+}
--- a/controller/quotasync/quotasync.go
+++ b/controller/quotasync/quotasync.go
@@ -181,8 +181,46 @@
 
 // Admit charges tokens, an upper bound of the actual use, to the workspace. It
 // waits for grants of other instances within the configured time and the
-// deadline of ctx. Its errors are *verdict.Refusal values.
+// deadline of ctx, and while no slot can be found, for at most slotWait. Its
+// errors are *verdict.Refusal values.
 func (s *Sync) Admit(ctx context.Context, workspace string, tokens int64) (*quota.Reservation, error) {
+	r, err := s.admitWhereHeld(ctx, workspace, tokens)
+	if err != nil {
+		refused.Inc()
+		return nil, err
+	}
+	admitted.Inc()
+	return r, nil
+}
+
+// admitWhereHeld repeats a try while its refusal only shows that no slot was
+// found: slots pass on when their holder leaves, and the rows are read again
+// up to minRefreshGap later.
+func (s *Sync) admitWhereHeld(ctx context.Context, workspace string, tokens int64) (*quota.Reservation, error) {
+	waiting, cancel := context.WithTimeout(ctx, slotWait)
+	defer cancel()
+	for {
+		if err := s.awaitSlots(waiting, workspace); err != nil {
+			return nil, err
+		}
+		t, err := s.try(ctx, workspace, tokens)
+		if err != nil {
+			return nil, err
+		}
+		if t.State != quota.Refused || !t.Unlocated || ctx.Err() != nil {
+			return s.outcome(ctx, t)
+		}
+		s.wake()
+		select {
+		case <-waiting.Done():
+			return nil, unlocated(workspace)
+		case <-time.After(slotPoll):
+		}
+	}
+}
+
+// try submits a request and returns its decided ticket.
+func (s *Sync) try(ctx context.Context, workspace string, tokens int64) (*quota.Ticket, error) {
 	now := time.Now()
 	limit := now.Add(s.config.Wait)
 	if deadline, ok := ctx.Deadline(); ok && deadline.Before(limit) {
@@ -194,7 +232,6 @@
 		out := s.finish(at, false)
 		s.mu.Unlock()
 		s.send(out)
-		refused.Inc()
 		return nil, verdict.New(verdict.NotReady, "the instance's share of the rate is not confirmed")
 	}
 	t := s.ledger.Submit(workspace, tokens, at, limit.Sub(s.start))
@@ -210,7 +247,7 @@
 		waited.Inc()
 		s.await(ctx, t, done, time.Until(limit))
 	}
-	return s.outcome(ctx, t)
+	return t, nil
 }
 
 // await returns once the ticket is decided.
@@ -238,10 +275,8 @@
 	case t.State == quota.Admitted && gone:
 		s.Settle(t.Reservation, 0)
 	case t.State == quota.Admitted:
-		admitted.Inc()
 		return t.Reservation, nil
 	}
-	refused.Inc()
 	switch {
 	case gone:
 		return nil, verdict.New(verdict.CallerGone, "the caller has gone")
--- a/controller/quotasync/ready.go
+++ b/controller/quotasync/ready.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/quota"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
@@ -24,47 +23,37 @@
 	return s.spending
 }
 
-// AwaitSlots waits until this instance or one that it can reach holds a slot
+// awaitSlots waits until this instance or one that it can reach holds a slot
 // of the workspace. An edit can bring a workspace into force before its slots
 // have been taken, and slots pass on when a holder leaves; without the wait,
 // requests within the rate would be refused meanwhile.
-func (s *Sync) AwaitSlots(ctx context.Context, workspace string) error {
-	if s.held(workspace) {
-		return nil
-	}
-	s.wake()
-	ctx, cancel := context.WithTimeout(ctx, slotWait)
-	defer cancel()
+func (s *Sync) awaitSlots(ctx context.Context, workspace string) error {
 	ticker := time.NewTicker(slotPoll)
 	defer ticker.Stop()
-	for {
+	for woken := false; ; {
+		if s.held(workspace) {
+			return nil
+		}
+		if !woken {
+			woken = true
+			s.wake()
+		}
 		select {
 		case <-ctx.Done():
-			return verdict.New(verdict.NotReady, "no holder of a share of workspace %q is within reach yet", workspace).After(minRefreshGap)
+			return unlocated(workspace)
 		case <-ticker.C:
-			if s.held(workspace) {
-				return nil
-			}
 		}
 	}
 }
 
+func unlocated(workspace string) error {
+	return verdict.New(verdict.NotReady, "no holder of a share of workspace %q is within reach yet", workspace).After(minRefreshGap)
+}
+
 // held reports whether a slot of the workspace is held here or, by the rows as
-// last read, at an instance within reach.
+// last read and the answers since, at an instance within reach.
 func (s *Sync) held(workspace string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for index := range quota.Slots {
-		if s.ledger.Holds(workspace, index) {
-			return true
-		}
-		if holder := s.rows[slotKey{workspace, index}].Holder; holder != "" && s.reachable(holder) {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *Sync) reachable(instance string) bool {
-	return s.config.Reachable == nil || s.config.Reachable(instance)
+	return s.ledger.Located(workspace, s.config.Reachable)
 }
--- a/quota.go
+++ b/quota.go
@@ -64,9 +64,6 @@
 
 // Admit implements filter.Limiter.
 func (q *quotaControl) Admit(ctx context.Context, workspace string, tokens int64) (filter.Reservation, error) {
-	if err := q.sync.AwaitSlots(ctx, workspace); err != nil {
-		return nil, err
-	}
 	r, err := q.sync.Admit(ctx, workspace, tokens)
 	if err != nil {
 		return nil, err
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -221,6 +222,23 @@
 	return nil
 }
 
+// Located reports whether a slot of the workspace is held here or, as far as
+// known, at an instance within reach; without a function all are.
+func (l *Ledger) Located(name string, reachable func(instance string) bool) bool {
+	w := l.workspaces[name]
+	return w != nil && w.located(func(h *holder) bool { return reachable == nil || reachable(h.instance) })
+}
+
+func (w *workspace) located(answers func(*holder) bool) bool {
+	return w.held() > 0 || slices.ContainsFunc(w.holders, func(h *holder) bool { return h.slots > 0 && answers(h) })
+}
+
+// answers reports whether the last message to the holder was answered.
+func (l *Ledger) answers(h *holder) bool {
+	p := l.peers[h.instance]
+	return p == nil || p.failedSince == 0
+}
+
 // TakeMoved reports whether an answer since the last call showed that a slot
 // has moved, so that the holders should be read again.
 func (l *Ledger) TakeMoved() bool {
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -27,6 +27,9 @@
 	Reservation *Reservation
 	// RetryAfter is the time until the workspace's buckets can cover the request.
 	RetryAfter time.Duration
+	// Unlocated is set with Refused if no slot of the workspace was held here or at
+	// an instance known to answer: the tokens may be there, but not where they are sought.
+	Unlocated bool
 }
 
 // Reservation is an admitted charge. It must be settled once the actual use is known.
@@ -113,7 +116,7 @@
 }
 
 func (l *Ledger) refuse(w *workspace, t *Ticket, now time.Duration) {
-	t.RetryAfter = w.retryAfter(float64(t.Tokens), now)
+	t.RetryAfter, t.Unlocated = w.retryAfter(float64(t.Tokens), now), !w.located(l.answers)
 	l.decide(t, Refused)
 	if len(w.waiting) == 0 {
 		l.returnIdle(w, now)
