Compare an upstream's failures with its own service only

Cause: the usual share of failures was the median over the upstreams of all services (the parameter was unused), and of two upstreams the larger share, so that a failing plain service was never ejected while engines failed, and of two upstreams the failing one never. Change: the lower median over the upstreams of the same service. Result: TestEjectionComparesWithinService chose the failing upstream before and the other one after.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -3,7 +3,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -84,6 +83,7 @@
 
 // load is what this instance knows of one upstream.
 type load struct {
+	service  string
 	started  int64 // run of the upstream that the figures belong to
 	running  int
 	tokens   int64
@@ -113,7 +113,7 @@
 func (b *Balancer) load(u *fleet.Upstream) *load {
 	l := b.loads[u.ID]
 	if l == nil || l.started != u.Started {
-		l = &load{started: u.Started}
+		l = &load{service: u.Service, started: u.Started}
 		b.loads[u.ID] = l
 	}
 	return l
@@ -227,7 +227,6 @@
 // Ticket stands for a request at an upstream.
 type Ticket struct {
 	load     *load
-	service  string
 	demand   Demand
 	started  bootclock.Time
 	first    bool
@@ -241,7 +240,7 @@
 	l.tokens += d.Tokens
 	l.prefill += d.Prompt
 	l.cold.sent(now)
-	return &Ticket{load: l, service: d.Service, demand: d, started: now}
+	return &Ticket{load: l, demand: d, started: now}
 }
 
 // First records the first event of a request, after which its prompt has been read.
@@ -295,24 +294,27 @@
 	case Served:
 		l.health.served()
 	case Failed:
-		l.health.failed(now, b.typical(t.service))
+		l.health.failed(now, b.typical(l.service))
 	case Refused:
 		l.health.unreachable(now)
 	case Neutral:
 	}
 }
 
-// typical returns the usual share of failures, as the median over upstreams.
-func (b *Balancer) typical(string) float64 {
-	shares := make([]float64, 0, len(b.loads))
+// typical returns the usual share of failures at upstreams of a service, as
+// their lower median: of two, one alone may fail.
+func (b *Balancer) typical(service string) float64 {
+	var shares []float64
 	for _, l := range b.loads {
-		shares = append(shares, l.health.failures)
+		if l.service == service {
+			shares = append(shares, l.health.failures)
+		}
 	}
 	if len(shares) == 0 {
 		return 0
 	}
-	slices.SortFunc(shares, cmp.Compare)
-	return shares[len(shares)/2]
+	slices.Sort(shares)
+	return shares[(len(shares)-1)/2]
 }
 
 // Running returns this instance's requests at each upstream and model.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -201,3 +201,27 @@
 		t.Errorf("%d requests at the new run, want 1", n)
 	}
 }
+
+// Guards against a failing upstream that stays in use because those of another
+// service fail as well: what is usual is a matter of its own service.
+func TestEjectionComparesWithinService(t *testing.T) {
+	b := NewBalancer("i", "z")
+	engines := []*fleet.Upstream{engine("e1"), engine("e2"), engine("e3")}
+	v := viewOf(append(engines, plain("p1"), plain("p2"))...)
+	booking := Demand{Service: "plain"}
+	for range 20 {
+		for _, u := range engines {
+			b.Finish(start, b.Start(start, u, drafting), Failed)
+		}
+	}
+	for range 5 {
+		b.Finish(start, b.Start(start, plain("p1"), booking), Served)
+		b.Finish(start, b.Start(start, plain("p2"), booking), Failed)
+	}
+	for range 20 {
+		if c := b.Pick(start, v, listed{}, booking); c.Upstream == nil || c.Upstream.ID != "p1" {
+			t.Fatalf("chosen %v, want p1 while p2 fails", c)
+		}
+		b.Finish(start, b.Start(start, plain("p1"), booking), Served)
+	}
+}
