Run both surfaces through one neutral request and one server

Change: package request holds what the chain knows of a request in no surface's terms and the server that runs a chain, catches panics, and writes refusals, log lines and counters. filter.Surface and gateway.Handler with platform.Dialect fill it. The rule for repeats (Request.MayRepeat), deadlines, bodies and bounded writes stand there once. A complete refusal of an upstream (421, 503) no longer costs its connection.

--- a/filter/admit.go
+++ b/filter/admit.go
@@ -31,8 +31,8 @@
 // Serve implements Filter.
 func (f Admit) Serve(ctx context.Context, r *Request, next Next) error {
 	r.Cost = r.Route.RequestTokens
-	if r.Chat != nil {
-		r.Cost = r.Chat.Reserve(r.Route.MaxOutput)
+	if r.Sized {
+		r.Cost = r.PromptTokens + r.OutputTokens
 	}
 	reservation, err := f.Limiter.Admit(ctx, r.Workspace.Name, r.Cost)
 	if err != nil {
--- a/filter/authorise.go
+++ b/filter/authorise.go
@@ -16,6 +16,7 @@
 	if err := authorise(r); err != nil {
 		return err
 	}
+	r.WorkspaceName = r.Workspace.Name
 	if r.KeyHash != "" && !f.Catalog.Fresh(time.Now()) {
 		return verdict.New(verdict.ConfigurationStale, "this instance can't prove that its catalogue is current")
 	}
--- a/filter/chain_test.go
+++ b/filter/chain_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/balance"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/request"
 )
 
 // Guards against refusals after work has been done, and against codes that do
@@ -152,7 +153,7 @@
 	}
 	f.Fuzz(func(t *testing.T, stream []byte) {
 		w := httptest.NewRecorder()
-		r := &Request{Writer: &ResponseWriter{ResponseWriter: w}, Chat: &Chat{Stream: true}}
+		r := &Request{Request: request.Request{Writer: request.NewWriter(w, 0)}, Chat: &Chat{Stream: true}}
 		try := &try{r: r}
 		body := io.NopCloser(strings.NewReader(string(stream)))
 		err := try.relayStream(&http.Response{StatusCode: 200, Header: http.Header{}, Body: body})
--- a/filter/chat.go
+++ b/filter/chat.go
@@ -94,8 +94,11 @@
 }
 
 // Reserve returns the tokens to reserve: the prompt and the longest output.
-func (c *Chat) Reserve(defaultOutput int64) int64 {
-	return c.prompt() + int64(max(c.N, 1))*c.output(defaultOutput)
+func (c *Chat) Reserve(defaultOutput int64) int64 { return c.prompt() + c.outputs(defaultOutput) }
+
+// outputs returns the tokens of the longest output over all choices.
+func (c *Chat) outputs(defaultOutput int64) int64 {
+	return int64(max(c.N, 1)) * c.output(defaultOutput)
 }
 
 // prompt estimates the tokens of the prompt.
--- a/filter/claim.go
+++ b/filter/claim.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/idempotency"
+	"github.com/hibiscusyard/hibiscusyard/request"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
@@ -58,15 +59,15 @@
 // run forwards a claimed request. It runs to its end within the deadline also
 // if the caller hangs up, since the outcome is what a repeat asks for.
 func (f Claims) run(ctx context.Context, r *Request, claim *idempotency.Claim, next Next) (err error) {
-	r.Claimed = true
-	r.Writer.record, r.Writer.limit = true, idempotency.MaxStored
-	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
+	r.Repeatable = false
+	r.Writer.Record(idempotency.MaxStored)
+	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.WallDeadline())
 	defer cancel()
 	complete := false
 	defer func() { f.complete(ctx, r, claim, complete) }() // also after a panic
 	err = next(run, r)
 	complete = err == nil
-	if complete && r.Writer.gone {
+	if complete && r.Writer.Gone() {
 		return r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection; the outcome was kept")
 	}
 	return err
@@ -75,9 +76,10 @@
 func (f Claims) complete(ctx context.Context, r *Request, claim *idempotency.Claim, complete bool) {
 	var outcome *idempotency.Outcome
 	if complete {
+		body, overflow := r.Writer.Recorded()
 		outcome = &idempotency.Outcome{
 			Status: r.Writer.Status(), Headers: idempotency.KeepHeaders(r.Writer.Header().Get),
-			Body: r.Writer.copied, Lost: r.Writer.overflow,
+			Body: body, Lost: overflow,
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), completeTimeout)
@@ -88,13 +90,13 @@
 }
 
 // replay answers with a stored outcome.
-func replay(w *ResponseWriter, outcome *idempotency.Outcome) error {
+func replay(w *request.Writer, outcome *idempotency.Outcome) error {
 	for name, value := range outcome.Headers {
 		w.Header().Set(name, value)
 	}
 	w.Header().Set(ReplayedHeader, "true")
 	w.WriteHeader(outcome.Status)
-	if err := w.send(outcome.Body, true); err != nil {
+	if err := w.Send(outcome.Body, true); err != nil {
 		return alreadyRan("the caller closed the connection").Because(err)
 	}
 	return nil
--- a/filter/forward.go
+++ b/filter/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/balance"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/request"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
@@ -23,12 +24,6 @@
 	LoadHeader = "Endpoint-Load-Metrics"
 )
 
-// hopByHop lists the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // Forward sends a request to one upstream and relays the answer.
 type Forward struct {
 	Client  *http.Client
@@ -44,7 +39,6 @@
 // Causes of the end of a request other than its upstream.
 var (
 	errKeyWithdrawn = errors.New("the key was withdrawn")
-	errCallerGone   = errors.New("the caller is gone or does not read")
 	errMalformed    = errors.New("malformed answer")
 )
 
@@ -152,7 +146,7 @@
 		return nil, err
 	}
 	out.ContentLength = int64(len(r.Body))
-	copyHeaders(out.Header, r.HTTP.Header)
+	request.CopyHeader(out.Header, r.HTTP.Header)
 	out.Header.Del("Authorization")
 	out.Header.Del("Expect")
 	for _, name := range []string{IdempotencyKeyHeader, "X-" + IdempotencyKeyHeader} {
@@ -187,7 +181,7 @@
 	switch {
 	case errors.Is(context.Cause(t.ctx), errKeyWithdrawn):
 		return refuse(balance.Neutral, verdict.KeyWithdrawn, "the key was withdrawn")
-	case errors.Is(err, errCallerGone), errors.Is(t.ctx.Err(), context.Canceled):
+	case errors.Is(err, request.ErrCallerGone), errors.Is(t.ctx.Err(), context.Canceled):
 		return refuse(balance.Neutral, verdict.CallerGone, "the caller closed the connection or does not read")
 	case errors.Is(err, errMalformed):
 		return refuse(balance.InvalidAnswer, verdict.UpstreamInvalidAnswer, "upstream %s sent a malformed answer", name)
@@ -200,20 +194,3 @@
 	}
 	return refuse(balance.Broken, verdict.UpstreamFailed, "the connection to upstream %s broke", name)
 }
-
-func copyHeaders(to, from http.Header) {
-	drop := map[string]bool{}
-	for _, name := range hopByHop {
-		drop[name] = true
-	}
-	for _, value := range from.Values("Connection") {
-		for name := range strings.SplitSeq(value, ",") {
-			drop[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	for name, values := range from {
-		if !drop[name] {
-			to[name] = append([]string(nil), values...)
-		}
-	}
-}
--- a/filter/handler.go
+++ b/filter/handler.go
@@ -1,11 +1,9 @@
 package filter
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -13,49 +11,44 @@
 	"github.com/apex/log"
 	"github.com/google/uuid"
 
+	"github.com/hibiscusyard/hibiscusyard/request"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
 // RequestIDHeader carries the ID that correlates a request with its answer.
 const RequestIDHeader = "X-Request-Id"
 
-// Handler runs the chain for each request and writes refusals.
-type Handler struct {
-	Chain   Next
-	Log     log.Interface
-	Metrics *metrics.Set
+// writeTimeout bounds one write to a caller. A caller that reads nothing for
+// that long loses its connection, so that it does not hold an upstream.
+const writeTimeout = 30 * time.Second
+
+// NewHandler returns a handler that answers the callers of the surface through
+// the chain.
+func NewHandler(surface Surface, chain Next, logger log.Interface, set *metrics.Set) http.Handler {
+	return &request.Server[*Request]{Surface: surface, Chain: chain, Log: logger, Metrics: set}
+}
+
+// Surface is the OpenAI surface and that of plain services. It is a
+// request.Surface.
+type Surface struct {
 	// WriteTimeout bounds one write to a caller. Default 30s.
 	WriteTimeout time.Duration
 	// MaxHeader bounds the headers of a request in bytes. 0 means no bound.
 	MaxHeader int
 }
 
-// ServeHTTP answers one request: with the upstream's answer or a refusal.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	r := &Request{
-		ID: uuid.NewString(), Arrived: time.Now(), HTTP: hr,
-		Writer: &ResponseWriter{ResponseWriter: w, timeout: h.WriteTimeout},
+// Open implements request.Surface.
+func (s Surface) Open(w http.ResponseWriter, hr *http.Request) (*Request, error) {
+	timeout := s.WriteTimeout
+	if timeout == 0 {
+		timeout = writeTimeout
 	}
-	r.Log = h.Log.WithField("request", r.ID)
+	r := &Request{Request: request.Request{ID: uuid.NewString(), Writer: request.NewWriter(w, timeout)}}
 	w.Header().Set(RequestIDHeader, r.ID)
-	err := h.run(hr.Context(), r)
-	h.finish(r, err)
-}
-
-func (h *Handler) run(ctx context.Context, r *Request) (err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			if p == http.ErrAbortHandler {
-				panic(p)
-			}
-			r.Log.WithField("stack", string(debug.Stack())).Error("panic in the filter chain")
-			err = r.Attempt.Refuse(verdict.InternalError, "internal error")
-		}
-	}()
-	if n := headerSize(r.HTTP); h.MaxHeader > 0 && n > h.MaxHeader {
-		return verdict.New(verdict.HeadersTooLarge, "the headers exceed %d bytes", h.MaxHeader)
+	if n := headerSize(hr); s.MaxHeader > 0 && n > s.MaxHeader {
+		return r, verdict.New(verdict.HeadersTooLarge, "the headers exceed %d bytes", s.MaxHeader)
 	}
-	return h.Chain(ctx, r)
+	return r, nil
 }
 
 // headerSize returns the size of a request's line and headers in bytes, as
@@ -70,35 +63,13 @@
 	return size
 }
 
-// finish answers with the refusal, if there is one, and counts the request. An
-// answer that has begun and can't be completed breaks off with the connection,
-// so that it never looks whole.
-func (h *Handler) finish(r *Request, err error) {
-	outcome, ended := "served", true
-	if err != nil {
-		refusal := verdict.From(err)
-		outcome = string(refusal.Reason)
-		if !r.Writer.Begun() {
-			WriteRefusal(r.Writer, refusal)
-		} else {
-			ended = endBegun(r.Writer, refusal)
-		}
-		entry := r.Log.WithFields(log.Fields{"code": refusal.Reason, "verdict": refusal.Verdict().String(), "detail": refusal.Message})
-		if refusal.Cause != nil {
-			entry = entry.WithField("cause", refusal.Cause.Error())
-		}
-		entry.Info("request refused")
-	}
-	name := fmt.Sprintf(`hibiscusyard_requests_total{outcome=%q}`, outcome)
-	h.Metrics.GetOrCreateCounter(name).Inc()
-	h.Metrics.GetOrCreateHistogram(`hibiscusyard_request_duration_seconds`).UpdateDuration(r.Arrived)
-	if !ended {
-		panic(http.ErrAbortHandler)
-	}
+// Refuse implements request.Surface.
+func (Surface) Refuse(w *request.Writer, refusal *verdict.Refusal) error {
+	return writeRefusal(w, refusal)
 }
 
-// WriteRefusal answers with the JSON form of a refusal.
-func WriteRefusal(w http.ResponseWriter, refusal *verdict.Refusal) {
+// writeRefusal answers with the JSON form of a refusal.
+func writeRefusal(w http.ResponseWriter, refusal *verdict.Refusal) error {
 	body := verdict.Describe(refusal)
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatInt(body.Error.RetryAfter, 10))
@@ -108,7 +79,17 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(refusal.Status())
-	json.NewEncoder(w).Encode(body) //nolint:errcheck // the caller may have gone.
+	return json.NewEncoder(w).Encode(body)
+}
+
+// Cut implements request.Surface: an event stream ends with an error event.
+// Only whole events have been passed on before it.
+func (Surface) Cut(w *request.Writer, refusal *verdict.Refusal) bool {
+	if !isEventStream(w.Header()) || refusal.Reason == verdict.CallerGone {
+		return false
+	}
+	data, err := json.Marshal(verdict.Describe(refusal))
+	return err == nil && w.Send(fmt.Appendf(nil, "event: error\ndata: %s\n\n", data), true) == nil
 }
 
 // LimitWrites lifts the write deadline that the last request on a connection
@@ -121,13 +102,3 @@
 		next.ServeHTTP(w, r)
 	})
 }
-
-// WriteErrorEvent ends an event stream that can't be completed. Only whole
-// events have been passed on before it.
-func WriteErrorEvent(w *ResponseWriter, refusal *verdict.Refusal) error {
-	data, err := json.Marshal(verdict.Describe(refusal))
-	if err != nil {
-		return err
-	}
-	return w.send(fmt.Appendf(nil, "event: error\ndata: %s\n\n", data), true)
-}
--- a/filter/harness_test.go
+++ b/filter/harness_test.go
@@ -135,10 +135,8 @@
 	e.route.SetMembers([]string{"i"})
 	store := &idempotency.Store{Table: e.table, Instance: "i", Incarnation: "x", NewToken: uuid.NewString, Now: time.Now,
 		Gone: func(string, string) bool { return false }}
-	handler := &Handler{
-		Chain: Chain(Identify{e}, Authorise{e}, Admit{e}, Claims{store}, e.route),
-		Log:   &log.Logger{Handler: e.logs, Level: log.InfoLevel}, Metrics: metrics.NewSet(), WriteTimeout: 200 * time.Millisecond,
-	}
+	handler := NewHandler(Surface{WriteTimeout: 200 * time.Millisecond}, Chain(Identify{e}, Authorise{e}, Admit{e}, Claims{store}, e.route),
+		&log.Logger{Handler: e.logs, Level: log.InfoLevel}, metrics.NewSet())
 	e.Server = httptest.NewServer(LimitWrites(handler))
 	t.Cleanup(e.Close)
 	return e
--- a/filter/identify.go
+++ b/filter/identify.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -41,12 +39,12 @@
 	if index == nil {
 		return verdict.New(verdict.NotReady, "this instance holds no catalogue yet")
 	}
-	r.Index = index
+	r.Index, r.Config = index, int64(index.Version())
 	key, err := bearerKey(r.HTTP.Header)
 	if err != nil {
 		return err
 	}
-	if key != "" {
+	if r.Key = key; key != "" {
 		r.KeyHash = catalog.HashKey(key)
 		// A wrong key is refused before anything else is read.
 		if _, known := index.KeyOwner(r.KeyHash); !known {
@@ -56,11 +54,11 @@
 	if err := f.route(r); err != nil {
 		return err
 	}
-	r.Pool = index.Pool(r.Route.Pool)
+	r.Pool, r.RouteName, r.Repeatable = index.Pool(r.Route.Pool), r.Route.Name, r.Route.Repeatable
 	if err := setDeadline(r); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, r.WallDeadline())
 	defer cancel()
 	return next(ctx, r)
 }
@@ -81,9 +79,7 @@
 	if r.KeyHash != "" && !r.Index.Allows(route, r.KeyHash) {
 		return verdict.New(verdict.Forbidden, "the key does not open route %q", route.Name)
 	}
-	body, err := readBody(r, route.MaxBody)
-	r.Body = body
-	return err
+	return r.ReadBody(route.MaxBody, bodyTimeout)
 }
 
 func routeChat(r *Request) error {
@@ -97,11 +93,10 @@
 	if limit == 0 {
 		return verdict.New(verdict.Forbidden, "the key opens no model")
 	}
-	body, err := readBody(r, limit)
-	if err != nil {
+	if err := r.ReadBody(limit, bodyTimeout); err != nil {
 		return err
 	}
-	chat, err := ParseChat(body)
+	chat, err := ParseChat(r.Body)
 	if err != nil {
 		return verdict.New(verdict.BadRequest, "malformed request: %v", err)
 	}
@@ -109,29 +104,14 @@
 	if route == nil {
 		return verdict.New(verdict.UnknownModel, "no route serves model %q", chat.Model)
 	}
-	if int64(len(body)) > route.MaxBody {
+	if int64(len(r.Body)) > route.MaxBody {
 		return verdict.New(verdict.BodyTooLarge, "the body exceeds %d bytes", route.MaxBody)
 	}
-	r.Route, r.Chat, r.Body = route, chat, body
+	r.Route, r.Chat, r.Model = route, chat, chat.Model
+	r.PromptTokens, r.OutputTokens, r.Sized = chat.prompt(), chat.outputs(route.MaxOutput), true
 	return nil
 }
 
-func readBody(r *Request, limit int64) ([]byte, error) {
-	defer limitRead(r.Writer, bodyTimeout)()
-	body, err := io.ReadAll(http.MaxBytesReader(r.Writer.ResponseWriter, r.HTTP.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, verdict.New(verdict.BodyTooLarge, "the body exceeds %d bytes", limit)
-	}
-	if slowBody(err) {
-		return nil, verdict.New(verdict.BadRequest, "the body did not arrive within %s", bodyTimeout).Because(err)
-	}
-	if err != nil {
-		return nil, verdict.New(verdict.BadRequest, "the body ended early").Because(err)
-	}
-	return body, nil
-}
-
 // bearerKey returns the caller's key, or "" without one.
 func bearerKey(header http.Header) (string, error) {
 	values := header.Values("Authorization")
@@ -146,16 +126,16 @@
 }
 
 func setDeadline(r *Request) error {
-	limit := r.Route.Timeout.Std()
 	if text := r.HTTP.Header.Get(TimeoutHeader); text != "" {
 		seconds, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(seconds > 0) {
 			return verdict.New(verdict.BadRequest, "%s must be a positive number of seconds", TimeoutHeader)
 		}
-		if asked := seconds * float64(time.Second); asked < float64(limit) {
-			limit = time.Duration(asked)
+		// A number too large for a duration is no limit.
+		if asked := seconds * float64(time.Second); asked < float64(r.Route.Timeout.Std()) {
+			r.Limit, r.Limited = time.Duration(asked), true
 		}
 	}
-	r.Deadline = r.Arrived.Add(limit)
+	r.SetDeadline(r.Route.Timeout.Std())
 	return nil
 }
--- a/filter/models.go
+++ b/filter/models.go
@@ -27,7 +27,7 @@
 func (m Models) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	list, err := m.list(hr)
 	if err != nil {
-		WriteRefusal(w, verdict.From(err))
+		writeRefusal(w, verdict.From(err)) //nolint:errcheck // the caller may have gone.
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/filter/pool.go
+++ b/filter/pool.go
@@ -65,8 +65,8 @@
 	p.follow(now, index)
 	r := w.request
 	item, shed := p.queue.Push(now, fairqueue.Entry[*waiter]{
-		Workspace: r.Workspace.Name, Class: r.Model(), Weight: r.Workspace.Weight,
-		Cost: r.Cost, Deadline: p.time(r.Model()).latestStart(r.Arrived, r.Deadline), Value: w,
+		Workspace: r.Workspace.Name, Class: r.Model, Weight: r.Workspace.Weight,
+		Cost: r.Cost, Deadline: p.time(r.Model).latestStart(r.WallDeadline(), r.Deadline.Sub(r.Arrived)), Value: w,
 	})
 	p.shed(shed)
 	p.dispatch(now)
@@ -100,7 +100,7 @@
 	for {
 		item, ok := p.queue.PopFunc(now, func(item *fairqueue.Item[*waiter]) bool {
 			w := item.Value
-			model := w.request.Model()
+			model := w.request.Model
 			if d, known := refused[model]; known && len(w.tried) == 0 {
 				w.decision = d
 				return false
--- a/filter/relay.go
+++ b/filter/relay.go
@@ -10,7 +10,7 @@
 	"strings"
 
 	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/request"
 )
 
 // maxWhole bounds the answer of a model that is not a stream, in bytes. It is
@@ -39,7 +39,7 @@
 // begin writes the status and the headers of the answer.
 func (t *try) begin(resp *http.Response) {
 	header := t.r.Writer.Header()
-	copyHeaders(header, resp.Header)
+	request.CopyHeader(header, resp.Header)
 	header.Del(IncarnationHeader)
 	header.Del(LoadHeader)
 	if isEventStream(resp.Header) {
@@ -56,7 +56,7 @@
 	for {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
-			if werr := t.r.Writer.send(buffer[:n], true); werr != nil {
+			if werr := t.r.Writer.Send(buffer[:n], true); werr != nil {
 				return werr
 			}
 		}
@@ -86,7 +86,7 @@
 	}
 	t.r.setUsed(answer.Usage, unknownTokens)
 	t.begin(resp)
-	return t.r.Writer.send(body, true)
+	return t.r.Writer.Send(body, true)
 }
 
 // relayStream passes on whole events only. A stream that ends before its
@@ -114,7 +114,7 @@
 		if !t.r.Writer.Begun() {
 			t.begin(resp)
 		}
-		if err := t.r.Writer.send(event, p.done || !events.pending()); err != nil {
+		if err := t.r.Writer.Send(event, p.done || !events.pending()); err != nil {
 			return err
 		}
 	}
@@ -180,12 +180,3 @@
 	}()
 	return ctx, func() { cancel(nil) }
 }
-
-// endBegun ends an answer that has begun and can't be completed: an error
-// event in an event stream. Any other answer breaks off with the connection.
-func endBegun(w *ResponseWriter, refusal *verdict.Refusal) (ended bool) {
-	if !isEventStream(w.Header()) || refusal.Reason == verdict.CallerGone {
-		return false
-	}
-	return WriteErrorEvent(w, refusal) == nil
-}
--- a/filter/request.go
+++ b/filter/request.go
@@ -1,26 +1,17 @@
-// Package filter holds the chain that every caller's request passes: each
-// filter does one job and either hands the request on or returns a refusal.
+// Package filter holds the chain behind the OpenAI surface and the routes of
+// plain services: each filter does one job and either hands a request on or
+// returns a refusal.
 package filter
 
 import (
-	"net/http"
-	"time"
-
-	"github.com/apex/log"
-
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/chain"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/request"
 )
 
-// Request is one caller's request on its way through the chain. It belongs to
-// one goroutine.
+// Request is a request with what the catalogue says of it.
 type Request struct {
-	ID       string
-	Arrived  time.Time
-	Deadline time.Time
-	HTTP     *http.Request
-	Writer   *ResponseWriter
+	request.Request
 
 	Index     *catalog.Index
 	Route     *catalog.Route
@@ -28,24 +19,10 @@
 	Workspace catalog.Workspace
 	KeyHash   string // empty on open routes without a key
 
-	Body  []byte
 	Chat  *Chat // nil for service routes
 	Cost  int64 // tokens reserved
 	Used  int64 // tokens to charge at the end
 	Known bool  // Used comes from the upstream
-	// Claimed says that the request holds a claim and must run at most once.
-	Claimed bool
-
-	Attempt verdict.Attempt
-	Log     log.Interface
-}
-
-// Model returns the model that the request names, empty for service routes.
-func (r *Request) Model() string {
-	if r.Chat == nil {
-		return ""
-	}
-	return r.Chat.Model
 }
 
 // Next hands a request to the rest of the chain.
--- a/filter/route.go
+++ b/filter/route.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"github.com/hibiscusyard/hibiscusyard/balance"
+	"github.com/hibiscusyard/hibiscusyard/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/fairqueue"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
@@ -128,14 +129,14 @@
 		return err
 	}
 	if r.Chat != nil {
-		defer f.Directory.Run(r.Pool.Name, r.Model(), r.Workspace.Name, g.upstream.Name)()
+		defer f.Directory.Run(r.Pool.Name, r.Model, r.Workspace.Name, g.upstream.Name)()
 	}
 	ctx, stop := watchKey(ctx, f.Catalog, r)
 	defer stop()
 	started := time.Now()
 	result, header, err := f.Forward.Try(ctx, r, g.upstream)
 	if result.Kind == balance.Success {
-		p.served(r.Model(), time.Since(started))
+		p.served(r.Model, time.Since(started))
 	}
 	if header != nil {
 		requests, reported = reportedRequests(header, g.upstream.Concurrency)
@@ -186,7 +187,7 @@
 	if r.Writer.Begun() || ctx.Err() != nil {
 		return false
 	}
-	if refusal.Verdict() != verdict.NotRun && (!r.Route.Repeatable || r.Claimed) {
+	if !r.MayRepeat() {
 		return false
 	}
 	return f.withBudget((*balance.Budget).Retry)
@@ -219,7 +220,7 @@
 			return grant{}, refusal
 		}
 		if done == nil && r.Chat != nil {
-			done = f.Directory.Wait(r.Pool.Name, r.Model(), r.Workspace.Name, r.Deadline)
+			done = f.Directory.Wait(r.Pool.Name, r.Model, r.Workspace.Name, r.WallDeadline())
 		}
 		g, refusal := f.wait(ctx, r, w, d, changed, edited)
 		if refusal != nil {
@@ -300,7 +301,7 @@
 
 // hopeless returns the refusal of a request that waiting does not help.
 func (f *Route) hopeless(r *Request, d balance.Decision, last error) error {
-	left := time.Until(r.Deadline)
+	left := r.Left(bootclock.Now())
 	switch {
 	case d.OK():
 		return nil
@@ -313,7 +314,7 @@
 	case r.Chat == nil:
 		return r.Attempt.Refuse(verdict.NoUpstream, "no upstream of pool %q is in service", r.Pool.Name)
 	}
-	if refusal := f.Directory.ComeBack(r.Pool.Name, r.Model(), r.Deadline); refusal != nil {
+	if refusal := f.Directory.ComeBack(r.Pool.Name, r.Model, r.WallDeadline()); refusal != nil {
 		return r.Attempt.Refuse(refusal.Reason, "%s", refusal.Message).After(refusal.RetryAfter).Because(refusal.Cause)
 	}
 	return nil
--- a/filter/service.go
+++ b/filter/service.go
@@ -27,7 +27,7 @@
 // it would be cut by its deadline and the upstream's work would be lost. At
 // most half of the request's time is kept for the upstream, because the
 // estimate may be of longer requests than this one.
-func (s *serviceTime) latestStart(arrived, deadline time.Time) time.Time {
+func (s *serviceTime) latestStart(deadline time.Time, limit time.Duration) time.Time {
 	expected := s.mean + deviations*s.deviation
-	return deadline.Add(-min(expected, deadline.Sub(arrived)/2))
+	return deadline.Add(-min(expected, limit/2))
 }
--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -39,7 +37,7 @@
 		return verdict.New(verdict.ConfigurationStale, "this instance has no desired state yet").After(comeBack)
 	}
 	age := f.State.Age(r.Arrived)
-	r.ViewAge = age
+	r.Config, r.ConfigAge = config.Version, age
 	r.Route = config.Route(hostOf(r.HTTP), r.HTTP.URL.Path)
 	if r.Route == nil {
 		if age > staleAnswer {
@@ -58,7 +56,7 @@
 			return verdict.New(verdict.InvalidKey, "the key is not valid")
 		}
 	}
-	r.Deadline = r.Arrived.Add(timeout(r))
+	r.describe()
 	r.Patience = r.Deadline
 	if p := r.Route.Patience(); p > 0 {
 		r.Patience = r.Arrived.Add(p)
@@ -66,17 +64,20 @@
 	return next(ctx, r)
 }
 
-// timeout returns the time for the final answer: the route's, or the caller's
-// if that is shorter.
-func timeout(r *Request) time.Duration {
+// describe says in the chain's own terms what was found.
+func (r *Request) describe() {
+	r.RouteName, r.Repeatable, r.Resumable, r.Priority = r.Route.Name, r.Route.Repeatable(), r.Route.Resumable, r.Route.Priority
+	if r.Workspace != nil {
+		r.WorkspaceName = r.Workspace.Name
+		if r.Workspace.Priority >= 0 {
+			r.Priority = r.Workspace.Priority
+		}
+	}
 	limit := r.Route.Timeout
 	if limit <= 0 {
 		limit = defaultTimeout
 	}
-	if r.HasDeadline {
-		limit = min(limit, r.Call.Deadline)
-	}
-	return limit
+	r.SetDeadline(limit)
 }
 
 func hostOf(r *http.Request) string {
@@ -90,23 +91,9 @@
 
 // Serve implements Filter.
 func (ReadBody) Serve(ctx context.Context, r *Request, next Next) error {
-	limits := r.View.Config.Limits
-	if limits.BodyBytes > 0 && r.HTTP.ContentLength > limits.BodyBytes {
-		return verdict.New(verdict.BodyTooLarge, "the body exceeds %d bytes", limits.BodyBytes)
-	}
-	body := io.Reader(r.HTTP.Body)
-	if limits.BodyBytes > 0 {
-		body = http.MaxBytesReader(r.Writer.inner, r.HTTP.Body, limits.BodyBytes)
-	}
-	data, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return verdict.New(verdict.BodyTooLarge, "the body exceeds %d bytes", limits.BodyBytes)
-	case err != nil:
-		return verdict.New(verdict.CallerGone, "the body was not received").Because(err)
+	if err := r.Request.ReadBody(r.View.Config.Limits.BodyBytes, 0); err != nil {
+		return err
 	}
-	r.Body = data
 	if r.Left(bootclock.Now()) <= 0 {
 		return verdict.New(verdict.DeadlineTooShort, "the deadline passed while the body was received")
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -15,15 +14,10 @@
 	"github.com/hibiscusyard/hibiscusyard/connpool"
 	"github.com/hibiscusyard/hibiscusyard/dispatch"
 	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/request"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
-// hopByHop lists the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
 const (
 	// maxHeld bounds the answer that is held until it is complete, so that a
 	// broken one can still be replaced.
@@ -81,7 +75,7 @@
 	x.conn = conn
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	a := x.run(ctx)
-	if stop() && a.err == nil {
+	if stop() && (a.err == nil || a.clean) {
 		f.Pool.Put(conn)
 	} else {
 		conn.Close()
@@ -127,21 +121,13 @@
 
 // request returns the request as the upstream is to see it.
 func (x *exchange) request(left time.Duration) *connpool.Request {
-	header := x.r.HTTP.Header.Clone()
-	for _, field := range header["Connection"] {
-		for name := range strings.SplitSeq(field, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		header.Del(name)
-	}
-	f := Forwarding{Left: left, Upstream: x.u.ID, Priority: -1, Resume: x.r.Resume}
-	if x.r.Workspace != nil {
-		f.Workspace = x.r.Workspace.Name
-	}
+	header := http.Header{}
+	request.CopyHeader(header, x.r.HTTP.Header)
+	header.Del("Content-Length") // the connection sets it from the body
+	header.Del("Expect")         // the body is here
+	f := Forwarding{Left: left, Upstream: x.u.ID, Workspace: x.r.WorkspaceName, Priority: -1, Resume: x.r.Resume}
 	if x.r.Route.Kind == fleet.Streaming {
-		f.Priority = x.r.Priority()
+		f.Priority = x.r.Priority
 	}
 	x.Dialect.Forward(header, f)
 	hasBody := x.r.HTTP.ContentLength != 0 || len(x.r.HTTP.TransferEncoding) > 0
@@ -154,20 +140,18 @@
 // declined ends a try that the upstream says it did not run.
 func (x *exchange) declined(answer *http.Response, head AnswerHead) attempt {
 	x.r.Attempt.Disown()
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxHeld)); err != nil {
-		x.conn.Break()
-	}
-	x.conn.Break() // the pool only keeps connections of tries without an error
+	n, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxHeld))
+	clean := err == nil && n < maxHeld
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		cause := fmt.Errorf("%w: answered by %q", errAbsent, head.Upstream)
 		return attempt{
 			err:    x.r.Attempt.Refuse(verdict.UpstreamOverloaded, "upstream %s does not hold the model", x.u.ID).After(comeBack).Because(cause),
-			result: dispatch.Neutral, notRun: true, resume: x.r.Writer.Begun(),
+			result: dispatch.Neutral, notRun: true, resume: x.r.Writer.Begun(), clean: clean,
 		}
 	}
 	return attempt{
 		err:    x.r.Attempt.Refuse(verdict.UpstreamOverloaded, "upstream %s has no room (status %d)", x.u.ID, answer.StatusCode).After(comeBack),
-		result: dispatch.Full, notRun: true, resume: x.r.Writer.Begun(),
+		result: dispatch.Full, notRun: true, resume: x.r.Writer.Begun(), clean: clean,
 	}
 }
 
@@ -224,7 +208,7 @@
 // mayAskAgain reports whether an error answer can be replaced by that of
 // another upstream.
 func (x *exchange) mayAskAgain(status int) bool {
-	return status != http.StatusGatewayTimeout && x.r.Route.Repeatable() && x.r.runs+1 < x.r.Route.Attempts &&
+	return status != http.StatusGatewayTimeout && x.r.Repeatable && x.r.runs+1 < x.r.Route.Attempts &&
 		!x.r.Writer.Begun()
 }
 
@@ -235,15 +219,15 @@
 	if answer.ContentLength >= 0 {
 		x.r.Writer.Header().Set("Content-Length", fmt.Sprint(answer.ContentLength))
 	}
-	x.r.Writer.Begin(answer.StatusCode)
-	if err := x.r.Writer.Send(held.Bytes()); err != nil {
+	x.r.Writer.WriteHeader(answer.StatusCode)
+	if err := x.r.Writer.Send(held.Bytes(), true); err != nil {
 		return x.callerGone(dispatch.Neutral, false)
 	}
 	piece := make([]byte, 32<<10)
 	for {
 		n, err := answer.Body.Read(piece)
 		if n > 0 {
-			if err := x.r.Writer.Send(piece[:n]); err != nil {
+			if err := x.r.Writer.Send(piece[:n], true); err != nil {
 				return x.callerGone(dispatch.Neutral, false)
 			}
 		}
@@ -260,11 +244,8 @@
 // writeHead copies the headers of the answer.
 func (x *exchange) writeHead(answer *http.Response) {
 	header := x.r.Writer.Header()
-	for name, values := range answer.Header {
-		if !slices.Contains(hopByHop, name) {
-			header[name] = values
-		}
-	}
+	request.CopyHeader(header, answer.Header)
+	header.Del("Content-Length") // set where the length is known
 	if err := x.r.Writer.LimitWrite(x.r.Left(bootclock.Now()) + writeSlack); err != nil {
 		x.r.Log.WithError(err).Warn("write deadline not set")
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,45 +8,14 @@
 	"net/http"
 	"time"
 
-	"github.com/apex/log"
-
 	"github.com/hibiscusyard/hibiscusyard/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/chain"
 	"github.com/hibiscusyard/hibiscusyard/dispatch"
 	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/request"
 	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
-// Part is one part of a prompt that other requests may share.
-type Part struct {
-	ID     string
-	Tokens int64
-}
-
-// Call is what a caller's headers say of a request.
-type Call struct {
-	ID           string
-	Key          string
-	Model        string
-	Adapter      string
-	Resume       string // last event that the caller has
-	Deadline     time.Duration
-	HasDeadline  bool
-	PromptTokens int64
-	OutputTokens int64
-	Sized        bool // the tokens are known
-	Prefix       []Part
-}
-
-// Session identifies the prompt that the call shares with the most specific
-// group of others: the last part but its own.
-func (c *Call) Session() string {
-	if len(c.Prefix) == 0 {
-		return ""
-	}
-	return c.Prefix[max(len(c.Prefix)-2, 0)].ID
-}
-
 // Forwarding is what the system tells an upstream beside the caller's request.
 type Forwarding struct {
 	Left      time.Duration // time for the answer
@@ -69,7 +38,8 @@
 // Dialect translates the headers of one kind of ingress.
 type Dialect interface {
 	IDHeader() string
-	ReadCall(http.Header) (Call, error)
+	// Read fills a request from a caller's headers.
+	Read(http.Header, *request.Request) error
 	Forward(http.Header, Forwarding)
 	ReadAnswer(status int, h http.Header) AnswerHead
 	RetryAfter(time.Duration) string
@@ -114,53 +84,33 @@
 	Take(ctx context.Context, workspace *fleet.Workspace, tokens int64, patience time.Duration) *verdict.Refusal
 }
 
-// Request is one caller's request on its way through the chain. It belongs to
-// one goroutine.
+// Request is a request with what the desired state says of it.
 type Request struct {
-	Call
-	Arrived  bootclock.Time
-	Deadline bootclock.Time // of the final answer
+	request.Request
+
 	// Patience is when the caller gives up a stream that has not begun.
 	Patience bootclock.Time
-	HTTP     *http.Request
-	Writer   *Writer
-	Body     []byte
 	// Quit is closed when the instance ends requests that still wait.
 	Quit <-chan struct{}
 
 	View      *fleet.View
-	ViewAge   time.Duration // of the desired state when the request arrived
 	Route     *fleet.Route
 	Service   string
 	Workspace *fleet.Workspace // nil on public routes and without workspaces
 
-	Attempt verdict.Attempt
-	Log     log.Interface
-	runs    int // upstreams that may have run it
-	last    string
-	choice  dispatch.Choice
+	runs   int // upstreams that may have run it
+	choice dispatch.Choice
 	// adapterLogged says that a failed load of the adapter has been logged.
 	adapterLogged bool
 	// grantedAt is when the workspace's tokens were granted, 0 before.
 	grantedAt bootclock.Time
 }
 
-// Left returns the time until the final answer is due.
-func (r *Request) Left(now bootclock.Time) time.Duration { return r.Deadline.Sub(now) }
-
 // WaitLeft returns the time for which the request may wait for an upstream.
 func (r *Request) WaitLeft(now bootclock.Time) time.Duration {
 	return min(r.Deadline, r.Patience).Sub(now)
 }
 
-// Priority returns the rank that upstreams are told, 0 for the most urgent.
-func (r *Request) Priority() int {
-	if r.Workspace != nil && r.Workspace.Priority >= 0 {
-		return r.Workspace.Priority
-	}
-	return r.Route.Priority
-}
-
 // Tokens returns the cost of the request against its workspace's limit.
 func (r *Request) Tokens() int64 {
 	if r.Sized {
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -221,7 +221,7 @@
 	case t.notRun && t.result == dispatch.Refused:
 		return true // nothing arrived anywhere
 	case t.notRun:
-	case !r.Route.Repeatable() || r.runs >= r.Route.Attempts:
+	case !r.MayRepeat() || r.runs >= r.Route.Attempts:
 		return false
 	}
 	return f.Budget.Retry(bootclock.Now(), r.Service, f.State.Members())
@@ -233,6 +233,7 @@
 	result dispatch.Outcome
 	notRun bool // the upstream certainly did not run it
 	resume bool // a begun stream can go on elsewhere
+	clean  bool // the connection is fit for another request despite the error
 }
 
 // try sends a request to an upstream and relays the answer.
@@ -243,7 +244,7 @@
 	f.mu.Lock()
 	ticket := f.balancer.Start(bootclock.Now(), u, d)
 	f.mu.Unlock()
-	r.last = u.ID
+	r.Upstream = u.ID
 	observe := observer{
 		first: func() {
 			f.mu.Lock()
@@ -267,8 +268,8 @@
 		f.Placement.Absent(u.ID, r.Model, r.Adapter)
 	}
 	r.Log.WithFields(log.Fields{
-		"route": r.Route.Name, "upstream": u.ID, "reason": r.choice.Reason, "eligible": r.choice.Eligible,
-		"model": r.Model, "config": r.View.Config.Version, "config_age_ms": r.ViewAge.Milliseconds(), "result": a.result.String(), "runs": r.runs,
+		"route": r.RouteName, "upstream": u.ID, "reason": r.choice.Reason, "eligible": r.choice.Eligible,
+		"model": r.Model, "config": r.Config, "config_age_ms": r.ConfigAge.Milliseconds(), "result": a.result.String(), "runs": r.runs,
 		"after_ms": bootclock.Since(r.Arrived).Milliseconds(),
 	}).Info("upstream chosen")
 	return a
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,7 +88,7 @@
 		case errors.Is(err, io.EOF) && !events.Open():
 			if !x.r.Writer.Begun() { // nothing is left of a stream that the caller resumed
 				x.writeHead(answer)
-				x.r.Writer.Begin(answer.StatusCode)
+				x.r.Writer.WriteHeader(answer.StatusCode)
 			}
 			x.r.Writer.End()
 			return attempt{result: dispatch.Served}
@@ -117,10 +117,10 @@
 	}
 	if !x.r.Writer.Begun() {
 		x.writeHead(answer)
-		x.r.Writer.Begin(answer.StatusCode)
+		x.r.Writer.WriteHeader(answer.StatusCode)
 	}
 	x.observe.first()
-	if err := x.r.Writer.Send(whole); err != nil {
+	if err := x.r.Writer.Send(whole, true); err != nil {
 		return x.callerGone(dispatch.Neutral, false), false
 	}
 	x.r.Resume = events.Last
@@ -130,7 +130,7 @@
 // cut ends a stream that its upstream broke off.
 func (x *exchange) cut(ctx context.Context, cause error) attempt {
 	a := x.broken(ctx, cause, false)
-	a.resume = a.result == dispatch.Failed && x.r.Route.Resumable
+	a.resume = a.result == dispatch.Failed && x.r.Resumable
 	if !a.resume && x.r.Writer.Begun() && ctx.Err() == nil {
 		a.err = x.r.Attempt.Refuse(verdict.UpstreamTruncated, "upstream %s broke the stream off", x.u.ID).Because(cause)
 	}
--- a/instance.go
+++ b/instance.go
@@ -261,7 +261,7 @@
 		filter.Claims{Store: i.claims},
 		i.route,
 	)
-	handler := &filter.Handler{Chain: chain, Log: i.log, Metrics: i.metrics, MaxHeader: i.settings.MaxHeaderBytes}
+	handler := filter.NewHandler(filter.Surface{MaxHeader: i.settings.MaxHeaderBytes}, chain, i.log, i.metrics)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", admin.ReadyHandler(i.notReady))
--- a/node/node.go
+++ b/node/node.go
@@ -51,8 +51,9 @@
 	quitReserve = 400 * time.Millisecond
 	// exitReserve is kept of the grace period for closing connections.
 	exitReserve = 500 * time.Millisecond
-	// firstConfig bounds the time until the listeners open without a desired state.
-	configPoll = 20 * time.Millisecond
+	// waitPoll is how often the start looks for the first desired state, and the
+	// shutdown for the end of the last request.
+	waitPoll = 20 * time.Millisecond
 )
 
 // Node is one running instance.
@@ -124,14 +125,12 @@
 		Ratio: n.settings.Bounds.BudgetRatio, Slack: n.settings.Bounds.BudgetSlack,
 		Window: seconds(n.settings.Bounds.BudgetWindowS),
 	})
-	return &gateway.Handler{
-		Dialect: dialect, Log: n.log, Metrics: n.metrics,
-		Chain: chain.New[*gateway.Request](
-			gateway.Identify{State: n.state, StaleAfter: stale},
-			gateway.ReadBody{},
-			n.route,
-		),
-	}
+	filters := chain.New[*gateway.Request](
+		gateway.Identify{State: n.state, StaleAfter: stale},
+		gateway.ReadBody{},
+		n.route,
+	)
+	return gateway.NewHandler(dialect, filters, n.log, n.metrics)
 }
 
 // Start binds the listeners and starts all parts.
@@ -224,7 +223,7 @@
 // told the limits that net/http takes at the start.
 func (n *Node) serveCallers(ctx context.Context) {
 	for n.state.View().Config == nil {
-		if !duration.Sleep(ctx, configPoll) {
+		if !duration.Sleep(ctx, waitPoll) {
 			n.callers.Close()
 			return
 		}
@@ -290,7 +289,7 @@
 		if elapsed >= limit-quitReserve {
 			n.handler.Quit()
 		}
-		time.Sleep(configPoll)
+		time.Sleep(waitPoll)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), exitReserve/3)
 	defer cancel()
