--- a/development/platform.go
+++ b/development/platform.go
@@ -13,6 +13,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/duration"
 	"github.com/hibiscusyard/hibiscusyard/node"
+	"github.com/hibiscusyard/hibiscusyard/node/sample"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
 
@@ -72,29 +73,17 @@
 }
 
 func (s *PlatformSystem) startNode(name, store string, logger log.Interface) error {
-	addresses := make([]string, 4)
-	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return oops.In("development").Wrap(err)
-		}
-		addresses[i] = l.Addr().String()
-		l.Close()
+	settings, err := sample.Settings(name, store)
+	if err != nil {
+		return err
 	}
-	n := node.New(node.Settings{
-		Instance: name, DataCentre: "north", CallerListen: addresses[0], ReadyListen: addresses[1], PeerListen: addresses[2],
-		MetricsListen: addresses[3], Store: store, MemoryMB: 256, CPUShare: 1, LinkMbps: 1000, LogLevel: "info", StoreParallel: 4,
-		Bounds: node.Bounds{
-			RevokeMS: 5000, DrainMS: 2000, ConfigurationMS: 2000, GraceS: 8, LeaseMS: 3000, BudgetRatio: 0.2,
-			BudgetSlack: 56, BudgetWindowS: 10, QuotaWindowS: 8, QuotaOverage: 0.1, QuotaSlack: 11000,
-		},
-	}, logger)
+	n := node.New(settings, logger)
 	if err := n.Start(); err != nil {
 		return err
 	}
 	s.nodes = append(s.nodes, n)
-	s.callers = append(s.callers, addresses[0])
-	s.ready = append(s.ready, addresses[1])
+	s.callers = append(s.callers, settings.CallerListen)
+	s.ready = append(s.ready, settings.ReadyListen)
 	return nil
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,12 +1,14 @@
 package node_test
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
@@ -303,3 +305,55 @@
 		}
 	}
 }
+
+// Guards against a connection that is given up although its answer was
+// complete: under overload each refusal of an upstream cost a new one.
+func TestRefusalOfUpstreamKeepsConnection(t *testing.T) {
+	s := newScene(t, 1)
+	s.rotas[1].Close()
+	s.store.Drop("servers", s.rotas[1].ID)
+	signUp := request{path: "/signup/1", key: "committee-key"}
+	s.eventually("only one upstream is left", func() bool {
+		a := s.send(0, signUp)
+		return a.status == http.StatusOK && strings.Contains(a.body, s.rotas[0].ID)
+	})
+	before := s.rotas[0].Opened()
+	for range 3 {
+		s.rotas[0].Fail(userplatform.TurnedAway)
+		s.send(0, signUp)
+		s.eventually("the upstream is asked again", func() bool { return s.send(0, signUp).status == http.StatusOK })
+	}
+	if n := s.rotas[0].Opened() - before; n > 1 {
+		t.Errorf("%d new connections for three refusals", n)
+	}
+}
+
+// Guards against work for nobody: when the caller hangs up in the middle of a
+// stream, its upstream stops.
+func TestUpstreamStopsWhenTheCallerIsGone(t *testing.T) {
+	s := newScene(t, 1)
+	s.engines[0].SetPace(1000, 100*time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.fronts[0]+"/drafts/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	hr.Host = "rota.example"
+	for name, value := range map[string]string{
+		userplatform.HeaderID: "gone", userplatform.HeaderModel: "notices", userplatform.HeaderTokens: "100,20",
+		userplatform.HeaderDeadline: "60000", "Authorization": "Token committee-key",
+	} {
+		hr.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(hr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if n := s.engines[0].Running(); n != 1 {
+		t.Fatalf("%d requests run, want 1", n)
+	}
+	cancel()
+	processtest.Within(t, 500*time.Millisecond, "the upstream stops", func() bool { return s.engines[0].Running() == 0 })
+}
--- /dev/null
+++ b/node/sample/sample.go
@@ -0,0 +1,34 @@
+// Package sample makes settings for instances on loopback, for the sample
+// system and for tests on the stand-in.
+package sample
+
+import (
+	"net"
+
+	"github.com/samber/oops"
+
+	"github.com/hibiscusyard/hibiscusyard/node"
+)
+
+// Settings returns the settings of an instance at addresses that were free a
+// moment ago. The bounds are those of the users' deployments.
+func Settings(instance, store string) (node.Settings, error) {
+	s := node.Settings{
+		Instance: instance, DataCentre: "north", Store: store,
+		MemoryMB: 256, CPUShare: 1, LinkMbps: 1000, LogLevel: "info", StoreParallel: 4,
+		Bounds: node.Bounds{
+			RevokeMS: 5000, DrainMS: 2000, ConfigurationMS: 2000, GraceS: 8, LeaseMS: 3000, BudgetRatio: 0.2,
+			BudgetSlack: 56, BudgetWindowS: 10, QuotaWindowS: 8, QuotaOverage: 0.1, QuotaSlack: 11000,
+		},
+	}
+	for _, address := range []*string{&s.CallerListen, &s.ReadyListen, &s.PeerListen, &s.MetricsListen} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return s, oops.In("sample").Wrapf(err, "find a free address")
+		}
+		// All listeners stay open until all addresses are known, so that they differ.
+		defer l.Close()
+		*address = l.Addr().String()
+	}
+	return s, nil
+}
--- a/node/scene_test.go
+++ b/node/scene_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,6 +17,7 @@
 	apexjson "github.com/apex/log/handlers/json"
 
 	"github.com/hibiscusyard/hibiscusyard/node"
+	"github.com/hibiscusyard/hibiscusyard/node/sample"
 	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
@@ -74,28 +74,13 @@
 	return u
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (s *scene) addNode() *node.Node {
 	s.t.Helper()
-	settings := node.Settings{
-		Instance: fmt.Sprintf("entry-%d", len(s.nodes)+1), DataCentre: "north", CallerListen: freeAddress(s.t),
-		ReadyListen: freeAddress(s.t), PeerListen: freeAddress(s.t), MetricsListen: freeAddress(s.t), Store: s.address,
-		MemoryMB: 256, CPUShare: 1, LinkMbps: 1000, LogLevel: "info", StoreParallel: 4,
-		Bounds: node.Bounds{
-			RevokeMS: 5000, DrainMS: 2000, ConfigurationMS: 2000, GraceS: 8, LeaseMS: 300, BudgetRatio: 0.2,
-			BudgetSlack: 56, BudgetWindowS: 10, QuotaWindowS: 8, QuotaOverage: 0.1, QuotaSlack: 1000,
-		},
+	settings, err := sample.Settings(fmt.Sprintf("entry-%d", len(s.nodes)+1), s.address)
+	if err != nil {
+		s.t.Fatal(err)
 	}
+	settings.Bounds.LeaseMS, settings.Bounds.QuotaSlack = 300, 1000 // the tests wait for new leaders and for empty buckets
 	var handler log.Handler = discard.New()
 	if testing.Verbose() {
 		handler = apexjson.New(s.t.Output())
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -11,7 +10,7 @@
 	"sync"
 	"testing"
 
-	"github.com/hibiscusyard/hibiscusyard/node"
+	"github.com/hibiscusyard/hibiscusyard/node/sample"
 	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
@@ -107,16 +106,6 @@
 	return append([]*userplatform.Upstream(nil), w.upstreams...)
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (w *world) addMember(store string) {
 	m := &member{name: fmt.Sprintf("entry-%d", len(w.members)+1)}
 	m.store = processtest.NewProxy(w.t, store)
@@ -129,15 +118,14 @@
 // start runs the process of a member, each time at new addresses: the system
 // may have given the old ones to other connections.
 func (w *world) start(m *member) {
-	m.callers, m.ready = freeAddress(w.t), freeAddress(w.t)
-	data, err := json.Marshal(node.Settings{
-		Instance: m.name, DataCentre: "north", CallerListen: m.callers, ReadyListen: m.ready, PeerListen: freeAddress(w.t),
-		MetricsListen: freeAddress(w.t), Store: m.store.Address, MemoryMB: 284, CPUShare: 0.4, LinkMbps: 1000, LogLevel: "info", StoreParallel: 4,
-		Bounds: node.Bounds{
-			RevokeMS: revokeMS, DrainMS: 2000, ConfigurationMS: 2000, GraceS: graceS, LeaseMS: leaseMS, BudgetRatio: 0.2,
-			BudgetSlack: 56, BudgetWindowS: 10, QuotaWindowS: 8, QuotaOverage: 0.1, QuotaSlack: 11000,
-		},
-	})
+	settings, err := sample.Settings(m.name, m.store.Address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	settings.MemoryMB, settings.CPUShare = 284, 0.4
+	settings.Bounds.LeaseMS, settings.Bounds.RevokeMS, settings.Bounds.GraceS = leaseMS, revokeMS, graceS
+	m.callers, m.ready = settings.CallerListen, settings.ReadyListen
+	data, err := json.Marshal(settings)
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/standin/userplatform/engine.go
+++ b/standin/userplatform/engine.go
@@ -24,6 +24,8 @@
 	LoadTime time.Duration
 	// Models are loaded, with their adapters.
 	Models map[string][]string
+	// Batch says how requests run beside each other.
+	Batch Batch
 
 	upstream *Upstream
 	mu       sync.Mutex
@@ -32,6 +34,7 @@
 	holders  []string
 	overfull bool
 	lose     int // orders whose answer is lost
+	batch    batch
 }
 
 type order struct {
@@ -132,6 +135,15 @@
 		return
 	}
 	status, lost := e.accept(o)
+	e.count(func(w *Work) {
+		w.Orders++
+		if status >= http.StatusBadRequest {
+			w.Refused++
+		}
+		if status == http.StatusAccepted && o.Operation == "load" && o.Adapter == "" {
+			w.Loads++
+		}
+	})
 	if lost {
 		hijack(w, "")
 		return
@@ -204,9 +216,18 @@
 	if err != nil {
 		last = 0
 	}
+	p := readPrompt(r.Header)
+	release := e.batch.reserve(r.Context(), e.Batch, p.in+p.out)
+	if release == nil {
+		return
+	}
+	defer release()
+	if !duration.Sleep(r.Context(), e.batch.read(e.Batch, p)) {
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
-	events, work := e.upstream.pace()
+	events, work := e.upstream.Pace()
 	if fault == EmptyStream {
 		return
 	}
@@ -217,7 +238,8 @@
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", id, id)
-		if control.Flush() != nil || !duration.Sleep(r.Context(), work) {
+		beside := float64(e.upstream.Running() - 1)
+		if control.Flush() != nil || !duration.Sleep(r.Context(), time.Duration(float64(work)*(1+e.Batch.Slowdown*beside))) {
 			return
 		}
 	}
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -1,6 +1,7 @@
 package userplatform
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,12 +12,16 @@
 	"github.com/hibiscusyard/hibiscusyard/duration"
 )
 
+// ReadyPath is what the platform asks an instance for to see whether it is ready.
+const ReadyPath = "/readiness"
+
 // Headers of the platform as the stand-in speaks them.
 const (
 	HeaderID       = "X-Hibiscusyard-Request-Id"
 	HeaderDeadline = "X-Hibiscusyard-Request-Deadline"
 	HeaderModel    = "X-Hibiscusyard-Model"
 	HeaderTokens   = "X-Hibiscusyard-Token-Count"
+	HeaderPrefix   = "X-Hibiscusyard-Prompt-Prefix"
 	HeaderTenant   = "X-Hibiscusyard-Tenant"
 	HeaderUpstream = "X-Hibiscusyard-Expected-Instance"
 	HeaderNotRun   = "X-Hibiscusyard-Not-Executed"
@@ -72,6 +77,7 @@
 	state    string
 	faults   []Fault // of the next requests
 	arrivals []Arrival
+	opened   int // connections
 }
 
 // Start binds the upstream to a loopback port and registers it.
@@ -84,14 +90,55 @@
 	if u.Engine != nil {
 		u.Engine.upstream = u
 	}
-	u.server = &http.Server{Handler: u}
+	u.server = &http.Server{Handler: u, ConnState: u.count}
 	go u.server.Serve(listener) //nolint:errcheck // ends with Close.
 	return u.Register()
 }
 
+func (u *Upstream) count(_ net.Conn, state http.ConnState) {
+	if state == http.StateNew {
+		u.mu.Lock()
+		u.opened++
+		u.mu.Unlock()
+	}
+}
+
+// Opened returns the number of connections that were opened to the upstream.
+func (u *Upstream) Opened() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.opened
+}
+
+// Running returns the requests that run now.
+func (u *Upstream) Running() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.running
+}
+
 // Close ends the upstream like a crash: its entry stays.
 func (u *Upstream) Close() { u.server.Close() }
 
+// Outage makes the upstream crash and, after a time, start again at the same
+// address with what it had loaded.
+func (u *Upstream) Outage(ctx context.Context, length time.Duration) error {
+	address := u.Address()
+	u.server.Close()
+	duration.Sleep(ctx, length)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	u.born, u.beats = time.Now().UnixMilli(), 0
+	u.listener = listener
+	u.mu.Unlock()
+	u.server = &http.Server{Handler: u, ConnState: u.count}
+	go u.server.Serve(listener) //nolint:errcheck // ends with Close.
+	return u.Register()
+}
+
 // Address returns where the upstream listens.
 func (u *Upstream) Address() string { return u.listener.Addr().String() }
 
@@ -132,7 +179,8 @@
 	u.Events, u.Work = events, work
 }
 
-func (u *Upstream) pace() (events int, work time.Duration) {
+// Pace returns what SetPace sets.
+func (u *Upstream) Pace() (events int, work time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.Events, u.Work
@@ -212,7 +260,7 @@
 
 // run answers a request that runs.
 func (u *Upstream) run(w http.ResponseWriter, r *http.Request, fault Fault) {
-	if _, work := u.pace(); !duration.Sleep(r.Context(), work) {
+	if _, work := u.Pace(); !duration.Sleep(r.Context(), work) {
 		return
 	}
 	switch fault {
