Name the line of each error in settings, and share one strict decoder

Cause: two strict JSON decoders, one of them with lines; errors of checked fields named the field only and came in random order. Change: package strictjson decodes, finds the line of each field, and collects problems in the order of lines; catalogue, settings of both daemons, command line and stand-ins use it.

--- a/admin/api.go
+++ b/admin/api.go
@@ -21,6 +21,7 @@
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/controller/catalogsync"
 	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 const maxDocument = 8 << 20
@@ -161,11 +162,11 @@
 	}
 	if table == "routes" {
 		var doc RoutesDocument
-		err = catalog.Decode(data, &doc)
+		err = strictjson.Decode(data, &doc)
 		return func(c *catalog.Catalog) { c.Routes = doc.Routes }, err
 	}
 	var doc PoolsDocument
-	err = catalog.Decode(data, &doc)
+	err = strictjson.Decode(data, &doc)
 	return func(c *catalog.Catalog) { c.Pools = doc.Pools }, err
 }
 
--- a/catalog/load.go
+++ b/catalog/load.go
@@ -1,14 +1,10 @@
 package catalog
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 // Defaults of routes, pools and their entries.
@@ -24,24 +20,10 @@
 	DefaultWaitCost      = 20.0
 )
 
-// Decode reads one JSON document strictly: unknown fields and trailing data
-// are errors.
-func Decode(data []byte, into any) error {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(into); err != nil {
-		return fmt.Errorf("decode: %w", err)
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("decode: data after the end of the document")
-	}
-	return nil
-}
-
 // Load decodes a catalogue, fills in defaults and validates it.
 func Load(data []byte) (*Catalog, error) {
 	c := &Catalog{}
-	if err := Decode(data, c); err != nil {
+	if err := strictjson.Decode(data, c); err != nil {
 		return nil, err
 	}
 	c.ApplyDefaults()
--- a/command/command.go
+++ b/command/command.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/cli"
 	"github.com/hibiscusyard/hibiscusyard/settings"
+	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 type streams struct{ out, err io.Writer }
@@ -158,7 +159,7 @@
 	if err != nil {
 		return oops.In("command").Wrap(err)
 	}
-	if err := catalog.Decode(data, into); err != nil {
+	if err := strictjson.Decode(data, into); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	return nil
--- a/command/tables.go
+++ b/command/tables.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscusyard/hibiscusyard/admin"
 	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/cli"
+	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 // tokenVariable holds the administration token, so that it does not stand on
@@ -177,13 +178,13 @@
 	var c catalog.Catalog
 	if table == "routes" {
 		var doc admin.RoutesDocument
-		if err := catalog.Decode(document, &doc); err != nil {
+		if err := strictjson.Decode(document, &doc); err != nil {
 			return nil, err
 		}
 		c.Routes = doc.Routes
 	} else {
 		var doc admin.PoolsDocument
-		if err := catalog.Decode(document, &doc); err != nil {
+		if err := strictjson.Decode(document, &doc); err != nil {
 			return nil, err
 		}
 		c.Pools = doc.Pools
--- a/node/settings.go
+++ b/node/settings.go
@@ -1,16 +1,13 @@
 package node
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"net/netip"
 	"os"
-	"regexp"
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 // Settings configures one instance on the users' platform. The platform fills
@@ -99,44 +96,18 @@
 // ParseSettings decodes and checks settings. All errors are reported at once.
 func ParseSettings(data []byte) (Settings, error) {
 	s := Settings{LogLevel: "info", StoreParallel: 4}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		return s, fmt.Errorf("line %d: %w", errorLine(data, decoder, err), err)
-	}
-	return s, s.validate()
-}
-
-// unknownField finds the name in encoding/json's error about a field that the
-// settings do not have; the error has no type and no offset.
-var unknownField = regexp.MustCompile(`unknown field ("(?:[^"\\]|\\.)*")`)
-
-// errorLine returns the line of a decoding error.
-func errorLine(data []byte, decoder *json.Decoder, err error) int {
-	offset := int(decoder.InputOffset())
-	var wrongType *json.UnmarshalTypeError
-	var syntax *json.SyntaxError
-	switch {
-	case errors.As(err, &wrongType):
-		offset = int(wrongType.Offset)
-	case errors.As(err, &syntax):
-		offset = int(syntax.Offset)
-	default:
-		if match := unknownField.FindSubmatch([]byte(err.Error())); match != nil {
-			offset = max(bytes.Index(data, match[1]), 0)
-		}
+	if err := strictjson.Decode(data, &s); err != nil {
+		return s, err
 	}
-	return 1 + bytes.Count(data[:min(offset, len(data))], []byte("\n"))
+	c := strictjson.NewChecker(data)
+	s.check(c)
+	return s, c.Err()
 }
 
-func (s *Settings) validate() error {
-	var problems []error
-	report := func(field, format string, args ...any) {
-		problems = append(problems, fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...)))
-	}
+func (s *Settings) check(c *strictjson.Checker) {
 	for field, value := range map[string]string{"instance": s.Instance, "data_centre": s.DataCentre} {
 		if value == "" {
-			report(field, "must be set")
+			c.Fail(field, "must be set")
 		}
 	}
 	for field, value := range map[string]string{
@@ -144,16 +115,16 @@
 		"metrics_listen": s.MetricsListen, "store": s.Store,
 	} {
 		if _, err := netip.ParseAddrPort(value); err != nil {
-			report(field, "must be an IP address with a port, not %q", value)
+			c.Fail(field, "must be an IP address with a port, not %q", value)
 		}
 	}
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
-		report("log_level", "unknown level %q", s.LogLevel)
+		c.Fail("log_level", "unknown level %q", s.LogLevel)
 	}
 	if s.StoreParallel < 1 {
-		report("store_parallel", "must be at least 1")
+		c.Fail("store_parallel", "must be at least 1")
 	}
 	for field, value := range map[string]float64{
 		"memory_mb": s.MemoryMB, "cpu_share": s.CPUShare, "link_mbps": s.LinkMbps, "bounds.revoke_ms": s.Bounds.RevokeMS, "bounds.grace_s": s.Bounds.GraceS,
@@ -162,7 +133,7 @@
 		"bounds.quota_window_s": s.Bounds.QuotaWindowS,
 	} {
 		if !(value > 0) {
-			report(field, "must be above 0")
+			c.Fail(field, "must be above 0")
 		}
 	}
 	for field, value := range map[string]float64{
@@ -170,8 +141,7 @@
 		"bounds.quota_overage": s.Bounds.QuotaOverage, "bounds.quota_slack": s.Bounds.QuotaSlack,
 	} {
 		if !(value >= 0) {
-			report(field, "must not be negative")
+			c.Fail(field, "must not be negative")
 		}
 	}
-	return errors.Join(problems...)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,8 +8,8 @@
 
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 // Settings configures one instance. Addresses are IP addresses with a port.
@@ -104,7 +104,7 @@
 // Load decodes settings strictly over the defaults and validates them.
 func Load(data []byte) (*Settings, error) {
 	s := Default()
-	if err := catalog.Decode(data, &s); err != nil {
+	if err := strictjson.Decode(data, &s); err != nil {
 		return nil, oops.In("settings").Wrap(err)
 	}
 	if err := s.Validate(); err != nil {
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -16,7 +16,6 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/cli"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/engine"
@@ -24,6 +23,7 @@
 	"github.com/hibiscusyard/hibiscusyard/standin/objects"
 	"github.com/hibiscusyard/hibiscusyard/standin/service"
 	"github.com/hibiscusyard/hibiscusyard/standin/table"
+	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 // common are the flags of every subcommand.
@@ -183,7 +183,7 @@
 
 func prepare(cmd subcommand) (http.Handler, error) {
 	var f standin.Faults
-	if err := catalog.Decode([]byte(cmd.options().Faults), &f); err != nil {
+	if err := strictjson.Decode([]byte(cmd.options().Faults), &f); err != nil {
 		return nil, fmt.Errorf("--faults: %w", err)
 	}
 	handler, err := cmd.build()
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"sync"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 // Kinds of outages.
@@ -94,7 +94,7 @@
 	if replace {
 		changed = Faults{}
 	}
-	if err := catalog.Decode(data, &changed); err != nil {
+	if err := strictjson.Decode(data, &changed); err != nil {
 		return s.faults, err
 	}
 	s.faults = changed
--- a/standin/instances/instances.go
+++ b/standin/instances/instances.go
@@ -14,8 +14,8 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/standin"
+	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 const (
@@ -134,7 +134,7 @@
 	data, err := io.ReadAll(r.Body)
 	var reg Registration
 	if err == nil {
-		err = catalog.Decode(data, &reg)
+		err = strictjson.Decode(data, &reg)
 	}
 	if err != nil || reg.ID == "" {
 		http.Error(w, "a registration with an id is required", http.StatusBadRequest)
