Correct an engine's number of orders when it was taken too high

A late report had brought an unloaded adapter back into the ledger; its second unload was answered "already so", which does not advance the engine's number of orders, but was counted. Change: a report asked more than its lag after the last order that may have been accepted sets the number; adapters that were just unloaded are not taken from late lists.

--- a/residency/adapter.go
+++ b/residency/adapter.go
@@ -57,9 +57,19 @@
 
 // place takes a place for an adapter that is ordered now.
 func (r *resident) place(now bootclock.Time, id string) {
+	delete(r.gone, id)
 	r.adapters[id] = &adapter{used: now, ordered: now}
 }
 
+// unload notes that an adapter has gone.
+func (r *resident) unload(now bootclock.Time, id string) {
+	delete(r.adapters, id)
+	if r.gone == nil {
+		r.gone = map[string]bootclock.Time{}
+	}
+	r.gone[id] = now
+}
+
 // adapterOrder makes a place for the adapter or orders it.
 func (h *host) adapterOrder(now bootclock.Time, model, adapter string) AdapterStep {
 	m := h.engine.Models[model]
@@ -101,6 +111,9 @@
 		return
 	}
 	r := h.models[o.Model]
+	if mayAdvance(outcome) {
+		h.advanced = now
+	}
 	if outcome == Accepted && o.Unload {
 		// It is in use: its place stays taken until a report shows it gone, and
 		// the upstream takes no other order meanwhile.
@@ -115,7 +128,7 @@
 			h.sequence = max(h.sequence, o.Sequence+1)
 		}
 		if r != nil && o.Unload {
-			delete(r.adapters, o.Adapter)
+			r.unload(now, o.Adapter)
 		}
 		if outcome == Holds && !o.Unload {
 			h.unsure = true
@@ -136,7 +149,7 @@
 
 // leaving ends the unload of an adapter that was in use once a report does not
 // list the adapter any more.
-func (h *host) leaving(r Report) {
+func (h *host) leaving(now bootclock.Time, r Report) {
 	p := h.adapter
 	if p == nil || !p.accepted {
 		return
@@ -147,7 +160,7 @@
 		}
 	}
 	if m := h.models[p.order.Model]; m != nil {
-		delete(m.adapters, p.order.Adapter)
+		m.unload(now, p.order.Adapter)
 	}
 	h.adapter = nil
 }
--- a/residency/host.go
+++ b/residency/host.go
@@ -15,6 +15,9 @@
 // resident is a model that an upstream serves.
 type resident struct {
 	adapters map[string]*adapter
+	// gone are the adapters that were unloaded, and when: an upstream's late word
+	// may still list them.
+	gone     map[string]bootclock.Time
 	used     bootclock.Time
 	loaded   bootclock.Time // when it was first seen
 	retiring bool           // the instances have been told that it goes
@@ -43,6 +46,8 @@
 	memory   []string
 	disk     []string
 	sequence int64
+	// advanced is when an order may have been accepted last.
+	advanced bootclock.Time
 	order    *pending // of a model
 	adapter  *pending // of an adapter
 	unsure   bool     // a report is needed before the next order
@@ -81,7 +86,7 @@
 		for _, a := range adapters {
 			a = adapterName(a)
 			listed[a] = true
-			if r.adapters[a] == nil {
+			if unloaded := r.gone[a]; r.adapters[a] == nil && (unloaded == 0 || now.Sub(unloaded) > adapterLag) {
 				r.adapters[a] = &adapter{}
 			}
 		}
@@ -128,9 +133,9 @@
 		}
 	}
 	h.unsure = false
-	h.sequence = max(h.sequence, r.Sequence)
-	h.leaving(r)
+	h.leaving(now, r)
 	h.settle(now, r.Models)
+	h.count(asked, r)
 	if r.Busy && h.order == nil {
 		// An order that this instance does not know is under way.
 		h.after = now.Add(retryAfter)
@@ -144,6 +149,18 @@
 	}
 }
 
+// count takes over the number of orders that an upstream says it has accepted.
+// Its word is late, so that it can't lower the number right after an order. But
+// the number may have been taken too high: the unload of an adapter is answered
+// alike whether it advances the number or there was nothing to unload.
+func (h *host) count(asked bootclock.Time, r Report) {
+	if asked.Sub(h.advanced) > reportLag && h.order == nil {
+		h.sequence = r.Sequence
+		return
+	}
+	h.sequence = max(h.sequence, r.Sequence)
+}
+
 // settle compares what an upstream says it serves with the order under way.
 func (h *host) settle(now bootclock.Time, models map[string][]string) {
 	if p := h.order; p != nil {
--- a/residency/order.go
+++ b/residency/order.go
@@ -56,6 +56,9 @@
 	return [...]string{"unknown", "not_sent", "accepted", "holds", "conflict", "fenced", "gone", "refused"}[o]
 }
 
+// mayAdvance reports whether an order with the outcome may have been accepted.
+func mayAdvance(o Outcome) bool { return o == Unknown || o == Accepted || o == Holds }
+
 // Report is the state that an upstream tells when it is asked.
 type Report struct {
 	Models   map[string][]string
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -186,6 +186,9 @@
 	if h.order == nil || h.order.order != o {
 		return
 	}
+	if mayAdvance(outcome) {
+		h.advanced = now
+	}
 	switch outcome {
 	case Accepted:
 		h.order.accepted = true
--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -126,6 +126,8 @@
 	switch {
 	case o.Adapter != "" && !loaded:
 		return Gone
+	case o.Adapter != "" && o.Unload && !slices.Contains(adapters, o.Adapter):
+		return Holds
 	case o.Adapter != "" && o.Unload:
 		u.sequence++
 		u.models[o.Model] = slices.DeleteFunc(adapters, func(a string) bool { return a == o.Adapter })
