Keep the memory bound when an unload was ambiguous

Change: adapters that the engine surely holds are told from those that only a possibly late list names. The unload of one of the latter leaves the number in doubt until a report from after it; only sure unloads hide late lists.

--- a/residency/adapter.go
+++ b/residency/adapter.go
@@ -127,12 +127,7 @@
 		if outcome == Accepted || o.Unload {
 			h.sequence = max(h.sequence, o.Sequence+1)
 		}
-		if r != nil && o.Unload {
-			r.unload(now, o.Adapter)
-		}
-		if outcome == Holds && !o.Unload {
-			h.unsure = true
-		}
+		h.adapterDone(now, o, outcome)
 	case NotSent, Conflict, Refused, Fenced:
 		if r != nil && !o.Unload {
 			delete(r.adapters, o.Adapter)
@@ -141,12 +136,36 @@
 		h.unsure = true
 		h.asked = 0
 	default: // it may be carried out later: its place stays taken for a while
+		if r != nil && r.adapters[o.Adapter] != nil {
+			r.adapters[o.Adapter].certain = false
+		}
 		h.unsure = true
 		h.asked = 0
 	}
 	h.adapter = nil
 }
 
+// adapterDone takes over that an order for an adapter was carried out, or held
+// already. An upstream answers the unload of what it does not hold like one
+// that it carries out, but does not count it.
+func (h *host) adapterDone(now bootclock.Time, o Order, outcome Outcome) {
+	r := h.models[o.Model]
+	if r == nil || r.adapters[o.Adapter] == nil {
+		h.unsure, h.doubtful = true, true
+		return
+	}
+	switch {
+	case o.Unload && r.adapters[o.Adapter].certain:
+		r.unload(now, o.Adapter)
+	case o.Unload:
+		delete(r.adapters, o.Adapter)
+		h.unsure, h.doubtful = true, true
+	default:
+		r.adapters[o.Adapter].certain = true
+		h.unsure = h.unsure || outcome == Holds
+	}
+}
+
 // leaving ends the unload of an adapter that was in use once a report does not
 // list the adapter any more.
 func (h *host) leaving(now bootclock.Time, r Report) {
--- a/residency/host.go
+++ b/residency/host.go
@@ -28,6 +28,9 @@
 type adapter struct {
 	used    bootclock.Time
 	ordered bootclock.Time // 0 if this instance did not order it
+	// certain says that the upstream surely holds it. Others were listed by a
+	// word of the upstream that may be from before their unload.
+	certain bool
 }
 
 // pending is an order that has been sent and has not come to its end.
@@ -51,6 +54,9 @@
 	order    *pending // of a model
 	adapter  *pending // of an adapter
 	unsure   bool     // a report is needed before the next order
+	// doubtful says that the number of accepted orders may be one too high, so
+	// that only a report from after the last order ends being unsure.
+	doubtful bool
 	asked    bootclock.Time
 	after    bootclock.Time // no order before then
 	// coming are the times of the last orders of adapters.
@@ -132,10 +138,14 @@
 			h.drop(now)
 		}
 	}
-	h.unsure = false
+	late := asked.Sub(h.advanced) <= reportLag
+	h.unsure = h.doubtful && late
 	h.leaving(now, r)
 	h.settle(now, r.Models)
-	h.count(asked, r)
+	h.count(late, r)
+	if !late {
+		h.confirm(r)
+	}
 	if r.Busy && h.order == nil {
 		// An order that this instance does not know is under way.
 		h.after = now.Add(retryAfter)
@@ -153,12 +163,28 @@
 // Its word is late, so that it can't lower the number right after an order. But
 // the number may have been taken too high: the unload of an adapter is answered
 // alike whether it advances the number or there was nothing to unload.
-func (h *host) count(asked bootclock.Time, r Report) {
-	if asked.Sub(h.advanced) > reportLag && h.order == nil {
-		h.sequence = r.Sequence
+func (h *host) count(late bool, r Report) {
+	if late || h.order != nil {
+		h.sequence = max(h.sequence, r.Sequence)
 		return
 	}
-	h.sequence = max(h.sequence, r.Sequence)
+	h.sequence, h.doubtful = r.Sequence, false
+}
+
+// confirm notes which adapters an upstream surely holds, by a report from after
+// the last order.
+func (h *host) confirm(r Report) {
+	for name, adapters := range r.Models {
+		m := h.models[name]
+		if m == nil {
+			continue
+		}
+		for _, id := range adapters {
+			if a := m.adapters[adapterName(id)]; a != nil {
+				a.certain = true
+			}
+		}
+	}
 }
 
 // settle compares what an upstream says it serves with the order under way.
