--- a/development/platform_test.go
+++ b/development/platform_test.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/hibiscusyard/hibiscusyard/development"
+	"github.com/hibiscusyard/hibiscusyard/emulator"
 )
 
 // Guards the newcomer's first answer on the stand-in of the users' platform.
@@ -28,8 +29,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Host = "rota.example"
-	r.Header.Set("Authorization", "Token "+development.PlatformKey)
+	r.Host = emulator.Host
+	r.Header.Set("Authorization", "Token "+emulator.Key("committee"))
 	r.Header.Set("X-Hibiscusyard-Request-Id", "first")
 	answer, err := http.DefaultClient.Do(r)
 	if err != nil {
--- /dev/null
+++ b/emulator/emulator_test.go
@@ -0,0 +1,132 @@
+package emulator
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/cli"
+	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
+)
+
+func scenario(t *testing.T, name string) *Scenario {
+	t.Helper()
+	s, err := LoadScenario(filepath.Join("scenarios", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards comparisons of two runs: the same seed gives the same plan, another
+// seed another one, and a burst multiplies the arrivals of its kind only.
+func TestSameSeedGivesSamePlan(t *testing.T) {
+	s := scenario(t, "festival.json")
+	one := NewPlan(s, 7)
+	if again := NewPlan(scenario(t, "festival.json"), 7); again.Digest() != one.Digest() {
+		t.Errorf("plans %s and %s of one seed", one.Digest(), again.Digest())
+	}
+	if other := NewPlan(s, 8); other.Digest() == one.Digest() {
+		t.Error("two seeds gave the same plan")
+	}
+	during, before, lookups := 0, 0, 0
+	for _, a := range one.Arrivals {
+		second := int(a.At / time.Second)
+		switch {
+		case s.Kinds[a.Kind].Name == "lookups" && second >= 8 && second < 13:
+			lookups++
+		case s.Kinds[a.Kind].Name == "notices" && second >= 8 && second < 13:
+			during++
+		case s.Kinds[a.Kind].Name == "notices" && second >= 2 && second < 7:
+			before++
+		}
+	}
+	if during < 2*before || during > 3*before || lookups < 160 || lookups > 240 {
+		t.Errorf("%d notices in the burst, %d before it, %d lookups of about 200", during, before, lookups)
+	}
+}
+
+// Guards against a scenario that is wrong and played nevertheless, and against
+// errors told one by one.
+func TestScenarioErrors(t *testing.T) {
+	data, err := os.ReadFile("scenarios/festival.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	wrong := strings.NewReplacer(`"service": "rota", "type": "safe"`, `"service": "rotas", "type": "safe"`,
+		`"target": "engine-2"`, `"target": "engine-9"`, `"kind": "store_outage"`, `"kind": "earthquake"`,
+		`"name": "archive", "rate": 3000`, `"name": "archive", "rate": 0`).Replace(string(data))
+	_, err = ParseScenario([]byte(wrong))
+	if err == nil {
+		t.Fatal("a wrong scenario was accepted")
+	}
+	for _, want := range []string{
+		`line 19: kinds[1].service: no service is named "rotas"`, `line 26: faults[0].target: no upstream is named "engine-9"`,
+		"line 28: faults[2].kind: must be one of ", "line 14: workspaces[2]: rate, burst and share must be above 0",
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is missing in\n%v", want, err)
+		}
+	}
+}
+
+// Guards the tool as a whole: a short scenario with faults is played, callers
+// are served, and the report with its plots is written.
+func TestRunWritesReport(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "short.json")
+	text := strings.NewReplacer(`"duration": "10s"`, `"duration": "2s", "faults": [{"at": "500ms", "kind": "upstream_reset", "target": "rota-1", "count": 3},
+		{"at": "700ms", "for": "300ms", "kind": "upstream_crash", "target": "rota-2"}, {"at": "1s", "kind": "instance_replaced"},
+		{"at": "1s", "for": "300ms", "kind": "store_outage"}]`).Replace(string(sampleScenario))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, failures bytes.Buffer
+	if code := Main([]string{"run", "--seed", "3", "--out", filepath.Join(folder, "report"), path}, &out, &failures); code != cli.Done {
+		t.Fatalf("exit code %d: %s", code, failures.String())
+	}
+	for name, want := range map[string]string{
+		"report.json": `"scenario": "sample"`, "report.md": "| drafts |", "outcomes.svg": "<svg", "latency.svg": "<svg",
+		"histogram.svg": "<svg", "instances.log": `"message":"upstream chosen"`,
+	} {
+		data, err := os.ReadFile(filepath.Join(folder, "report", name))
+		if err != nil || !strings.Contains(string(data), want) {
+			t.Errorf("%s lacks %q (%v)", name, want, err)
+		}
+	}
+	if !strings.Contains(out.String(), "of ") || !strings.Contains(out.String(), "running") {
+		t.Errorf("no progress in %q", out.String())
+	}
+}
+
+// Guards the figures of the report against results counted twice or not at all.
+func TestReportCounts(t *testing.T) {
+	s := scenario(t, "sample.json")
+	p := &Plan{Arrivals: make([]Arrival, 4)}
+	for i := range p.Arrivals {
+		p.Arrivals[i] = Arrival{Kind: 1, At: time.Duration(i) * time.Second}
+	}
+	r := NewReport(s, p, []Result{
+		{Arrival: &p.Arrivals[0], Outcome: Served, First: 20 * time.Millisecond},
+		{Arrival: &p.Arrivals[1], Outcome: Late, First: 200 * time.Millisecond},
+		{Arrival: &p.Arrivals[2], Outcome: Refused, Code: "queue_full", Repeated: true},
+		{Arrival: &p.Arrivals[3], Outcome: Failed, Code: "answer_cut"},
+	}, userplatform.Work{}, nil)
+	k := r.Kinds[1]
+	if k.Requests != 4 || k.Served != 1 || k.Late != 1 || k.Refused != 1 || k.Failed != 1 || k.Repeated != 1 {
+		t.Errorf("counted %+v", k)
+	}
+	if k.Worth < 0.32 || k.Worth > 0.33 || r.Worth != k.Worth {
+		t.Errorf("worth %.3f and %.3f, want 1.3 of 4", k.Worth, r.Worth)
+	}
+	total := int64(0)
+	for _, b := range k.Histogram {
+		total += b.Count
+	}
+	if total != 2 || r.Codes["queue_full"] != 1 || r.Seconds[3].Failed != 1 || r.Workspaces[0].Served != 2 {
+		t.Errorf("report %+v", r)
+	}
+}
--- a/standin/userplatform/engine.go
+++ b/standin/userplatform/engine.go
@@ -167,6 +167,8 @@
 	switch {
 	case o.Adapter != "" && !loaded:
 		return http.StatusMisdirectedRequest, lost
+	case o.Adapter != "" && (o.Operation == "load") == slices.Contains(adapters, o.Adapter):
+		return http.StatusOK, lost // nothing to do, and not counted
 	case o.Adapter != "":
 		e.sequence++
 		if o.Operation == "unload" {
