Leave a reserve of tokens to the next leader

Cause: a new leader began with empty buckets unless the one before had handed its levels over, since that one may have granted a whole burst in its last moment. Change: each renewal writes for each workspace a level below which the holder does not go until a later renewal is in force (half of what it has, less where a request needs more); the next holder begins with it. A release leaves the whole levels. Grants with a wait end with the lease.

--- a/coordinator/contend.go
+++ b/coordinator/contend.go
@@ -38,7 +38,11 @@
 // release gives the lease up, so that another instance need not wait for its end.
 func (c *Coordinator) release() {
 	c.mu.Lock()
-	change, ok := c.lease.Release(bootclock.Now())
+	var levels map[string]float64
+	if c.central != nil {
+		levels = c.central.Levels(bootclock.Now())
+	}
+	change, ok := c.lease.Release(bootclock.Now(), levels)
 	token := c.lease.Token()
 	c.stepDown("released")
 	c.mu.Unlock()
@@ -151,7 +155,11 @@
 	}
 	sent := bootclock.Now()
 	c.mu.Lock()
-	change, ok := c.lease.Propose(sent)
+	var reserves map[string]float64
+	if c.central != nil && c.lease.Mine() {
+		reserves = c.central.Reserve(sent)
+	}
+	change, ok := c.lease.Propose(sent, reserves)
 	if ok && !c.lease.Mine() && c.config.Weak {
 		if c.freeSince == 0 {
 			c.freeSince = sent
@@ -171,7 +179,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lease.Written(sent, bootclock.Now(), page, err)
-	if err != nil {
+	switch {
+	case err != nil:
 		c.config.Log.WithError(err).Info("lease not written")
+	case c.central != nil && reserves != nil:
+		c.central.Reserved()
 	}
 }
--- a/coordinator/duties.go
+++ b/coordinator/duties.go
@@ -98,7 +98,9 @@
 	if !c.leading || c.seen == nil || !c.lease.Held(now) {
 		return takeAnswer{}, errNotLeading
 	}
-	granted, after := c.central.Take(now, q.Workspace, q.Tokens, q.Patience)
+	// A grant for later than the lease would count beside those of the next holder.
+	patience := min(q.Patience, c.lease.until.Sub(now))
+	granted, after := c.central.Take(now, q.Workspace, q.Tokens, patience)
 	return takeAnswer{Granted: granted, After: after}, nil
 }
 
--- a/coordinator/duties_test.go
+++ b/coordinator/duties_test.go
@@ -53,7 +53,7 @@
 	s, start := &rowStore{}, bootclock.Time(time.Hour)
 	a, b := NewLease("a", "a1", "1.1.1.1:1", gap), NewLease("b", "b1", "2.2.2.2:1", gap)
 	take(t, a, s, start)
-	change, ok := a.Release(start)
+	change, ok := a.Release(start, nil)
 	if !ok {
 		t.Fatal("nothing to release")
 	}
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -66,14 +66,17 @@
 	c.leading, c.since = true, now
 	c.planner = residency.NewPlanner(c.config.StoreParallel)
 	c.central = quota.NewCentral(c.config.Bounds, c.lease.FirstEver())
+	levels := c.lease.Inherited()
 	if c.levels != nil && c.levelsToken+1 == c.lease.Token() {
-		c.central.Restore(c.levels)
+		levels = c.levels
 	}
+	record, _ := c.lease.Record()
+	c.central.Restore(levels, record.Reserves)
 	c.levels = nil
 	c.pushed, c.seen, c.beats, c.peers, c.readySent = nil, nil, map[string]beat{}, nil, nil
 	c.told = map[string]*told{}
 	c.announce = c.client.peerAddresses()
-	c.config.Log.WithFields(log.Fields{"token": c.lease.Token(), "orders_in_ms": max(c.lease.ordersAt.Sub(now).Milliseconds(), 0)}).Info("leadership taken")
+	c.config.Log.WithFields(log.Fields{"token": c.lease.Token(), "reserves": len(levels), "orders_in_ms": max(c.lease.ordersAt.Sub(now).Milliseconds(), 0)}).Info("leadership taken")
 }
 
 func limits(config *fleet.Config) []quota.CentralLimit {
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/bootclock"
@@ -35,6 +36,10 @@
 	takeoverSlack = 300 * time.Millisecond
 )
 
+// inheritedShare is the part of what it inherits that a new holder leaves to the
+// next one until its first renewal.
+const inheritedShare = 0.5
+
 // Record is the value of the lease row.
 type Record struct {
 	Holder  string `json:"holder"`
@@ -45,6 +50,9 @@
 	// whether the lease has ended.
 	Expires time.Duration `json:"expires_ns"`
 	Nonce   uint64        `json:"nonce"`
+	// Reserves are the tokens of each workspace that the holder leaves to the next
+	// one if it is lost.
+	Reserves map[string]float64 `json:"reserves,omitempty"`
 }
 
 // Lease is one contender's state machine. It does no I/O and reads no clock.
@@ -66,6 +74,8 @@
 	firstEver bool
 	nonce     uint64
 	handed    uint64 // token of a term whose holder has offered the lease
+	// inherited are the reserves of the holder before this one.
+	inherited map[string]float64
 }
 
 // NewLease returns a contender that holds nothing.
@@ -88,6 +98,9 @@
 // FirstEver reports whether nobody held the lease before this holder.
 func (l *Lease) FirstEver() bool { return l.firstEver }
 
+// Inherited returns the tokens that the holder before has left at least.
+func (l *Lease) Inherited() map[string]float64 { return l.inherited }
+
 // Mine reports whether the row names this run.
 func (l *Lease) Mine() bool { return l.known && l.record.Holder == l.holder && l.record.Boot == l.boot }
 
@@ -170,15 +183,21 @@
 }
 
 // Propose returns the write that takes or renews the lease, and whether there
-// is one to send now.
-func (l *Lease) Propose(now bootclock.Time) (ports.Change, bool) {
+// is one to send now. A renewal carries the holder's reserves; a new holder
+// begins with those of the one before and leaves a part of them.
+func (l *Lease) Propose(now bootclock.Time, reserves map[string]float64) (ports.Change, bool) {
 	if l.Unsettled() || l.clock == 0 || (!l.Mine() && !l.free(now)) {
 		return ports.Change{}, false
 	}
 	next := l.record
 	if !l.Mine() {
 		next = Record{Holder: l.holder, Boot: l.boot, Address: l.address, Token: l.record.Token + 1}
+		reserves = make(map[string]float64, len(l.record.Reserves))
+		for name, level := range l.record.Reserves {
+			reserves[name] = math.Floor(level * inheritedShare)
+		}
 	}
+	next.Reserves = reserves
 	l.nonce++
 	next.Nonce = l.nonce
 	next.Expires = l.clock + now.Sub(l.received) + leaseTerm
@@ -188,15 +207,16 @@
 // Withdraw takes back a write that was proposed and not sent.
 func (l *Lease) Withdraw() { l.open = nil }
 
-// Release returns the write that gives the lease up.
-func (l *Lease) Release(now bootclock.Time) (ports.Change, bool) {
+// Release returns the write that gives the lease up, with what the holder
+// leaves to the next one.
+func (l *Lease) Release(now bootclock.Time, levels map[string]float64) (ports.Change, bool) {
 	if !l.Mine() || l.Unsettled() {
 		return ports.Change{}, false
 	}
 	l.until = 0
 	next := l.record
 	l.nonce++
-	next.Nonce, next.Expires = l.nonce, 0
+	next.Nonce, next.Expires, next.Reserves = l.nonce, 0, levels
 	return l.write(next), true
 }
 
@@ -229,7 +249,7 @@
 	if !l.Mine() {
 		other := l.version > 0 && l.record.Holder != l.holder
 		l.firstEver = l.version == 0
-		l.ordersAt = 0
+		l.ordersAt, l.inherited = 0, l.record.Reserves
 		if other {
 			l.ordersAt = l.received.Add(l.quiet)
 		}
--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -47,7 +47,7 @@
 func take(t *testing.T, l *Lease, s *rowStore, now bootclock.Time) bool {
 	t.Helper()
 	read(t, l, s, now)
-	change, ok := l.Propose(now)
+	change, ok := l.Propose(now, nil)
 	if !ok {
 		return false
 	}
@@ -111,7 +111,7 @@
 			l := NewLease("a", "a1", "1.1.1.1:1", gap)
 			take(t, l, s, start)
 			later := start.Add(renewEvery)
-			change, ok := l.Propose(later)
+			change, ok := l.Propose(later, nil)
 			if !ok {
 				t.Fatal("no renewal")
 			}
@@ -121,7 +121,7 @@
 				}
 			}
 			l.Written(later, later, ports.Page{}, ports.ErrUnknown)
-			if _, ok := l.Propose(later); ok {
+			if _, ok := l.Propose(later, nil); ok {
 				t.Error("a second write while the first is open")
 			}
 			read(t, l, s, later)
@@ -173,7 +173,7 @@
 				if err := l.Seen(now, back, s.page(now)); err != nil {
 					r.Fatal(err)
 				}
-			} else if change, ok := l.Propose(now); ok {
+			} else if change, ok := l.Propose(now, nil); ok {
 				switch rapid.IntRange(0, 3).Draw(r, "fate") {
 				case 0:
 					l.Written(now, back, ports.Page{}, ports.ErrNotApplied)
@@ -198,3 +198,39 @@
 		}
 	})
 }
+
+// Guards against a new holder that begins with nothing, or with more than the
+// one before has left; and against leaving the same tokens to two successors.
+func TestReservesPassOnWithTheLease(t *testing.T) {
+	s, now := &rowStore{}, bootclock.Time(time.Hour)
+	renew := func(l *Lease, reserves map[string]float64) {
+		t.Helper()
+		read(t, l, s, now)
+		change, ok := l.Propose(now, reserves)
+		if !ok {
+			t.Fatal("no renewal")
+		}
+		page, err := s.commit(now, change)
+		l.Written(now, now, page, err)
+	}
+	a := NewLease("a", "a1", "1.1.1.1:1", gap)
+	renew(a, nil)
+	renew(a, map[string]float64{"w": 800})
+	now = now.Add(leaseTerm + time.Millisecond)
+	b := NewLease("b", "b1", "2.2.2.2:1", gap)
+	renew(b, map[string]float64{"w": 5000}) // what it would have granted before does not count
+	if record, _ := b.Record(); b.Inherited()["w"] != 800 || record.Reserves["w"] != 400 {
+		t.Errorf("the new holder begins with %v and leaves %v", b.Inherited(), record.Reserves)
+	}
+	change, ok := b.Release(now, map[string]float64{"w": 700})
+	if !ok {
+		t.Fatal("no release")
+	}
+	page, err := s.commit(now, change)
+	b.Written(now, now, page, err)
+	c := NewLease("c", "c1", "3.3.3.3:1", gap)
+	renew(c, nil)
+	if c.Inherited()["w"] != 700 {
+		t.Errorf("after a release the next holder begins with %v", c.Inherited())
+	}
+}
--- a/quota/central.go
+++ b/quota/central.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/bootclock"
@@ -41,21 +42,29 @@
 	bounds  CentralBounds
 	buckets map[string]*centralBucket
 	start   float64 // share of the burst that a new bucket holds
-	// restored are the levels that a predecessor has handed over.
-	restored map[string]float64
+	// restored are the levels that a predecessor has left, and floors those that
+	// a successor may begin with from the start.
+	restored, floors map[string]float64
 }
 
 type centralBucket struct {
 	limit CentralLimit
 	burst float64
 	level float64 // below zero while grants for later are open
+	// floor is the level that the present holder does not go below, because its
+	// successor may begin with it. proposed is the one of the last reserve, which
+	// may not be in force.
+	floor, proposed float64
+	// wanted is the largest request since the last reserve that was not granted.
+	wanted float64
 	// queued are the tokens of requests that were told to come back.
 	queued float64
 	at     bootclock.Time
 }
 
 // NewCentral returns buckets that are empty, because a holder before this one
-// may have granted the bursts a moment ago, or full if there was none.
+// may have granted the bursts a moment ago, or full if there was none. Restore
+// tells what the holder before has certainly left.
 func NewCentral(bounds CentralBounds, full bool) *Central {
 	c := &Central{bounds: bounds, buckets: map[string]*centralBucket{}}
 	if full {
@@ -75,14 +84,17 @@
 			if level, ok := c.restored[l.Workspace]; ok {
 				b.level = level
 			}
+			b.floor = c.floors[l.Workspace]
+			b.proposed = b.floor
 		} else {
 			b.refill(now)
 		}
 		b.limit, b.burst = l, burst
 		b.level = min(b.level, burst)
+		b.floor = max(0, min(b.floor, b.level))
 		kept[l.Workspace] = b
 	}
-	c.buckets = kept
+	c.buckets, c.restored, c.floors = kept, nil, nil
 }
 
 // burst returns the level up to which a bucket fills, so that what is granted
@@ -111,8 +123,46 @@
 	return levels
 }
 
-// Restore takes over the levels of a predecessor that has stopped granting.
-func (c *Central) Restore(levels map[string]float64) { c.restored = levels }
+// Restore takes over what a predecessor has left, and the floors that were
+// promised to a successor of this holder when it took over.
+func (c *Central) Restore(levels, floors map[string]float64) { c.restored, c.floors = levels, floors }
+
+const (
+	// reserveShare is the part of a level that a successor may begin with. The
+	// rest is for the time until the next reserve; the levels of workspaces that
+	// stay within their limits are near the burst.
+	reserveShare = 0.5
+	// wantedShare makes room for requests that the floor kept waiting.
+	wantedShare = 2
+	// maxReserves bounds the workspaces that a reserve names.
+	maxReserves = 64
+)
+
+// Reserve proposes the levels that a successor may begin with if this holder
+// is lost. The holder keeps to them from now on, and to those before until
+// Reserved tells that the new ones are in force.
+func (c *Central) Reserve(now bootclock.Time) map[string]float64 {
+	levels := map[string]float64{}
+	for name, b := range c.buckets {
+		b.refill(now)
+		b.proposed = 0
+		if len(levels) < maxReserves {
+			b.proposed = math.Floor(max(0, min(b.level*reserveShare, b.level-wantedShare*b.wanted)))
+		}
+		if b.proposed > 0 {
+			levels[name] = b.proposed
+		}
+		b.floor, b.wanted = max(b.floor, b.proposed), 0
+	}
+	return levels
+}
+
+// Reserved records that what Reserve proposed last is in force.
+func (c *Central) Reserved() {
+	for _, b := range c.buckets {
+		b.floor = b.proposed
+	}
+}
 
 // Take spends tokens. The grant is for use after a time that is no longer than
 // the patience; a refusal tells after which time to ask again, behind those
@@ -124,13 +174,14 @@
 		return false, time.Second
 	}
 	b.refill(now)
-	needed := min(float64(tokens), b.burst)
-	wait := b.until(needed - b.level)
+	needed, free := min(float64(tokens), b.burst), b.level-b.floor
+	wait := b.until(needed - free)
 	if wait <= min(patience, maxWait) {
 		b.level -= float64(tokens)
 		return true, wait
 	}
-	wait = b.until(needed - b.level + b.queued)
+	b.wanted = max(b.wanted, float64(tokens))
+	wait = b.until(needed - free + b.queued)
 	if wait < maxQueue {
 		b.queued += float64(tokens)
 	}
