Share the options of the three AWS clients

Change: Endpoint.config gives one aws.Config without configuration sources; each client adds what is its own. Result: tests of awsapi and of the root package green with -race, those on answers that are lost and calls that are never repeated among them.

--- a/awsapi/cloudmap.go
+++ b/awsapi/cloudmap.go
@@ -45,14 +45,8 @@
 	if err != nil {
 		return nil, err
 	}
-	client := servicediscovery.New(servicediscovery.Options{
-		BaseEndpoint:     aws.String(e.URL),
-		Region:           e.Region,
-		Credentials:      e,
-		HTTPClient:       e.HTTP,
-		Retryer:          aws.NopRetryer{},
-		RetryMaxAttempts: 1,
-		APIOptions:       []func(*middleware.Stack) error{disableHostPrefix},
+	client := servicediscovery.NewFromConfig(e.config(), func(o *servicediscovery.Options) {
+		o.APIOptions = append(o.APIOptions, disableHostPrefix)
 	})
 	return &CloudMapInstances{client: client, endpoint: e, namespace: namespace, service: service}, nil
 }
--- a/awsapi/dynamo.go
+++ b/awsapi/dynamo.go
@@ -48,15 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := dynamodb.New(dynamodb.Options{
-		BaseEndpoint:               aws.String(e.URL),
-		Region:                     e.Region,
-		Credentials:                e,
-		HTTPClient:                 e.HTTP,
-		Retryer:                    aws.NopRetryer{},
-		RetryMaxAttempts:           1,
-		DisableClockSkewCorrection: true,
-	})
+	client := dynamodb.NewFromConfig(e.config(), func(o *dynamodb.Options) { o.DisableClockSkewCorrection = true })
 	return &DynamoTable{client: client, endpoint: e, table: table}, nil
 }
 
--- a/awsapi/endpoint.go
+++ b/awsapi/endpoint.go
@@ -65,6 +65,15 @@
 	return e, nil
 }
 
+// config returns the options that all clients share. Calls are sent once: what
+// is repeated, and when, is decided by the callers.
+func (e Endpoint) config() aws.Config {
+	return aws.Config{
+		BaseEndpoint: aws.String(e.URL), Region: e.Region, Credentials: e, HTTPClient: e.HTTP,
+		Retryer: func() aws.Retryer { return aws.NopRetryer{} }, RetryMaxAttempts: 1,
+	}
+}
+
 // Retrieve implements aws.CredentialsProvider.
 func (e Endpoint) Retrieve(context.Context) (aws.Credentials, error) {
 	return aws.Credentials{AccessKeyID: e.AccessKey, SecretAccessKey: e.SecretKey}, nil
--- a/awsapi/s3.go
+++ b/awsapi/s3.go
@@ -32,17 +32,11 @@
 	if err != nil {
 		return nil, err
 	}
-	client := s3.New(s3.Options{
-		BaseEndpoint:                aws.String(e.URL),
-		Region:                      e.Region,
-		Credentials:                 e,
-		HTTPClient:                  e.HTTP,
-		Retryer:                     aws.NopRetryer{},
-		RetryMaxAttempts:            1,
-		UsePathStyle:                true,
-		DisableS3ExpressSessionAuth: aws.Bool(true),
-		RequestChecksumCalculation:  aws.RequestChecksumCalculationWhenRequired,
-		ResponseChecksumValidation:  aws.ResponseChecksumValidationWhenRequired,
+	client := s3.NewFromConfig(e.config(), func(o *s3.Options) {
+		o.UsePathStyle = true
+		o.DisableS3ExpressSessionAuth = aws.Bool(true)
+		o.RequestChecksumCalculation = aws.RequestChecksumCalculationWhenRequired
+		o.ResponseChecksumValidation = aws.ResponseChecksumValidationWhenRequired
 	})
 	return &S3Bucket{client: client, endpoint: e, bucket: bucket}, nil
 }
