--- a/emulator/scenario.go
+++ b/emulator/scenario.go
@@ -13,6 +13,7 @@
 	"github.com/samber/oops"
 
 	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
@@ -77,9 +78,9 @@
 
 // Kinds of requests by what may be done with them.
 const (
-	Streaming = "streaming" // repeatable, and resumable in the middle
-	Safe      = "safe"      // repeatable
-	Unsafe    = "unsafe"    // runs at most once
+	Streaming = userplatform.Streaming // repeatable, and resumable in the middle
+	Safe      = userplatform.Safe      // repeatable
+	Unsafe    = userplatform.Unsafe    // runs at most once
 )
 
 // Kind is a kind of request.
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -28,6 +28,14 @@
 	// only their number in an upstream matters here.
 	weightsMB = 100.0
 	adapterMB = 1.0
+	// plainTokens is what a plain request costs of its workspace's limit, and
+	// attempts how often a route may send a request that can be repeated.
+	plainTokens = 1
+	attempts    = 2
+	// connectionsPerSlot is how many connections an upstream takes for each slot.
+	connectionsPerSlot = 4
+	// unboundedTokens is the memory that instances assume of an engine without a bound.
+	unboundedTokens = 1 << 20
 	// dataCentre is where everything stands.
 	dataCentre = "north"
 	// Host is the name that callers ask for.
@@ -119,41 +127,43 @@
 func (w *World) desired() userplatform.Desired {
 	d := userplatform.Desired{Version: 1}
 	for _, s := range w.scenario.Services {
-		entry := map[string]any{"name": s.Name, "healthPath": "/health", "connectionLimit": 4 * s.Slots}
+		service := userplatform.Service{Name: s.Name, HealthPath: "/health", Connections: connectionsPerSlot * s.Slots}
 		if s.Engine != nil {
-			entry["engine"] = s.Engine.desired(s.Slots)
+			service.Engine = s.Engine.desired(s.Slots)
 		}
-		d.Services = append(d.Services, entry)
+		d.Services = append(d.Services, service)
 	}
 	for _, k := range w.scenario.Kinds {
-		d.Routes = append(d.Routes, map[string]any{
-			"name": k.Name, "host": Host, "prefix": k.path(), "kind": k.Type, "service": k.Service, "attempts": 2,
-			"timeoutMs": k.Deadline.Std().Milliseconds(), "targetLatencyMs": k.Objective.Std().Milliseconds(),
-			"targetGapMs": k.Objective.Std().Milliseconds(), "resumable": k.Type == Streaming,
+		objective := k.Objective.Std().Milliseconds()
+		d.Routes = append(d.Routes, userplatform.Route{
+			Name: k.Name, Host: Host, Prefix: k.path(), Kind: k.Type, Service: k.Service, Attempts: attempts,
+			TimeoutMS: k.Deadline.Std().Milliseconds(), TargetMS: objective, GapMS: objective, Resumable: k.Type == Streaming,
 		})
 	}
 	for _, t := range w.scenario.Workspaces {
-		d.Tenants = append(d.Tenants, map[string]any{
-			"name": t.Name, "apiKeys": []string{Key(t.Name)}, "unit": "tokens", "plainTokens": 1,
-			"ratePerS": t.Rate, "burst": t.Burst, "priority": t.Priority,
+		d.Tenants = append(d.Tenants, userplatform.Tenant{
+			Name: t.Name, Keys: []string{Key(t.Name)}, PlainTokens: plainTokens, Rate: t.Rate, Burst: t.Burst, Priority: &t.Priority,
 		})
 	}
 	return d
 }
 
-func (e *Engine) desired(slots int) map[string]any {
+func (e *Engine) desired(slots int) *userplatform.EngineLimit {
 	load := e.LoadTime.Std().Seconds()
-	var models []map[string]any
+	limit := &userplatform.EngineLimit{
+		Slots: slots, KVTokens: e.KVTokens, AdapterSlots: e.AdapterSlots, LoadsPerSecond: e.LoadsPerSecond,
+		WeightsMB: weightsMB*float64(e.Places) + adapterMB*float64(e.AdapterSlots),
+	}
+	if limit.KVTokens == 0 {
+		limit.KVTokens = unboundedTokens
+	}
 	for i := range e.Models {
-		models = append(models, map[string]any{
-			"name": fmt.Sprintf("m%d", i), "weightsMb": weightsMB, "loadS": load, "warmS": load, "diskS": load,
-			"adapters": e.Adapters, "adapterMb": adapterMB,
+		limit.Models = append(limit.Models, userplatform.Model{
+			Name: fmt.Sprintf("m%d", i), WeightsMB: weightsMB, LoadS: load, WarmS: load, DiskS: load,
+			Adapters: e.Adapters, AdapterMB: adapterMB,
 		})
 	}
-	return map[string]any{
-		"slots": slots, "kvCacheTokens": max(e.KVTokens, 1<<20), "adapterSlots": e.AdapterSlots, "loadsPerS": e.LoadsPerSecond,
-		"weightsMb": weightsMB*float64(e.Places) + adapterMB*float64(e.AdapterSlots), "models": models,
-	}
+	return limit
 }
 
 func (k *Kind) path() string { return "/" + k.Name + "/" }
--- a/standin/userplatform/operator.go
+++ b/standin/userplatform/operator.go
@@ -1,49 +1,121 @@
 package userplatform
 
-// Desired describes a desired state in the platform's terms.
+// Desired is a desired state as the platform's operator writes it. Field names
+// are the platform's, so that nothing else has to know them.
 type Desired struct {
-	Version  int64
-	Routes   []map[string]any
-	Services []map[string]any
-	Tenants  []map[string]any
+	Version  int64     `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Tenants  []Tenant  `json:"tenants"`
+	Limits   limits    `json:"limits"`
+}
+
+// Kinds of routes.
+const (
+	Streaming = "streaming"
+	Safe      = "safe"
+	Unsafe    = "unsafe"
+)
+
+// Route is a route to one service.
+type Route struct {
+	Name      string `json:"name"`
+	Host      string `json:"host"`
+	Prefix    string `json:"prefix"`
+	Kind      string `json:"kind"`
+	Service   string `json:"service"`
+	TimeoutMS int64  `json:"timeoutMs"`
+	TargetMS  int64  `json:"targetLatencyMs"`
+	GapMS     int64  `json:"targetGapMs"`
+	Priority  int    `json:"priority"`
+	Attempts  int    `json:"attempts"`
+	Resumable bool   `json:"resumable"`
+}
+
+// Service is a group of upstreams; Engine is nil for plain ones.
+type Service struct {
+	Name        string       `json:"name"`
+	HealthPath  string       `json:"healthPath"`
+	Connections int          `json:"connectionLimit"`
+	Engine      *EngineLimit `json:"engine,omitempty"`
+}
+
+// EngineLimit is what an engine of a service holds and runs.
+type EngineLimit struct {
+	Slots          int     `json:"slots"`
+	KVTokens       int64   `json:"kvCacheTokens"`
+	WeightsMB      float64 `json:"weightsMb"`
+	AdapterSlots   int     `json:"adapterSlots"`
+	LoadsPerSecond float64 `json:"loadsPerS"`
+	Models         []Model `json:"models"`
+}
+
+// Model is a model that engines of a service may load.
+type Model struct {
+	Name      string  `json:"name"`
+	WeightsMB float64 `json:"weightsMb"`
+	LoadS     float64 `json:"loadS"`
+	WarmS     float64 `json:"warmS"`
+	DiskS     float64 `json:"diskS"`
+	Adapters  int     `json:"adapters"`
+	AdapterMB float64 `json:"adapterMb"`
+}
+
+// Tenant is a workspace with its keys and its limit in tokens.
+type Tenant struct {
+	Name        string   `json:"name"`
+	Keys        []string `json:"apiKeys"`
+	Unit        string   `json:"unit"`
+	PlainTokens int64    `json:"plainTokens"`
+	Rate        float64  `json:"ratePerS"`
+	Burst       float64  `json:"burst"`
+	Priority    *int     `json:"priority,omitempty"`
+}
+
+type limits struct {
+	HeaderBytes     int   `json:"headerBytes"`
+	BodyBytes       int   `json:"bodyBytes"`
+	HeaderTimeoutMS int64 `json:"headerTimeoutMs"`
+	IdleTimeoutMS   int64 `json:"idleTimeoutMs"`
 }
 
 // Write puts the desired state in force.
 func (d Desired) Write(s *Store) error {
-	return s.Put("op", "config", map[string]any{
-		"version": d.Version, "routes": d.Routes, "services": d.Services, "tenants": d.Tenants,
-		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	d.Limits = limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000}
+	for i := range d.Tenants {
+		d.Tenants[i].Unit = "tokens"
+	}
+	return s.Put("op", "config", d)
 }
 
 // Sample returns a desired state with one engine service of three models and
 // one plain service.
 func Sample() Desired {
-	model := func(name string) map[string]any {
-		return map[string]any{"name": name, "weightsMb": 100.0, "loadS": 0.2, "warmS": 0.1, "diskS": 0.1, "adapters": 3, "adapterMb": 1.0}
+	model := func(name string) Model {
+		return Model{Name: name, WeightsMB: 100, LoadS: 0.2, WarmS: 0.1, DiskS: 0.1, Adapters: 3, AdapterMB: 1}
 	}
-	route := func(name, prefix, kind, service string) map[string]any {
-		return map[string]any{
-			"name": name, "host": "rota.example", "prefix": prefix, "kind": kind, "timeoutMs": 5000, "targetLatencyMs": 500,
-			"priority": 1, "service": service, "attempts": 2, "targetGapMs": 300, "resumable": kind == "streaming",
+	route := func(name, prefix, kind, service string) Route {
+		return Route{
+			Name: name, Host: "rota.example", Prefix: prefix, Kind: kind, TimeoutMS: 5000, TargetMS: 500,
+			Priority: 1, Service: service, Attempts: 2, GapMS: 300, Resumable: kind == Streaming,
 		}
 	}
 	return Desired{
 		Version: 1,
-		Routes: []map[string]any{
-			route("drafts", "/drafts/", "streaming", "engine"), route("signup", "/signup/", "unsafe", "rota"),
-			route("lookup", "/lookup/", "safe", "rota"),
+		Routes: []Route{
+			route("drafts", "/drafts/", Streaming, "engine"), route("signup", "/signup/", Unsafe, "rota"),
+			route("lookup", "/lookup/", Safe, "rota"),
 		},
-		Services: []map[string]any{
-			{"name": "engine", "healthPath": "/health", "connectionLimit": 100, "engine": map[string]any{
-				"slots": 16, "kvCacheTokens": 100000, "weightsMb": 210.0, "adapterSlots": 4, "loadsPerS": 5.0,
-				"models": []map[string]any{model("notices"), model("summaries"), model("letters")},
+		Services: []Service{
+			{Name: "engine", HealthPath: "/health", Connections: 100, Engine: &EngineLimit{
+				Slots: 16, KVTokens: 100000, WeightsMB: 210, AdapterSlots: 4, LoadsPerSecond: 5,
+				Models: []Model{model("notices"), model("summaries"), model("letters")},
 			}},
-			{"name": "rota", "healthPath": "/health", "connectionLimit": 100},
+			{Name: "rota", HealthPath: "/health", Connections: 100},
 		},
-		Tenants: []map[string]any{
-			{"name": "committee", "apiKeys": []string{"committee-key"}, "unit": "tokens", "plainTokens": 200, "ratePerS": 50000, "burst": 50000},
-			{"name": "archive", "apiKeys": []string{"archive-key"}, "unit": "tokens", "plainTokens": 200, "ratePerS": 1000, "burst": 1000},
+		Tenants: []Tenant{
+			{Name: "committee", Keys: []string{"committee-key"}, PlainTokens: 200, Rate: 50000, Burst: 50000},
+			{Name: "archive", Keys: []string{"archive-key"}, PlainTokens: 200, Rate: 1000, Burst: 1000},
 		},
 	}
 }
