--- a/admin/api.go
+++ b/admin/api.go
@@ -18,10 +18,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/controller/catalogsync"
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/strictjson"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 )
 
 const maxDocument = 8 << 20
--- a/ages.go
+++ b/ages.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/balance"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/peer"
+	"github.com/hibiscusyard/hibiscusyard/decision/balance"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
 
 const (
--- a/catalog_test.go
+++ b/catalog_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/balance"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/balance"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 )
 
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -5,7 +5,7 @@
 import (
 	"os"
 
-	"github.com/hibiscusyard/hibiscusyard/capacity"
+	"github.com/hibiscusyard/hibiscusyard/tools/capacity"
 )
 
 func main() { os.Exit(capacity.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -6,8 +6,8 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/hibiscusyard/hibiscusyard/cli"
-	"github.com/hibiscusyard/hibiscusyard/experiment"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
+	"github.com/hibiscusyard/hibiscusyard/tools/experiment"
 )
 
 // commands lists the subcommands; each is a flags.Commander with its own options.
--- a/cmd/hibiscusyard-dev/main.go
+++ b/cmd/hibiscusyard-dev/main.go
@@ -12,8 +12,8 @@
 	"github.com/apex/log/handlers/json"
 	"github.com/jessevdk/go-flags"
 
-	"github.com/hibiscusyard/hibiscusyard/cli"
-	"github.com/hibiscusyard/hibiscusyard/development"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
+	"github.com/hibiscusyard/hibiscusyard/tools/development"
 )
 
 type options struct {
--- a/cmd/hibiscusyard-emulator/main.go
+++ b/cmd/hibiscusyard-emulator/main.go
@@ -5,7 +5,7 @@
 import (
 	"os"
 
-	"github.com/hibiscusyard/hibiscusyard/emulator"
+	"github.com/hibiscusyard/hibiscusyard/tools/emulator"
 )
 
 func main() { os.Exit(emulator.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/matrix/main.go
+++ b/cmd/matrix/main.go
@@ -8,8 +8,8 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/hibiscusyard/hibiscusyard/cli"
-	"github.com/hibiscusyard/hibiscusyard/faultmatrix"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
+	"github.com/hibiscusyard/hibiscusyard/tools/faultmatrix"
 )
 
 func main() {
--- a/command/command.go
+++ b/command/command.go
@@ -17,10 +17,10 @@
 
 	"github.com/hibiscusyard/hibiscusyard"
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/cli"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 	"github.com/hibiscusyard/hibiscusyard/settings"
-	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 type streams struct{ out, err io.Writer }
--- a/command/tables.go
+++ b/command/tables.go
@@ -14,9 +14,9 @@
 	"github.com/samber/oops"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/cli"
-	"github.com/hibiscusyard/hibiscusyard/strictjson"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 )
 
 // tokenVariable holds the administration token, so that it does not stand on
--- a/controller/catalogsync/checkpoints.go
+++ b/controller/catalogsync/checkpoints.go
@@ -8,8 +8,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 const (
--- a/controller/catalogsync/controller.go
+++ b/controller/catalogsync/controller.go
@@ -11,10 +11,10 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/freshness"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/freshness"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // Peers is the part of the peer hub that the controller uses.
--- a/controller/catalogsync/edit.go
+++ b/controller/catalogsync/edit.go
@@ -9,10 +9,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/freshness"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/freshness"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // confirmTimeout bounds the wait for confirmations of an edit.
--- a/controller/catalogsync/relay_test.go
+++ b/controller/catalogsync/relay_test.go
@@ -10,11 +10,11 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/freshness"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/freshness"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports/portstest"
 )
 
 type objects map[string][]byte
--- a/controller/catalogsync/store.go
+++ b/controller/catalogsync/store.go
@@ -11,8 +11,8 @@
 	"github.com/google/uuid"
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 const (
--- a/controller/directory/demand.go
+++ b/controller/directory/demand.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
 )
 
 type demandKey struct {
--- a/controller/directory/directory.go
+++ b/controller/directory/directory.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/balance"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/balance"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 const (
--- a/controller/members/members.go
+++ b/controller/members/members.go
@@ -8,9 +8,9 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/membership"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/decision/membership"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 const (
--- a/controller/placer/calls.go
+++ b/controller/placer/calls.go
@@ -10,9 +10,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/hibiscusyard/hibiscusyard/engine"
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/engine"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // replicaKind is the kind of the replica rows.
--- a/controller/placer/placer.go
+++ b/controller/placer/placer.go
@@ -10,11 +10,11 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/engine"
-	"github.com/hibiscusyard/hibiscusyard/lease"
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/lease"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/engine"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // LeaseName is the name of the placer's lease.
--- a/controller/placer/placer_test.go
+++ b/controller/placer/placer_test.go
@@ -11,11 +11,11 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/engine"
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/engine"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports/portstest"
 )
 
 // engines is a fake of all engines: by address the loaded replicas.
--- a/controller/quotasync/cluster_test.go
+++ b/controller/quotasync/cluster_test.go
@@ -13,11 +13,11 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
-	"github.com/hibiscusyard/hibiscusyard/quota"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports/portstest"
 )
 
 const team = "team-a"
--- a/controller/quotasync/passing_test.go
+++ b/controller/quotasync/passing_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 )
 
 // Guards against requests within the rate that are refused as over it while
--- a/controller/quotasync/quotasync.go
+++ b/controller/quotasync/quotasync.go
@@ -14,10 +14,10 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/quota"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // Session says whether this run of the instance may spend.
--- a/controller/quotasync/quotasync_test.go
+++ b/controller/quotasync/quotasync_test.go
@@ -10,9 +10,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
-	"github.com/hibiscusyard/hibiscusyard/quota"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports/portstest"
 )
 
 // Guards against instances that get only their own part of the rate, and
--- a/controller/quotasync/ready.go
+++ b/controller/quotasync/ready.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 const (
--- a/controller/quotasync/rules.go
+++ b/controller/quotasync/rules.go
@@ -8,7 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 )
 
 // kind is the kind of the rows that say who holds a slot.
--- a/controller/quotasync/slots.go
+++ b/controller/quotasync/slots.go
@@ -16,8 +16,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 const (
--- a/controller/upstreams/upstreams.go
+++ b/controller/upstreams/upstreams.go
@@ -8,7 +8,7 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 const (
--- a/coordinator/ask.go
+++ b/coordinator/ask.go
@@ -5,12 +5,12 @@
 	"slices"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/residency"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
 
 // ask calls the leader, or answers itself if this instance leads.
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -9,10 +9,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
 
 const (
--- a/coordinator/contend.go
+++ b/coordinator/contend.go
@@ -5,8 +5,8 @@
 	mathrand "math/rand/v2"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 )
 
 // Resign gives the lease up for good, before the instance is shut down. It
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -11,13 +11,13 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/quota"
-	"github.com/hibiscusyard/hibiscusyard/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 const (
--- a/coordinator/duties.go
+++ b/coordinator/duties.go
@@ -9,10 +9,10 @@
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
 
 // settleTime is how long an instance runs before it is offered the lease: it
--- a/coordinator/duties_test.go
+++ b/coordinator/duties_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/peer"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
 
 // Guards a rolling restart against a lead that goes from each instance to the
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -5,10 +5,10 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
-	"github.com/hibiscusyard/hibiscusyard/quota"
-	"github.com/hibiscusyard/hibiscusyard/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 // stepDown ends the duties of a leader. The caller holds mu.
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -11,8 +11,8 @@
 	"math"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // Rows of the coordinator in the store.
--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -6,8 +6,8 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 const gap = 3 * time.Second
--- a/coordinator/needs.go
+++ b/coordinator/needs.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
 
 // need counts this instance's requests for one model.
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -6,10 +6,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // An instance follows a table itself once the leader has been silent for, or
--- a/coordinator/updates.go
+++ b/coordinator/updates.go
@@ -7,9 +7,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
 
 // update tells what the engines serve: what has changed since the last one, or
--- a/balance/health_test.go
+++ b/decision/balance/health_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 )
 
 func try(p *Picker, now time.Time, name, route string, kind Kind) {
--- a/balance/pick.go
+++ b/decision/balance/pick.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 )
 
 // Reason says why an upstream was chosen or refused.
--- a/balance/picker.go
+++ b/decision/balance/picker.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 )
 
 // Defaults of the settings.
--- a/balance/picker_test.go
+++ b/decision/balance/picker_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
--- a/balance/ramp.go
+++ b/decision/balance/ramp.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 )
 
 // ramp is what limits an upstream that may have started a short time ago.
--- a/catalog/catalog.go
+++ b/decision/catalog/catalog.go
@@ -7,7 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 )
 
 // Kind is the kind of upstreams in a pool.
--- a/catalog/catalog_test.go
+++ b/decision/catalog/catalog_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 )
 
 var hash = catalog.HashKey("key")
--- a/catalog/load.go
+++ b/decision/catalog/load.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/strictjson"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 )
 
 // Defaults of routes, pools and their entries.
--- a/dispatch/dispatch.go
+++ b/decision/dispatch/dispatch.go
@@ -9,8 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 const (
--- a/dispatch/dispatch_test.go
+++ b/decision/dispatch/dispatch_test.go
@@ -7,8 +7,8 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 const start = bootclock.Time(time.Hour)
--- a/dispatch/health.go
+++ b/decision/dispatch/health.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 const (
--- a/fairqueue/queue.go
+++ b/decision/fairqueue/queue.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 // Policy selects the order of service.
--- a/fairqueue/queue_test.go
+++ b/decision/fairqueue/queue_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
--- a/fairqueue/shed.go
+++ b/decision/fairqueue/shed.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 // Expire removes and returns the entries whose deadline has passed or can no
--- a/freshness/freshness_test.go
+++ b/decision/freshness/freshness_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/freshness"
+	"github.com/hibiscusyard/hibiscusyard/decision/freshness"
 )
 
 // TestMain fixes the seed, so that every run gives the same verdict, and draws
--- a/idempotency/store.go
+++ b/decision/idempotency/store.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 const (
--- a/idempotency/store_test.go
+++ b/decision/idempotency/store_test.go
@@ -13,9 +13,9 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports/portstest"
 )
 
 func TestMain(m *testing.M) {
--- a/lease/lease.go
+++ b/decision/lease/lease.go
@@ -13,7 +13,7 @@
 	"fmt"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // Config describes one contender for a lease.
--- a/lease/lease_test.go
+++ b/decision/lease/lease_test.go
@@ -13,8 +13,8 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports/portstest"
 )
 
 func TestMain(m *testing.M) {
--- a/lease/runner.go
+++ b/decision/lease/runner.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // Runner drives a Lease over a table. Its methods may be called from several
--- a/membership/membership.go
+++ b/decision/membership/membership.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // Member is what is known of one instance.
--- a/placement/answer_test.go
+++ b/decision/placement/answer_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
 )
 
 // driver feeds a planner by hand, for orders of events that are rare.
--- a/placement/bench_test.go
+++ b/decision/placement/bench_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 )
 
 // benchPlanner leads a pool in which every upstream holds one replica of some
--- a/placement/demand_test.go
+++ b/decision/placement/demand_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 )
 
 // Guards against dropping the demand for a model that the reporting instance
--- a/placement/event.go
+++ b/decision/placement/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 )
 
 // Event is an input of the planner.
--- a/placement/history_test.go
+++ b/decision/placement/history_test.go
@@ -12,10 +12,10 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/placement/placementtest"
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement/placementtest"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports/portstest"
 )
 
 func TestMain(m *testing.M) {
--- a/placement/limits_test.go
+++ b/decision/placement/limits_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/placement/placementtest"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement/placementtest"
 )
 
 // Guards the weight store's limits against loads that pass them by mistake,
--- a/placement/placementtest/controller.go
+++ b/decision/placement/placementtest/controller.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/lease"
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/decision/lease"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 var background = context.Background()
--- a/placement/placementtest/engine.go
+++ b/decision/placement/placementtest/engine.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
 )
 
 // Engine is a fake model engine. It does not refuse loads for lack of memory:
--- a/placement/placementtest/world.go
+++ b/decision/placement/placementtest/world.go
@@ -9,10 +9,10 @@
 	"strings"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports/portstest"
 )
 
 // World is a table, engines and controllers on virtual time.
--- a/placement/planner.go
+++ b/decision/placement/planner.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 )
 
 // Planner is the state machine of placement. It is not safe for concurrent
--- a/placement/planner_test.go
+++ b/decision/placement/planner_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/placement/placementtest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement/placementtest"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 )
 
 // smallCatalog has one pool of engines with room for two models each, and an
--- a/quota/central.go
+++ b/decision/quota/central.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 // CentralLimit is the rate and burst of a workspace in tokens.
--- a/quota/central_test.go
+++ b/decision/quota/central_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 var deploymentBounds = CentralBounds{Window: 8 * time.Second, Overage: 0.1, Slack: 11000}
--- a/residency/adapter.go
+++ b/decision/residency/adapter.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 // AdapterStep is what has to be done for an adapter.
--- a/residency/ceiling_test.go
+++ b/decision/residency/ceiling_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 // Guards the weight store's rate under a shift of demand to many models that no
--- a/residency/choose.go
+++ b/decision/residency/choose.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 const (
--- a/residency/host.go
+++ b/decision/residency/host.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 func halve(d, life time.Duration) float64 { return math.Exp2(-float64(d) / float64(life)) }
--- a/residency/order.go
+++ b/decision/residency/order.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 // Order asks an upstream to load or unload a model or an adapter. It takes
--- a/residency/planner.go
+++ b/decision/residency/planner.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 // demand is what all instances need of one model.
--- a/residency/sequence_test.go
+++ b/decision/residency/sequence_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 // driver steps a planner with one engine through time.
--- a/filter/admit.go
+++ b/filter/admit.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 // Reservation holds the tokens of one admitted request.
--- a/filter/chain_test.go
+++ b/filter/chain_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/balance"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/request"
+	"github.com/hibiscusyard/hibiscusyard/decision/balance"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 )
 
 // Guards against refusals after work has been done, and against codes that do
--- a/filter/claim.go
+++ b/filter/claim.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/idempotency"
-	"github.com/hibiscusyard/hibiscusyard/request"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/idempotency"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 )
 
 // IdempotencyKeyHeader makes a request run at most once.
--- a/filter/conn.go
+++ b/filter/conn.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 const (
--- a/filter/forward.go
+++ b/filter/forward.go
@@ -10,10 +10,10 @@
 	"strings"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/balance"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/request"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/balance"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 )
 
 // Headers of upstreams that callers do not see.
--- a/filter/forward_test.go
+++ b/filter/forward_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports/portstest"
 )
 
 const (
--- a/filter/handler.go
+++ b/filter/handler.go
@@ -11,8 +11,8 @@
 	"github.com/apex/log"
 	"github.com/google/uuid"
 
-	"github.com/hibiscusyard/hibiscusyard/request"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 )
 
 // RequestIDHeader carries the ID that correlates a request with its answer.
--- a/filter/harness_test.go
+++ b/filter/harness_test.go
@@ -16,11 +16,11 @@
 	"github.com/apex/log/handlers/memory"
 	"github.com/google/uuid"
 
-	"github.com/hibiscusyard/hibiscusyard/balance"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/idempotency"
-	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/balance"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/idempotency"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports/portstest"
 )
 
 const waitCap = 20 * time.Second
--- a/filter/identify.go
+++ b/filter/identify.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 // Paths of the model API.
--- a/filter/models.go
+++ b/filter/models.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 type modelList struct {
--- a/filter/pool.go
+++ b/filter/pool.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/balance"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/fairqueue"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/balance"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/fairqueue"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 // pool is the queue and the balancer of one pool at this instance.
--- a/filter/relay.go
+++ b/filter/relay.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"strings"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/request"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 )
 
 // maxWhole bounds the answer of a model that is not a stream, in bytes. It is
--- a/filter/request.go
+++ b/filter/request.go
@@ -4,9 +4,9 @@
 package filter
 
 import (
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/chain"
-	"github.com/hibiscusyard/hibiscusyard/request"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/chain"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 )
 
 // Request is a request with what the catalogue says of it.
--- a/filter/route.go
+++ b/filter/route.go
@@ -9,11 +9,11 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/balance"
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/fairqueue"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/balance"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/fairqueue"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 // Directory knows on which upstreams models are loaded. Its methods are
--- a/filter/upstreams.go
+++ b/filter/upstreams.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/balance"
-	"github.com/hibiscusyard/hibiscusyard/fairqueue"
+	"github.com/hibiscusyard/hibiscusyard/decision/balance"
+	"github.com/hibiscusyard/hibiscusyard/decision/fairqueue"
 )
 
 // Run follows the catalogue until ctx ends, so that the age of an upstream
--- a/filter/verify.go
+++ b/filter/verify.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/balance"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/balance"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 )
 
 const (
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -16,9 +16,9 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/settings"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/instances"
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 // BudgetConfig bounds the sends beyond the first one of each request. The
--- a/gateway/budget_test.go
+++ b/gateway/budget_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 // Guards the sum of retries over all instances in every sliding window, when
--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 const (
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -10,12 +10,12 @@
 	"strings"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/connpool"
-	"github.com/hibiscusyard/hibiscusyard/dispatch"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
-	"github.com/hibiscusyard/hibiscusyard/request"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/dispatch"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/connpool"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 )
 
 const (
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,12 +8,12 @@
 	"net/http"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/chain"
-	"github.com/hibiscusyard/hibiscusyard/dispatch"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
-	"github.com/hibiscusyard/hibiscusyard/request"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/dispatch"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/chain"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 )
 
 // Forwarding is what the system tells an upstream beside the caller's request.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -10,8 +10,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/request"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 )
 
 // lateComeBack is when a caller may come back that an instance about to end
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -9,11 +9,11 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/dispatch"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
-	"github.com/hibiscusyard/hibiscusyard/quota"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/dispatch"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 const (
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"strings"
 
-	"github.com/hibiscusyard/hibiscusyard/dispatch"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/dispatch"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 // maxEvent bounds one event of a stream.
--- a/instance.go
+++ b/instance.go
@@ -17,15 +17,15 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/awsapi"
 	"github.com/hibiscusyard/hibiscusyard/controller/catalogsync"
 	"github.com/hibiscusyard/hibiscusyard/controller/members"
 	"github.com/hibiscusyard/hibiscusyard/controller/upstreams"
+	"github.com/hibiscusyard/hibiscusyard/decision/idempotency"
 	"github.com/hibiscusyard/hibiscusyard/filter"
-	"github.com/hibiscusyard/hibiscusyard/idempotency"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/session"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/awsapi"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/session"
 	"github.com/hibiscusyard/hibiscusyard/settings"
 )
 
--- a/node/node.go
+++ b/node/node.go
@@ -19,15 +19,15 @@
 	"github.com/google/uuid"
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/chain"
-	"github.com/hibiscusyard/hibiscusyard/connpool"
 	"github.com/hibiscusyard/hibiscusyard/coordinator"
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 	"github.com/hibiscusyard/hibiscusyard/gateway"
-	"github.com/hibiscusyard/hibiscusyard/peer"
 	"github.com/hibiscusyard/hibiscusyard/platform"
-	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/chain"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/connpool"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
 
 const (
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 const wholeStream = "1 2 3 4 5 6 7 8"
--- a/node/nodecmd/nodecmd.go
+++ b/node/nodecmd/nodecmd.go
@@ -14,10 +14,10 @@
 	apexjson "github.com/apex/log/handlers/json"
 	"github.com/jessevdk/go-flags"
 
-	"github.com/hibiscusyard/hibiscusyard/cli"
-	"github.com/hibiscusyard/hibiscusyard/explain"
-	"github.com/hibiscusyard/hibiscusyard/logsink"
 	"github.com/hibiscusyard/hibiscusyard/node"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/logsink"
+	"github.com/hibiscusyard/hibiscusyard/tools/explain"
 )
 
 // settingsVariable names the file of the settings if no option does.
--- a/node/nodecmd/nodecmd_test.go
+++ b/node/nodecmd/nodecmd_test.go
@@ -7,8 +7,8 @@
 	"strings"
 	"testing"
 
-	"github.com/hibiscusyard/hibiscusyard/cli"
 	"github.com/hibiscusyard/hibiscusyard/node/nodecmd"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
 )
 
 const settings = `{"instance":"i","data_centre":"d","caller_listen":"127.0.0.1:1","ready_listen":"127.0.0.1:2","peer_listen":"127.0.0.1:3",
--- a/node/scene_test.go
+++ b/node/scene_test.go
@@ -18,8 +18,8 @@
 
 	"github.com/hibiscusyard/hibiscusyard/node"
 	"github.com/hibiscusyard/hibiscusyard/node/sample"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // scene is a platform with upstreams and instances in one process.
--- a/node/settings.go
+++ b/node/settings.go
@@ -7,7 +7,7 @@
 
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/strictjson"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 )
 
 // Settings configures one instance on the users' platform. The platform fills
--- a/node/state.go
+++ b/node/state.go
@@ -7,10 +7,10 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
 	"github.com/hibiscusyard/hibiscusyard/platform"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 const (
--- a/node/watch.go
+++ b/node/watch.go
@@ -8,9 +8,9 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 const (
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -9,8 +9,8 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 func newWatcher(seen map[string]string) *watcher {
--- a/placement.go
+++ b/placement.go
@@ -9,14 +9,14 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/controller/directory"
 	"github.com/hibiscusyard/hibiscusyard/controller/placer"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/engine"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
 	"github.com/hibiscusyard/hibiscusyard/filter"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/placement"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/engine"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
 
 const (
--- a/awsapi/client_test.go
+++ b/plumbing/awsapi/client_test.go
@@ -12,9 +12,9 @@
 
 	"go.uber.org/goleak"
 
-	"github.com/hibiscusyard/hibiscusyard/awsapi"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/awsapi"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/instances"
 	"github.com/hibiscusyard/hibiscusyard/standin/objects"
--- a/awsapi/cloudmap.go
+++ b/plumbing/awsapi/cloudmap.go
@@ -13,7 +13,7 @@
 	"github.com/aws/smithy-go/middleware"
 	smithyhttp "github.com/aws/smithy-go/transport/http"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // Attributes of an instance in AWS Cloud Map. The first two are the service's
--- a/awsapi/dynamo.go
+++ b/plumbing/awsapi/dynamo.go
@@ -12,7 +12,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // Attributes of the table. kind is the partition key and name the sort key.
--- a/awsapi/endpoint.go
+++ b/plumbing/awsapi/endpoint.go
@@ -16,7 +16,7 @@
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/smithy-go"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // DefaultCallTimeout bounds one call of a platform service. The placer lease
--- a/awsapi/equivalence_test.go
+++ b/plumbing/awsapi/equivalence_test.go
@@ -9,8 +9,8 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
-	"github.com/hibiscusyard/hibiscusyard/ports/portstest"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports/portstest"
 )
 
 // Guards against an in-memory fake that behaves otherwise than the client with
--- a/awsapi/s3.go
+++ b/plumbing/awsapi/s3.go
@@ -12,7 +12,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	smithyhttp "github.com/aws/smithy-go/transport/http"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // maxObject bounds an object that is read into memory; the largest one is a
--- a/bootclock/bootclock_test.go
+++ b/plumbing/bootclock/bootclock_test.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 func read(t *testing.T, clock int32) bootclock.Time {
@@ -36,8 +36,8 @@
 // Only deadlines of connections and timers may use it.
 func TestBoundsUseThisClock(t *testing.T) {
 	for _, pattern := range []string{
-		"../coordinator/*.go", "../quota/central.go", "../residency/*.go", "../dispatch/*.go",
-		"../node/watch.go", "../node/state.go", "../gateway/route.go", "../gateway/filters.go", "../gateway/budget.go",
+		"../../coordinator/*.go", "../../decision/quota/central.go", "../../decision/residency/*.go", "../../decision/dispatch/*.go",
+		"../../node/watch.go", "../../node/state.go", "../../gateway/route.go", "../../gateway/filters.go", "../../gateway/budget.go",
 	} {
 		files, err := filepath.Glob(pattern)
 		if err != nil || len(files) == 0 {
--- a/chain/chain.go
+++ b/plumbing/chain/chain.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 // Next hands a request to the rest of the chain. A nil error means that the
--- a/connpool/conn.go
+++ b/plumbing/connpool/conn.go
@@ -19,7 +19,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 const (
--- a/connpool/connpool_test.go
+++ b/plumbing/connpool/connpool_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/connpool"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/connpool"
 )
 
 // scripted answers the requests on each connection with the given texts in
--- a/connpool/pool.go
+++ b/plumbing/connpool/pool.go
@@ -13,7 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 // Config sets the limits of a pool.
--- a/logsink/logsink_test.go
+++ b/plumbing/logsink/logsink_test.go
@@ -9,7 +9,7 @@
 	"sync"
 	"testing"
 
-	"github.com/hibiscusyard/hibiscusyard/logsink"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/logsink"
 )
 
 // stalled is a reader of logs that takes nothing until it is released.
--- a/peer/hub.go
+++ b/plumbing/peer/hub.go
@@ -16,7 +16,7 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 )
 
 // Path is where the peer listener accepts links.
--- a/ports/portstest/table.go
+++ b/plumbing/ports/portstest/table.go
@@ -7,7 +7,7 @@
 	"strings"
 	"sync"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // Fault decides the fate of one call of a fake.
--- a/request/body.go
+++ b/plumbing/request/body.go
@@ -7,7 +7,7 @@
 	"os"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
 // ReadBody reads the whole body, so that a caller who breaks off never leaves
--- a/request/request.go
+++ b/plumbing/request/request.go
@@ -9,8 +9,8 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 // Part is one part of a prompt that other requests may share.
--- a/request/server.go
+++ b/plumbing/request/server.go
@@ -9,9 +9,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/chain"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/chain"
 )
 
 // Surface is one way in which callers speak to the product.
--- a/request/server_test.go
+++ b/plumbing/request/server_test.go
@@ -14,8 +14,8 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 
-	"github.com/hibiscusyard/hibiscusyard/request"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 )
 
 // call is what the test's surface makes of a request.
--- a/session/session.go
+++ b/plumbing/session/session.go
@@ -12,7 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 const (
--- a/strictjson/strictjson_test.go
+++ b/plumbing/strictjson/strictjson_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"github.com/hibiscusyard/hibiscusyard/strictjson"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 )
 
 type document struct {
--- a/quota.go
+++ b/quota.go
@@ -6,12 +6,12 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/controller/quotasync"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/membership"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 	"github.com/hibiscusyard/hibiscusyard/filter"
-	"github.com/hibiscusyard/hibiscusyard/membership"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
 
 // quotaControl connects the quota controller with the peer hub, the catalogue,
--- a/requests.go
+++ b/requests.go
@@ -5,11 +5,11 @@
 
 	"github.com/google/uuid"
 
-	"github.com/hibiscusyard/hibiscusyard/balance"
-	"github.com/hibiscusyard/hibiscusyard/fairqueue"
+	"github.com/hibiscusyard/hibiscusyard/decision/balance"
+	"github.com/hibiscusyard/hibiscusyard/decision/fairqueue"
+	"github.com/hibiscusyard/hibiscusyard/decision/idempotency"
+	"github.com/hibiscusyard/hibiscusyard/decision/membership"
 	"github.com/hibiscusyard/hibiscusyard/filter"
-	"github.com/hibiscusyard/hibiscusyard/idempotency"
-	"github.com/hibiscusyard/hibiscusyard/membership"
 )
 
 // newRoute wires queueing, the choice of upstreams and forwarding.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,8 +8,8 @@
 
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/strictjson"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 )
 
 // Settings configures one instance. Addresses are IP addresses with a port.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 	"github.com/hibiscusyard/hibiscusyard/settings"
 )
 
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -9,8 +9,8 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 )
 
 const (
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -16,14 +16,14 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/hibiscusyard/hibiscusyard/cli"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/engine"
 	"github.com/hibiscusyard/hibiscusyard/standin/instances"
 	"github.com/hibiscusyard/hibiscusyard/standin/objects"
 	"github.com/hibiscusyard/hibiscusyard/standin/service"
 	"github.com/hibiscusyard/hibiscusyard/standin/table"
-	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 // common are the flags of every subcommand.
--- a/standin/engine/client_test.go
+++ b/standin/engine/client_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/engine"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/engine"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 )
 
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -13,7 +13,7 @@
 
 	"go.uber.org/goleak"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 )
 
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"sync"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/strictjson"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 )
 
 // Kinds of outages.
--- a/standin/instances/instances.go
+++ b/standin/instances/instances.go
@@ -14,8 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 	"github.com/hibiscusyard/hibiscusyard/standin"
-	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 const (
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 )
 
--- a/standin/userplatform/engine.go
+++ b/standin/userplatform/engine.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 )
 
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 )
 
 // ReadyPath is what the platform asks an instance for to see whether it is ready.
--- a/e2e/catalogue_test.go
+++ b/test/e2e/catalogue_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"testing"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // Guards against an accepted edit that other instances do not put in force in
--- a/e2e/drain_test.go
+++ b/test/e2e/drain_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // Guards against a graceful shutdown that cuts a stream, loses an answer, does
--- a/e2e/edit_test.go
+++ b/test/e2e/edit_test.go
@@ -12,12 +12,12 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/controller/catalogsync"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 	"github.com/hibiscusyard/hibiscusyard/standin"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // salesCall is a call with the key that the tests withdraw.
--- a/e2e/model_test.go
+++ b/test/e2e/model_test.go
@@ -4,7 +4,7 @@
 	"sync"
 	"testing"
 
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // Guards against a first request that is refused or cut, against one burst at
--- a/e2e/proxied_test.go
+++ b/test/e2e/proxied_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/instances"
 	"github.com/hibiscusyard/hibiscusyard/standin/service"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // proxies stand between the processes of a scene.
--- a/e2e/requests_test.go
+++ b/test/e2e/requests_test.go
@@ -8,10 +8,10 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/standin"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // pauseLimit is the pause after which an instance checks its session before
--- a/e2e/scene_test.go
+++ b/test/e2e/scene_test.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/standin/engine"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 func TestMain(m *testing.M) { processtest.Main(m) }
--- a/e2e/script_test.go
+++ b/test/e2e/script_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // scripted carries out the commands of the scripts on a scene.
--- a/e2e/service_test.go
+++ b/test/e2e/service_test.go
@@ -7,9 +7,9 @@
 	"sync"
 	"testing"
 
-	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/service"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // Guards against calls that run twice, run for another request, or lose their
--- a/e2e/shares_test.go
+++ b/test/e2e/shares_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/peer"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
-	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 	"github.com/hibiscusyard/hibiscusyard/standin"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // sample is the service's count of effects at a time.
--- a/processtest/fleet.go
+++ b/test/processtest/fleet.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
 	"github.com/hibiscusyard/hibiscusyard/controller/catalogsync"
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/settings"
 	"github.com/hibiscusyard/hibiscusyard/standin/instances"
 )
--- a/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 var (
--- a/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -11,8 +11,8 @@
 	"testing"
 
 	"github.com/hibiscusyard/hibiscusyard/node/sample"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // Sizes of the world. The bounds are those of the users' deployments but for
--- a/bench/edit_test.go
+++ b/tools/bench/edit_test.go
@@ -10,8 +10,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 const (
--- a/bench/overload_test.go
+++ b/tools/bench/overload_test.go
@@ -11,8 +11,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // The engine of the overload benchmark bears 16 requests of 20 tokens at 5 ms
--- a/bench/profile_test.go
+++ b/tools/bench/profile_test.go
@@ -10,7 +10,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/hibiscusyard/hibiscusyard"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // Runs the load of BenchmarkRelayedToken on an instance inside the test
--- a/bench/request_test.go
+++ b/tools/bench/request_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 // streams at 5 ms between tokens make about 12,800 tokens a second, a little
--- a/bench/scene_test.go
+++ b/tools/bench/scene_test.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
 )
 
 func TestMain(m *testing.M) {
--- a/capacity/capacity_test.go
+++ b/tools/capacity/capacity_test.go
@@ -6,9 +6,9 @@
 	"strings"
 	"testing"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 
-	"github.com/hibiscusyard/hibiscusyard/cli"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
 )
 
 // Guards against slopes of something else than the system at work: a catalogue
--- a/capacity/command.go
+++ b/tools/capacity/command.go
@@ -7,7 +7,7 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/hibiscusyard/hibiscusyard/cli"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
 )
 
 type options struct {
--- a/capacity/decisions.go
+++ b/tools/capacity/decisions.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/balance"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/fairqueue"
-	"github.com/hibiscusyard/hibiscusyard/freshness"
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/balance"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/fairqueue"
+	"github.com/hibiscusyard/hibiscusyard/decision/freshness"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 )
 
 var (
--- a/capacity/fleet_test.go
+++ b/tools/capacity/fleet_test.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/bench"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/processtest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/test/processtest"
+	"github.com/hibiscusyard/hibiscusyard/tools/bench"
 )
 
 func TestMain(m *testing.M) { processtest.Main(m) }
--- a/capacity/messages.go
+++ b/tools/capacity/messages.go
@@ -10,9 +10,9 @@
 
 	"github.com/hibiscusyard/hibiscusyard/controller/catalogsync"
 	"github.com/hibiscusyard/hibiscusyard/controller/quotasync"
-	"github.com/hibiscusyard/hibiscusyard/freshness"
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/freshness"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 )
 
 // length returns the length of a message in CBOR.
--- a/capacity/synthetic.go
+++ b/tools/capacity/synthetic.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/membership"
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/ports"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/membership"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // epoch is the start of virtual time.
--- a/development/development.go
+++ b/tools/development/development.go
@@ -16,8 +16,8 @@
 
 	"github.com/hibiscusyard/hibiscusyard"
 	"github.com/hibiscusyard/hibiscusyard/admin"
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/settings"
 	"github.com/hibiscusyard/hibiscusyard/standin/engine"
 	"github.com/hibiscusyard/hibiscusyard/standin/instances"
--- a/development/platform.go
+++ b/tools/development/platform.go
@@ -7,8 +7,8 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/emulator"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
+	"github.com/hibiscusyard/hibiscusyard/tools/emulator"
 )
 
 // PlatformSystem is a running sample of the users' platform: a store, two
--- a/development/platform_test.go
+++ b/tools/development/platform_test.go
@@ -9,8 +9,8 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
-	"github.com/hibiscusyard/hibiscusyard/development"
-	"github.com/hibiscusyard/hibiscusyard/emulator"
+	"github.com/hibiscusyard/hibiscusyard/tools/development"
+	"github.com/hibiscusyard/hibiscusyard/tools/emulator"
 )
 
 // Guards the newcomer's first answer on the stand-in of the users' platform.
--- a/emulator/command.go
+++ b/tools/emulator/command.go
@@ -13,8 +13,8 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/cli"
-	"github.com/hibiscusyard/hibiscusyard/logsink"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/logsink"
 )
 
 // scenarioArgument is the file that all commands take.
--- a/emulator/emulator_test.go
+++ b/tools/emulator/emulator_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/cli"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
 
--- a/emulator/fault.go
+++ b/tools/emulator/fault.go
@@ -9,7 +9,7 @@
 
 	"github.com/apex/log"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/standin"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
--- a/emulator/play.go
+++ b/tools/emulator/play.go
@@ -13,9 +13,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
-	"github.com/hibiscusyard/hibiscusyard/verdict"
 )
 
 // Outcome is how a request ended for its caller.
--- a/emulator/scenario.go
+++ b/tools/emulator/scenario.go
@@ -12,9 +12,9 @@
 
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
-	"github.com/hibiscusyard/hibiscusyard/strictjson"
 )
 
 // Scenario describes a deployment and a load on it.
--- a/emulator/world.go
+++ b/tools/emulator/world.go
@@ -12,9 +12,9 @@
 	"github.com/apex/log"
 	"github.com/samber/oops"
 
-	"github.com/hibiscusyard/hibiscusyard/duration"
 	"github.com/hibiscusyard/hibiscusyard/node"
 	"github.com/hibiscusyard/hibiscusyard/node/sample"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
 
--- a/experiment/placement.go
+++ b/tools/experiment/placement.go
@@ -10,7 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/hibiscusyard/hibiscusyard/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
 )
 
 // Placement is the subcommand "placement".
--- a/experiment/placement_run.go
+++ b/tools/experiment/placement_run.go
@@ -9,9 +9,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/placement"
-	"github.com/hibiscusyard/hibiscusyard/placement/placementtest"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement/placementtest"
 )
 
 // Shape of the simulated instances and engines.
--- a/experiment/placement_trace.go
+++ b/tools/experiment/placement_trace.go
@@ -9,9 +9,9 @@
 	"slices"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/catalog"
-	"github.com/hibiscusyard/hibiscusyard/duration"
-	"github.com/hibiscusyard/hibiscusyard/placement"
+	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
+	"github.com/hibiscusyard/hibiscusyard/decision/placement"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 )
 
 // Deployment has the sizes of one of the deployments of the design page.
--- a/experiment/quota.go
+++ b/tools/experiment/quota.go
@@ -8,7 +8,7 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 )
 
 // Quota is the subcommand that compares ways to limit rates over instances.
--- a/experiment/quota_policy.go
+++ b/tools/experiment/quota_policy.go
@@ -6,7 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 )
 
 // bucketPolicy is one bucket per workspace, global or for each instance.
--- a/experiment/quota_sim.go
+++ b/tools/experiment/quota_sim.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 )
 
 // quotaRequest is one request of a trace.
--- a/explain/explain_test.go
+++ b/tools/explain/explain_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/explain"
+	"github.com/hibiscusyard/hibiscusyard/tools/explain"
 )
 
 const logs = `  9.1 entry-2 {"fields":{"instance":"entry-2","model":"letters","upstream":"e1","unload":false,"outcome":"accepted"},"level":"info","timestamp":"2026-01-01T00:00:09Z","message":"placement decision"}
--- a/faultmatrix/matrix.go
+++ b/tools/faultmatrix/matrix.go
@@ -197,5 +197,20 @@
 	if pkg == "hibiscusyard" {
 		return ""
 	}
+	base, _, _ := strings.Cut(pkg, "/")
+	for folder, packages := range folders {
+		if slices.Contains(packages, base) {
+			return folder + "/" + pkg
+		}
+	}
 	return pkg
 }
+
+// folders lists the packages with named tests that stand in a folder of their half.
+var folders = map[string][]string{
+	"decision": {
+		"balance", "catalog", "fairqueue", "freshness", "idempotency", "lease", "membership", "placement", "quota",
+	},
+	"plumbing": {"awsapi", "engine", "peer", "session"},
+	"test":     {"e2e"},
+}
--- a/faultmatrix/matrix_test.go
+++ b/tools/faultmatrix/matrix_test.go
@@ -6,13 +6,13 @@
 	"path/filepath"
 	"testing"
 
-	"github.com/hibiscusyard/hibiscusyard/faultmatrix"
+	"github.com/hibiscusyard/hibiscusyard/tools/faultmatrix"
 )
 
 // Guards against a cell that names a test that does not exist.
 func TestNamedTestsExist(t *testing.T) {
 	for _, test := range faultmatrix.Tests() {
-		files, err := filepath.Glob(filepath.Join("..", faultmatrix.Directory(test.Package()), "*_test.go"))
+		files, err := filepath.Glob(filepath.Join("..", "..", faultmatrix.Directory(test.Package()), "*_test.go"))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -34,7 +34,7 @@
 func TestPageIsCurrent(t *testing.T) {
 	var want bytes.Buffer
 	faultmatrix.Write(&want)
-	got, err := os.ReadFile("../docs/fault-matrix.md")
+	got, err := os.ReadFile("../../docs/fault-matrix.md")
 	if err != nil {
 		t.Fatal(err)
 	}
