Share retries in an outage of the store among the instances

Change: the pause grows with the number of instances to at most 1 s; the leader keeps 0.2 s and tells the others. Up to eight instances nothing changes. TestRetriesAreSharedByTheInstances.

--- a/coordinator/contend.go
+++ b/coordinator/contend.go
@@ -95,9 +95,9 @@
 	if early {
 		return
 	}
-	pause := lookEvery
-	if c.config.Weak {
-		pause = lookEvery * time.Duration(max(c.client.Members(), lookers)) / lookers
+	pause := lookEvery * time.Duration(max(c.client.Members(), lookers)) / lookers
+	if !c.config.Weak {
+		pause = min(pause, maxLook)
 	}
 	c.mu.Lock()
 	c.looked = now.Add(pause/2 + mathrand.N(pause))
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -59,9 +59,11 @@
 	// yieldAfter is how long a weak instance leads before it offers the lease to
 	// one that is not.
 	yieldAfter = 2 * time.Second
-	// lookers is the number of weak instances that read the lease row each
-	// lookEvery. A new leader makes itself known to the others.
+	// lookers is the number of instances that read the lease row each lookEvery;
+	// those that are not weak look once in maxLook at least. A new leader makes
+	// itself known to the others.
 	lookers = 8
+	maxLook = time.Second
 )
 
 // Engines gives orders to upstreams.
--- a/node/node.go
+++ b/node/node.go
@@ -106,6 +106,13 @@
 	client := n.coord.Client()
 	n.state.desired.relayed = func(now bootclock.Time) bool { return client.Relays(now, platform.TableDesired) }
 	n.state.entries.relayed = func(now bootclock.Time) bool { return client.Relays(now, platform.TableUpstreams) }
+	followers := func() int {
+		if client.Leader() == s.Instance {
+			return 1
+		}
+		return client.Members()
+	}
+	n.state.desired.followers, n.state.entries.followers = followers, followers
 	n.state.members = client.Members
 	n.state.onChange = func() {
 		client.Notify()
--- a/node/watch.go
+++ b/node/watch.go
@@ -18,8 +18,13 @@
 	feedSlack = 1200 * time.Millisecond
 	// readTimeout bounds the read of a whole table.
 	readTimeout = 2 * time.Second
-	// watchRetry is the pause after a failed call.
-	watchRetry = 200 * time.Millisecond
+	// watchRetry is the pause after a failed call at the leader and in small
+	// systems. The instances together try about watchTries times in it, and each
+	// at least once in maxWatchRetry: refused calls are paid for as well, and
+	// whoever leads tells the others as soon as the store is back.
+	watchRetry    = 200 * time.Millisecond
+	watchTries    = 8
+	maxWatchRetry = time.Second
 	// relayCheck is the time between two looks whether the relay is still good.
 	relayCheck = 100 * time.Millisecond
 )
@@ -37,6 +42,9 @@
 	change func(row ports.VersionedRow) (matters bool)
 	// done is called after each answer, with whether anything changed.
 	done func(changed bool)
+	// followers returns how many instances follow the table while there is no
+	// relay: 1 at the leader, whom the others rely on. Nil is 1.
+	followers func() int
 	// relayed reports whether the leader's relay of the table can be relied on.
 	relayed func(now bootclock.Time) bool
 	log     log.Interface
@@ -198,7 +206,7 @@
 			continue
 		case err != nil:
 			w.fail(err)
-			duration.Sleep(ctx, watchRetry)
+			duration.Sleep(ctx, w.retry())
 			continue
 		}
 		w.succeed()
@@ -209,6 +217,15 @@
 	}
 }
 
+// retry returns the pause after a failed call.
+func (w *watcher) retry() time.Duration {
+	followers := 1
+	if w.followers != nil {
+		followers = w.followers()
+	}
+	return min(watchRetry*time.Duration(max(followers, watchTries))/watchTries, maxWatchRetry)
+}
+
 // follow makes one call of the store and takes over its answer.
 func (w *watcher) follow(ctx context.Context, sent bootclock.Time) (changed bool, err error) {
 	w.mu.Lock()
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -99,3 +99,16 @@
 		}
 	})
 }
+
+// Guards against an outage of the store in which each of many instances keeps
+// asking it: refused calls are paid for, and the leader tells the others.
+func TestRetriesAreSharedByTheInstances(t *testing.T) {
+	for followers, want := range map[int]time.Duration{
+		0: watchRetry, 1: watchRetry, 8: watchRetry, 16: 2 * watchRetry, 300: maxWatchRetry,
+	} {
+		w := &watcher{followers: func() int { return followers }}
+		if got := w.retry(); got != want {
+			t.Errorf("%d instances try again after %s, want %s", followers, got, want)
+		}
+	}
+}
