Never write another answer behind the events of a stream

Change: while a stream is open, anything but a successful stream counts as a break; the writer refuses a second answer, so that the connection breaks.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -108,6 +108,11 @@
 		return x.declined(answer, head)
 	}
 	success := answer.StatusCode >= 200 && answer.StatusCode < 300
+	if x.r.Writer.Begun() && !(success && strings.HasPrefix(answer.Header.Get("Content-Type"), eventStream)) {
+		// Only the rest of the stream may follow what the caller has.
+		x.conn.Break()
+		return x.cut(ctx, fmt.Errorf("%w: status %d in place of the rest of a stream", errInvalid, answer.StatusCode))
+	}
 	switch {
 	case success && (!head.Signed || head.ID != x.r.ID || answer.Header.Get("Content-Encoding") != ""):
 		x.conn.Break()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -357,3 +357,40 @@
 	cancel()
 	processtest.Within(t, 500*time.Millisecond, "the upstream stops", func() bool { return s.engines[0].Running() == 0 })
 }
+
+// Guards against a stream that looks whole and is not: when the upstream that
+// is to go on with a stream answers something else, nothing of that answer is
+// passed on, and without another try the connection breaks. Found by the soak,
+// seed 301: an error answer ended the stream in order after its second event.
+func TestErrorAnswerDoesNotEndAStream(t *testing.T) {
+	s := newScene(t, 1)
+	for _, u := range s.engines {
+		u.Engine.Serve("letters")
+		if err := u.Register(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.eventually("both engines serve the model", func() bool {
+		s.engines[0].Fail(userplatform.TurnedAway)
+		s.engines[1].Fail(userplatform.TurnedAway)
+		s.send(0, draft("letters"))
+		s.send(0, draft("letters"))
+		return len(s.engines[0].Arrivals()) > 0 && len(s.engines[1].Arrivals()) > 0
+	})
+	s.eventually("streams are whole again", func() bool { return len(eventIDs(s.send(0, draft("letters")).body)) == 8 })
+	before := len(s.engines[0].Arrivals())
+	s.send(0, draft("letters"))
+	first, second := s.engines[1], s.engines[0]
+	if len(s.engines[0].Arrivals()) > before {
+		first, second = s.engines[0], s.engines[1]
+	}
+	for range 4 { // the first choice may differ, and then the error answer comes first
+		first.Fail(userplatform.CutStream)
+		second.Fail(userplatform.ErrorAnswer)
+		a := s.send(0, draft("letters"))
+		if got := strings.Join(eventIDs(a.body), " "); a.err == nil && a.status == http.StatusOK && got != wholeStream {
+			t.Errorf("a stream with the events %q ended as if it were whole", got)
+		}
+		s.eventually("streams are whole again", func() bool { return len(eventIDs(s.send(0, draft("letters")).body)) == 8 })
+	}
+}
--- a/plumbing/request/server_test.go
+++ b/plumbing/request/server_test.go
@@ -79,6 +79,10 @@
 		"cut":          {filters: begin, broken: true},
 		"cut by event": {cuts: true, filters: begin, status: 200, body: "partcut"},
 		"cut by panic": {filters: func(ctx context.Context, c *call) error { begin(ctx, c); panic("fault") }, broken: true},
+		"second answer": {filters: func(ctx context.Context, c *call) error {
+			begin(ctx, c) //nolint:errcheck // the second answer is tried in any case.
+			return c.Writer.WriteAll(500, []byte("second"))
+		}, broken: true},
 		"late refusal": {filters: func(_ context.Context, c *call) error {
 			if err := c.Writer.WriteAll(200, []byte("whole")); err != nil {
 				return err
--- a/plumbing/request/writer.go
+++ b/plumbing/request/writer.go
@@ -72,8 +72,14 @@
 	return w.ResponseWriter.Write(p)
 }
 
+// errBegun refuses a second answer: it would make a part of the first look whole.
+var errBegun = errors.New("another answer has begun")
+
 // WriteAll writes a whole answer.
 func (w *Writer) WriteAll(status int, body []byte) error {
+	if w.Begun() {
+		return errBegun
+	}
 	w.complete = true
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 	w.WriteHeader(status)
