--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -26,7 +26,7 @@
 // regressions are the seeds that ever failed, each with its cause.
 var regressions = []uint64{
 	203, 208, // a log line after the writer was closed panicked at the exit
-	301,      // an error answer in place of the rest of a stream ended it in order
+	301, // an error answer in place of the rest of a stream ended it in order
 }
 
 func TestMain(m *testing.M) { processtest.Main(m) }
