--- a/tools/emulator/plan.go
+++ b/tools/emulator/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -10,8 +11,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"crypto/sha256"
 )
 
 // Arrival is one request of a plan.
