--- a/standin/userplatform/store.go
+++ b/standin/userplatform/store.go
@@ -45,16 +45,18 @@
 	changed chan struct{}
 	started time.Time
 	calls   map[string]int
+	objects map[string][]byte
 	gate    *standin.Gate
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	s := &Store{rows: map[rowKey]row{}, changed: make(chan struct{}), started: time.Now(), calls: map[string]int{}}
+	s := &Store{rows: map[rowKey]row{}, changed: make(chan struct{}), started: time.Now(), calls: map[string]int{}, objects: map[string][]byte{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /rows-tx", s.transact)
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
+	s.handleObjects(mux)
 	s.gate = standin.NewGate(standin.Protocol{
 		Throttled: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) },
 		Failed:    func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
