Start the test's engines with the model that both serve

Change: newScene takes models that all engines serve from their first entry, which the instance has read before it is ready.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -123,13 +123,7 @@
 
 // Guards against missing, double and half events when an upstream breaks off.
 func TestStreamGoesOnAtAnotherUpstream(t *testing.T) {
-	s := newScene(t, 1)
-	for _, u := range s.engines { // have both engines serve the model
-		u.Engine.Serve("letters")
-		if err := u.Register(); err != nil {
-			t.Fatal(err)
-		}
-	}
+	s := newScene(t, 1, "letters")
 	wantStream(t, s.send(0, draft("letters")))
 	preferred := s.engines[0]
 	if len(preferred.Arrivals()) == 0 {
@@ -144,6 +138,20 @@
 	}
 }
 
+// Guards against ending a stream that breaks off at the only upstream with its
+// model, which is still there and can go on with it.
+func TestStreamGoesOnAtItsOnlyUpstream(t *testing.T) {
+	s := newScene(t, 1)
+	wantStream(t, s.send(0, draft("notices")))
+	s.engines[0].Fail(userplatform.CutStream)
+	cut := draft("notices")
+	cut.id = "cut"
+	wantStream(t, s.send(0, cut))
+	if ran, _ := runs("cut", s.engines[0]); ran != 2 {
+		t.Errorf("the stream ran %d times, want 2", ran)
+	}
+}
+
 // Guards against a success that no upstream vouches for: a stream without an
 // event keeps its upstream's signature, and one that only closes is no answer.
 // Found by a hunt of cantaro-pozos (hunt-3ab9-11, MIXED).
@@ -363,13 +371,7 @@
 // passed on, and without another try the connection breaks. Found by the soak,
 // seed 301: an error answer ended the stream in order after its second event.
 func TestErrorAnswerDoesNotEndAStream(t *testing.T) {
-	s := newScene(t, 1)
-	for _, u := range s.engines {
-		u.Engine.Serve("letters")
-		if err := u.Register(); err != nil {
-			t.Fatal(err)
-		}
-	}
+	s := newScene(t, 1, "letters")
 	s.eventually("both engines serve the model", func() bool {
 		s.engines[0].Fail(userplatform.TurnedAway)
 		s.engines[1].Fail(userplatform.TurnedAway)
--- a/node/scene_test.go
+++ b/node/scene_test.go
@@ -35,8 +35,9 @@
 }
 
 // newScene starts a platform with two engines, two plain upstreams and some
-// instances, and waits until all instances are ready.
-func newScene(t *testing.T, instances int) *scene {
+// instances, and waits until all instances are ready. Each engine serves a model
+// of its own and those in common.
+func newScene(t *testing.T, instances int, common ...string) *scene {
 	t.Helper()
 	s := &scene{t: t, store: userplatform.NewStore()}
 	server := httptest.NewServer(s.store.Gate())
@@ -46,9 +47,13 @@
 		t.Fatal(err)
 	}
 	for i, model := range []string{"notices", "summaries"} {
+		models := map[string][]string{model: nil}
+		for _, m := range common {
+			models[m] = nil
+		}
 		u := &userplatform.Upstream{
 			ID: fmt.Sprintf("engine-%d", i+1), Service: "engine", Zone: "north", Slots: 16, Events: 8, Work: 2 * time.Millisecond,
-			Engine: &userplatform.Engine{Places: 2, AdapterSlots: 4, LoadTime: 50 * time.Millisecond, Models: map[string][]string{model: nil}},
+			Engine: &userplatform.Engine{Places: 2, AdapterSlots: 4, LoadTime: 50 * time.Millisecond, Models: models},
 		}
 		s.engines = append(s.engines, s.start(u))
 		s.rotas = append(s.rotas, s.start(&userplatform.Upstream{
--- a/standin/userplatform/engine.go
+++ b/standin/userplatform/engine.go
@@ -57,13 +57,6 @@
 	e.lose = n
 }
 
-// Serve adds a model to those that are loaded.
-func (e *Engine) Serve(model string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.Models[model] = nil
-}
-
 // Holders returns who gave orders, in order.
 func (e *Engine) Holders() []string {
 	e.mu.Lock()
