Resume a stream at its only upstream

Cause: an upstream that broke an answer off was never chosen again for the request, so a stream whose model has one engine ended there although that engine was fit to go on with it.

Change: dispatch chooses a tried upstream once more if no other can run a request that may be repeated; attempts, budget, health and room bind as before. TestStreamGoesOnAtItsOnlyUpstream failed first.

--- a/decision/dispatch/dispatch.go
+++ b/decision/dispatch/dispatch.go
@@ -49,7 +49,8 @@
 	Prompt  int64 // tokens
 	Tokens  int64 // prompt and longest output
 	Session string
-	Tried   []string // upstreams that are not to be chosen again
+	Tried   []string // upstreams that are chosen again only if they are in Again
+	Again   []string // those of Tried that may run the request once more if no other can
 }
 
 // Reason says why a choice was made or none was possible.
@@ -59,8 +60,9 @@
 const (
 	LeastLoaded Reason = "least_loaded"
 	OnlyOne     Reason = "only_eligible"
-	NoUpstream  Reason = "no_upstream"      // the service has none in service
-	NotLoaded   Reason = "model_not_loaded" // none has the model
+	TriedAgain  Reason = "only_tried_before" // no other can run it
+	NoUpstream  Reason = "no_upstream"       // the service has none in service
+	NotLoaded   Reason = "model_not_loaded"  // none has the model
 	NoAdapter   Reason = "adapter_not_loaded"
 	AllBusy     Reason = "all_excluded" // full, ejected, cold or tried
 )
@@ -129,7 +131,8 @@
 		return Choice{Reason: NoUpstream}
 	}
 	choice := Choice{Reason: NoUpstream}
-	var best float64
+	var best, bestAgain float64
+	var again *fleet.Upstream
 	for _, u := range v.ByService[d.Service] {
 		if !v.Usable(u) {
 			continue
@@ -148,20 +151,29 @@
 		}
 		choice.Reason = worse(choice.Reason, AllBusy)
 		l := b.load(u)
-		if slices.Contains(d.Tried, u.ID) || now.Before(l.fullTill) || l.health.ejected(now) || !l.cold.open(now, b.Self, u, service, b.Members) {
+		tried := slices.Contains(d.Tried, u.ID)
+		if tried && !slices.Contains(d.Again, u.ID) || now.Before(l.fullTill) || l.health.ejected(now) || !l.cold.open(now, b.Self, u, service, b.Members) {
 			continue
 		}
-		choice.Eligible++
 		cost := b.cost(now, l, u, service, d)
+		if tried {
+			if again == nil || cost < bestAgain {
+				again, bestAgain = u, cost
+			}
+			continue
+		}
+		choice.Eligible++
 		if choice.Upstream == nil || cost < best {
 			choice.Upstream, best = u, cost
 		}
 	}
-	if choice.Upstream != nil {
+	switch {
+	case choice.Eligible > 1:
 		choice.CostMS, choice.Reason = best, LeastLoaded
-		if choice.Eligible == 1 {
-			choice.Reason = OnlyOne
-		}
+	case choice.Eligible == 1:
+		choice.CostMS, choice.Reason = best, OnlyOne
+	case again != nil:
+		choice.Upstream, choice.CostMS, choice.Reason = again, bestAgain, TriedAgain
 	}
 	return choice
 }
--- a/decision/dispatch/dispatch_test.go
+++ b/decision/dispatch/dispatch_test.go
@@ -75,6 +75,8 @@
 		"another model":    {viewOf(engine("e1")), Demand{Service: "engine", Model: "n"}, NotLoaded},
 		"another adapter":  {viewOf(engine("e1")), Demand{Service: "engine", Model: "m", Adapter: "a2"}, NoAdapter},
 		"tried before":     {viewOf(engine("e1")), Demand{Service: "engine", Model: "m", Tried: []string{"e1"}}, AllBusy},
+		"tried, once more": {viewOf(engine("e1")), Demand{Service: "engine", Model: "m", Tried: []string{"e1"}, Again: []string{"e1"}}, TriedAgain},
+		"another first":    {viewOf(engine("e1"), engine("e2")), Demand{Service: "engine", Model: "m", Tried: []string{"e1"}, Again: []string{"e1"}}, OnlyOne},
 		"the only one":     {viewOf(engine("e1")), drafting, OnlyOne},
 		"one of several":   {viewOf(engine("e1"), engine("e2")), drafting, LeastLoaded},
 		"its own adapter":  {viewOf(engine("e1")), Demand{Service: "engine", Model: "m", Adapter: "a1"}, OnlyOne},
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -84,10 +84,14 @@
 		}
 		last = try.err
 		demand.Tried = append(demand.Tried, u.ID)
+		if try.result == dispatch.Failed && r.MayRepeat() {
+			// It is still there: only its answer was broken.
+			demand.Again = append(demand.Again, u.ID)
+		}
 		if sends+1 >= maxSends || !f.mayRetry(ctx, r, try) {
 			return last
 		}
-		r.Log.WithFields(log.Fields{"upstream": u.ID, "result": try.result.String(), "resume": try.resume}).Info("request is tried at another upstream")
+		r.Log.WithFields(log.Fields{"upstream": u.ID, "result": try.result.String(), "resume": try.resume}).Info("request is tried once more")
 	}
 }
 
