Log why upstreams were left out and what a request waited for

Cause: "no upstream has room" did not say whether the upstreams were full, cold, ejected or tried before, and the line of a late request did not say what it had waited for.

Change: dispatch.Choice counts the exclusions by cause, refusals show them, and "upstream chosen" has waited_ms and waited_for.

--- a/decision/dispatch/dispatch.go
+++ b/decision/dispatch/dispatch.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -67,11 +68,21 @@
 	AllBusy     Reason = "all_excluded" // full, ejected, cold or tried
 )
 
+// Exclusions counts the upstreams that hold what a request needs and were left
+// out all the same.
+type Exclusions struct {
+	Tried   int // by this request
+	Full    int // turned a request away a moment ago
+	Ejected int // failed too often
+	Cold    int // get only so many requests a second
+}
+
 // Choice is the result of Pick.
 type Choice struct {
 	Upstream *fleet.Upstream // nil without one
 	Reason   Reason
 	Eligible int
+	Excluded Exclusions
 	CostMS   float64
 	// Hosts are the upstreams that hold the model, for an adapter to be loaded.
 	Hosts []string
@@ -152,7 +163,18 @@
 		choice.Reason = worse(choice.Reason, AllBusy)
 		l := b.load(u)
 		tried := slices.Contains(d.Tried, u.ID)
-		if tried && !slices.Contains(d.Again, u.ID) || now.Before(l.fullTill) || l.health.ejected(now) || !l.cold.open(now, b.Self, u, service, b.Members) {
+		switch {
+		case tried && !slices.Contains(d.Again, u.ID):
+			choice.Excluded.Tried++
+			continue
+		case now.Before(l.fullTill):
+			choice.Excluded.Full++
+			continue
+		case l.health.ejected(now):
+			choice.Excluded.Ejected++
+			continue
+		case !l.cold.open(now, b.Self, u, service, b.Members):
+			choice.Excluded.Cold++
 			continue
 		}
 		cost := b.cost(now, l, u, service, d)
@@ -355,6 +377,11 @@
 	return c.Upstream.ID + " (" + string(c.Reason) + ", " + strconv.Itoa(c.Eligible) + " eligible)"
 }
 
+// String describes the exclusions for logs.
+func (e Exclusions) String() string {
+	return fmt.Sprintf("%d tried, %d full, %d ejected, %d cold", e.Tried, e.Full, e.Ejected, e.Cold)
+}
+
 // String returns the outcome as it appears in logs.
 func (o Outcome) String() string {
 	return [...]string{"neutral", "served", "full", "failed", "unreachable"}[o]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,6 +100,10 @@
 
 	runs   int // upstreams that may have run it
 	choice dispatch.Choice
+	// waitedFor is what the request waited for before it was sent last, empty if
+	// it did not wait.
+	waitedFor string
+	sentAt    bootclock.Time // when it was sent last
 	// adapterLogged says that a failed load of the adapter has been logged.
 	adapterLogged bool
 	// grantedAt is when the workspace's tokens were granted, 0 before.
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -32,6 +32,12 @@
 	limitWait = 0.5
 	// maxSends bounds the sends of one request, those that found no room included.
 	maxSends = 4
+	// waitLimit is what the log calls a wait for the workspace's tokens; the
+	// other waits bear the reason of the choice.
+	waitLimit = "limit"
+	// limitAnswer is the time from which the answer to a question for tokens
+	// counts as a wait; a usual one takes two or three trips between data centres.
+	limitAnswer = 20 * time.Millisecond
 )
 
 // Route finds an upstream for a request, waits for one where that helps, and
@@ -118,6 +124,9 @@
 			return nil, refusal
 		}
 		r.grantedAt = bootclock.Now()
+		if r.grantedAt.Sub(now) > limitAnswer {
+			r.waitedFor = waitLimit
+		}
 	}
 }
 
@@ -157,6 +166,7 @@
 		if refusal := f.hopeless(now, r, choice, retry); refusal != nil {
 			return nil, refusal
 		}
+		r.waitedFor = string(choice.Reason)
 		if choice.Reason == dispatch.NoAdapter {
 			if err := f.loadAdapter(ctx, r); err == nil {
 				continue
@@ -200,7 +210,7 @@
 	case c.Reason == dispatch.NoUpstream:
 		return r.Attempt.Refuse(verdict.NoUpstream, "no upstream of %s is in service", r.Service).After(comeBack)
 	case c.Reason == dispatch.AllBusy && (retry || waited > time.Duration(busyWait*float64(r.Route.Target))):
-		return r.Attempt.Refuse(verdict.QueueFull, "no upstream has room").After(comeBack)
+		return r.Attempt.Refuse(verdict.QueueFull, "no upstream has room: %s", c.Excluded).After(comeBack)
 	case c.Reason == dispatch.NotLoaded:
 		ready, known := f.Placement.ReadyIn(r.Service, r.Model)
 		if known && ready > left-reserve {
@@ -248,7 +258,7 @@
 	f.mu.Lock()
 	ticket := f.balancer.Start(bootclock.Now(), u, d)
 	f.mu.Unlock()
-	r.Upstream = u.ID
+	r.Upstream, r.sentAt = u.ID, bootclock.Now()
 	observe := observer{
 		first: func() {
 			f.mu.Lock()
@@ -273,7 +283,7 @@
 	}
 	r.Log.WithFields(log.Fields{
 		"route": r.RouteName, "upstream": u.ID, "reason": r.choice.Reason, "eligible": r.choice.Eligible,
-		"model": r.Model, "config": r.Config, "config_age_ms": r.ConfigAge.Milliseconds(), "result": a.result.String(), "runs": r.runs,
+		"model": r.Model, "adapter": r.Adapter, "waited_ms": r.sentAt.Sub(r.Arrived).Milliseconds(), "waited_for": r.waitedFor, "config": r.Config, "config_age_ms": r.ConfigAge.Milliseconds(), "result": a.result.String(), "runs": r.runs,
 		"after_ms": bootclock.Since(r.Arrived).Milliseconds(),
 	}).Info("upstream chosen")
 	return a
