Do not take an upstream that answers nothing for an idle one

Cause: an upstream's load is known from its answers, and its latency from first events.

Change: the time for which the oldest request has been without its first event counts as a latency, also when its caller leaves; a slow upstream is forgotten with a half-life of 8 s, so that it is tried again.

--- a/decision/dispatch/dispatch.go
+++ b/decision/dispatch/dispatch.go
@@ -100,8 +100,9 @@
 	started  int64 // run of the upstream that the figures belong to
 	running  int
 	tokens   int64
-	prefill  int64 // prompt tokens of requests without a first event
-	reported int   // requests of other instances by the last answer
+	prefill  int64     // prompt tokens of requests without a first event
+	silent   []*Ticket // requests without a first event, the oldest first
+	reported int       // requests of other instances by the last answer
 	at       bootclock.Time
 	fullTill bootclock.Time
 	health   health
@@ -230,7 +231,7 @@
 			cost += crowdedMS
 		}
 	}
-	cost *= l.health.slowness()
+	cost *= max(l.health.slowness(now), l.silence(now))
 	if u.DataCentre != b.DataCentre {
 		cost += crossingMS
 	}
@@ -274,7 +275,26 @@
 	l.tokens += d.Tokens
 	l.prefill += d.Prompt
 	l.cold.sent(now)
-	return &Ticket{load: l, demand: d, started: now}
+	t := &Ticket{load: l, demand: d, started: now}
+	l.silent = append(l.silent, t)
+	return t
+}
+
+// silence compares the time for which the oldest request has been without its
+// first event with the expected one. An upstream that answers nothing reports
+// no load either, and would look idle.
+func (l *load) silence(now bootclock.Time) float64 {
+	if len(l.silent) == 0 {
+		return 0
+	}
+	return slowness(now.Sub(l.silent[0].started), l.silent[0].expected())
+}
+
+// answered takes a request off those without a first event.
+func (l *load) answered(t *Ticket) {
+	if i := slices.Index(l.silent, t); i >= 0 {
+		l.silent = slices.Delete(l.silent, i, i+1)
+	}
 }
 
 // First records the first event of a request, after which its prompt has been read.
@@ -283,8 +303,9 @@
 		return
 	}
 	t.first = true
+	t.load.answered(t)
 	t.load.prefill -= t.demand.Prompt
-	t.load.health.latency(now.Sub(t.started), t.expected())
+	t.load.health.latency(now, now.Sub(t.started), t.expected())
 }
 
 // expected is the time to the first event of an idle upstream.
@@ -320,7 +341,11 @@
 	l.running--
 	l.tokens -= t.demand.Tokens
 	if !t.first {
+		l.answered(t)
 		l.prefill -= t.demand.Prompt
+		if o == Neutral {
+			l.health.atLeast(now, now.Sub(t.started), t.expected())
+		}
 	}
 	switch o {
 	case Full:
--- a/decision/dispatch/dispatch_test.go
+++ b/decision/dispatch/dispatch_test.go
@@ -227,3 +227,65 @@
 		b.Finish(start, b.Start(start, plain("p1"), booking), Served)
 	}
 }
+
+// Guards against an upstream that answers nothing and so reports no load: to
+// each of many instances it looked idle. Seen on cantaro-pozos-grown, scale-1:
+// one of two engines with a model got two thirds of its requests for 8 s and
+// served hardly any. Each instance may find out once for itself; when it answers
+// again, it gets its part of the requests back.
+func TestSilentUpstreamIsNotTakenForIdle(t *testing.T) {
+	const (
+		instances, requests = 85, 500 // for 20 s, and as many after it has recovered
+		gap                 = 40 * time.Millisecond
+		patience            = 2400 * time.Millisecond // after which callers leave
+		first, whole        = 100 * time.Millisecond, 500 * time.Millisecond
+	)
+	type run struct {
+		b     *Balancer
+		t     *Ticket
+		since bootclock.Time
+	}
+	v, now := viewOf(engine("e1"), engine("e2")), start
+	balancers := make([]*Balancer, instances)
+	for i := range balancers {
+		balancers[i] = NewBalancer(fmt.Sprint(i), "z")
+	}
+	var silent, served []run
+	toSilent, late := 0, 0
+	for n := range 2 * requests {
+		now = now.Add(gap)
+		for len(silent) > 0 && now.Sub(silent[0].since) >= patience {
+			silent[0].b.Finish(now, silent[0].t, Neutral)
+			silent = silent[1:]
+		}
+		for len(served) > 0 && now.Sub(served[0].since) >= whole {
+			served[0].b.Finish(now, served[0].t, Served)
+			served = served[1:]
+		}
+		for _, r := range served {
+			if now.Sub(r.since) >= first {
+				r.t.First(now)
+			}
+		}
+		b, d := balancers[(n*37)%instances], drafting
+		d.Session = fmt.Sprint(n % 80)
+		u := b.Pick(now, v, listed{}, d).Upstream
+		r := run{b, b.Start(now, u, d), now}
+		switch {
+		case u.ID == "e1" && n < requests:
+			toSilent++
+			silent = append(silent, r)
+		default:
+			served = append(served, r)
+		}
+		if u.ID == "e1" && n >= requests*3/2 {
+			late++
+		}
+	}
+	if toSilent > instances {
+		t.Errorf("%d of %d requests went to an upstream that answers nothing, want one an instance at most", toSilent, requests)
+	}
+	if late < requests/8 {
+		t.Errorf("%d of %d requests go to it 10 s after it has recovered, want a quarter or more", late, requests/2)
+	}
+}
--- a/decision/dispatch/health.go
+++ b/decision/dispatch/health.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
@@ -21,6 +22,9 @@
 	unreachableAfter = 2
 	// latencyWeight is the weight of the newest latency.
 	latencyWeight = 0.2
+	// slowHalfLife is how fast a slow upstream is forgotten without new latencies,
+	// so that one that has recovered is tried again.
+	slowHalfLife = 8 * time.Second
 	// maxSlowness bounds the effect of latencies on the choice.
 	maxSlowness = 8.0
 )
@@ -32,6 +36,7 @@
 	until     bootclock.Time
 	ejections int
 	slow      float64 // moving ratio of latency to the expected one, 0 if unknown
+	slowAt    bootclock.Time
 }
 
 func (h *health) ejected(now bootclock.Time) bool { return now.Before(h.until) }
@@ -69,16 +74,33 @@
 	h.failures = ejectShare / 2
 }
 
-// latency compares the time to the first event with the expected one.
-func (h *health) latency(got, expected time.Duration) {
-	ratio := min(float64(got)/float64(max(expected, time.Millisecond)), maxSlowness)
-	if h.slow == 0 {
-		h.slow = 1
+// slowness returns the ratio of a time to the first event to the expected one.
+func slowness(got, expected time.Duration) float64 {
+	return min(float64(got)/float64(max(expected, time.Millisecond)), maxSlowness)
+}
+
+// latency takes over the time to a first event.
+func (h *health) latency(now bootclock.Time, got, expected time.Duration) {
+	before := h.slowness(now)
+	h.slow = before + latencyWeight*(max(slowness(got, expected), 1)-before)
+	h.slowAt = now
+}
+
+// atLeast takes over for how long a request was without its first event when
+// its caller left.
+func (h *health) atLeast(now bootclock.Time, got, expected time.Duration) {
+	if slowness(got, expected) > h.slowness(now) {
+		h.latency(now, got, expected)
 	}
-	h.slow += latencyWeight * (max(ratio, 1) - h.slow)
 }
 
-func (h *health) slowness() float64 { return max(h.slow, 1) }
+// slowness returns the moving ratio of latencies to the expected ones, at least 1.
+func (h *health) slowness(now bootclock.Time) float64 {
+	if h.slow <= 1 {
+		return 1
+	}
+	return 1 + (h.slow-1)*math.Exp2(-float64(now.Sub(h.slowAt))/float64(slowHalfLife))
+}
 
 // coldGate limits this instance's share of the requests to a cold upstream.
 // Each instance has a turn of its own in a cycle as long as the sum over all
