--- a/decision/residency/choose.go
+++ b/decision/residency/choose.go
@@ -31,7 +31,7 @@
 // choose returns the best host for a model. For a model that requests wait
 // for, a host that is busy now may be worth waiting for: then there is none.
 func (p *Planner) choose(now bootclock.Time, k key, urgent bool) (candidate, bool) {
-	p.count(now)
+	p.refreshTotals(now)
 	var best candidate
 	found := false
 	better := time.Duration(-1) // a busy host with a copy would be ready in this time
@@ -105,7 +105,7 @@
 			continue
 		}
 		size := m.WeightsMB + float64(len(r.adapters))*m.AdapterMB
-		replicas := p.census.replicas[k]
+		replicas := p.totals.replicas[k]
 		if d == nil {
 			cost := unknownMS
 			if replicas > 1 {
@@ -114,7 +114,7 @@
 			list = append(list, victim{name, cost, size})
 			continue
 		}
-		if d.at[h.entry.ID] > 0 || (d.waiting > 0 && replicas <= 1) {
+		if d.runningAt[h.entry.ID] > 0 || (d.waiting > 0 && replicas <= 1) {
 			continue
 		}
 		cost := displacedMS * d.rate.now(now) / float64(max(replicas*replicas, 1))
--- a/decision/residency/planner.go
+++ b/decision/residency/planner.go
@@ -21,7 +21,7 @@
 	ids     []string // of hosts, in order
 	reports map[string]*reported
 	demands map[key]*demand
-	census  census
+	totals  totals
 	store   bucket
 }
 
@@ -41,7 +41,7 @@
 
 // Observe takes over what has registered.
 func (p *Planner) Observe(now bootclock.Time, v *fleet.View) {
-	p.view, p.ids, p.census.valid = v, nil, false
+	p.view, p.ids, p.totals.valid = v, nil, false
 	if v.Config == nil {
 		return
 	}
@@ -81,7 +81,7 @@
 		p.useAdapters(now, n)
 	}
 	p.reports[instance] = &reported{at: now, needs: needs}
-	p.census.valid = false
+	p.totals.valid = false
 }
 
 // useAdapters notes which adapters of a model are in use.
@@ -105,7 +105,7 @@
 func (p *Planner) demand(k key) *demand {
 	d := p.demands[k]
 	if d == nil {
-		d = &demand{at: map[string]int{}}
+		d = &demand{runningAt: map[string]int{}}
 		p.demands[k] = d
 	}
 	return d
@@ -132,7 +132,7 @@
 func (p *Planner) Reported(now, asked bootclock.Time, upstream string, started int64, r Report) {
 	if h := p.hosts[upstream]; h != nil && h.entry.Started == started {
 		h.report(now, asked, r)
-		p.census.valid = false
+		p.totals.valid = false
 	}
 }
 
@@ -142,7 +142,7 @@
 	if h == nil || h.entry.Started != o.Started {
 		return
 	}
-	p.census.valid = false
+	p.totals.valid = false
 	if o.Adapter != "" {
 		h.adapterSent(now, o, outcome)
 		return
@@ -256,11 +256,11 @@
 			if !r.retiring || r.retired == 0 || now.Sub(r.retired) < UnloadNotice {
 				continue
 			}
-			p.count(now)
-			if d := p.demands[key{h.entry.Service, name}]; d != nil && d.at[id] > 0 {
+			p.refreshTotals(now)
+			if d := p.demands[key{h.entry.Service, name}]; d != nil && d.runningAt[id] > 0 {
 				// A request was on its way when the instances were told.
 				r.retiring, r.used = false, now
-				p.census.valid = false
+				p.totals.valid = false
 				break
 			}
 			orders = append(orders, p.give(now, h, Order{Unload: true, Model: name}, retryAfter))
@@ -272,7 +272,7 @@
 
 // give counts an order as sent.
 func (p *Planner) give(now bootclock.Time, h *host, o Order, takes time.Duration) Order {
-	p.census.valid = false
+	p.totals.valid = false
 	o.Upstream, o.Address, o.Started, o.Sequence = h.entry.ID, h.entry.Address, h.entry.Started, h.sequence
 	h.order = &pending{order: o, sent: now, due: now.Add(takes)}
 	return o
@@ -285,7 +285,7 @@
 			r := c.host.models[name]
 			r.retiring, r.retired = true, 0
 		}
-		p.census.valid = false
+		p.totals.valid = false
 		return orders
 	}
 	m := c.host.engine.Models[k.model]
@@ -322,7 +322,7 @@
 // ReadyIn estimates when a model that is not served will be.
 func (p *Planner) ReadyIn(now bootclock.Time, service, model string) (time.Duration, bool) {
 	k := key{service, model}
-	p.count(now)
+	p.refreshTotals(now)
 	var m *fleet.Model
 	for _, h := range p.hosts {
 		if h.entry.Service != service || !p.usable(h) {
@@ -336,7 +336,7 @@
 	switch {
 	case m == nil:
 		return 0, false
-	case p.census.copies[k]:
+	case p.totals.copies[k]:
 		return loadTime(m, FromDisk) + swapTime, true
 	}
 	// Loads from the weight store go in turns, the longest waiting model first.
@@ -345,7 +345,7 @@
 		if w == k {
 			break
 		}
-		if !p.census.copies[w] {
+		if !p.totals.copies[w] {
 			ahead++
 		}
 	}
@@ -354,7 +354,7 @@
 
 // Waiting lists the models that requests wait for.
 func (p *Planner) Waiting(now bootclock.Time) []Need {
-	p.count(now)
+	p.refreshTotals(now)
 	var list []Need
 	for k, d := range p.demands {
 		if d.waiting > 0 {
--- a/decision/residency/planner_test.go
+++ b/decision/residency/planner_test.go
@@ -295,8 +295,8 @@
 			p.Needs(now, "i", []Need{{Service: service, Model: "m0", Running: map[string]int{"u0": running}}})
 			p.Plan(now)
 		}
-		p.count(now)
-		if replicas := p.census.replicas[key{service, "m0"}]; running > 8*replicas || running <= 8*(replicas-1) {
+		p.refreshTotals(now)
+		if replicas := p.totals.replicas[key{service, "m0"}]; running > 8*replicas || running <= 8*(replicas-1) {
 			r.Errorf("%d replicas for %d requests, want one for 8", replicas, running)
 		}
 	})
--- a/decision/residency/scale_test.go
+++ b/decision/residency/scale_test.go
@@ -90,7 +90,7 @@
 			began := time.Now()
 			for range 3 {
 				now = now.Add(time.Millisecond)
-				p.census.valid = false
+				p.totals.valid = false
 				look(p, now)
 			}
 			best = min(best, time.Since(began))
--- a/decision/residency/census.go
+++ b/decision/residency/totals.go
@@ -10,19 +10,19 @@
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
-// censusAge is how long a census holds without a change: reports of instances
+// totalsAge is how long totals are used without a change: reports of instances
 // that went silent are dropped that much later.
-const censusAge = 50 * time.Millisecond
+const totalsAge = 50 * time.Millisecond
 
 // demand is what all instances need of one model.
 type demand struct {
 	rate  rate
 	since bootclock.Time // first request that waits, 0 for none
 
-	// The rest is of the last census.
-	waiting int
-	running int
-	at      map[string]int // running requests by upstream
+	// Sums over the instances' reports, by refreshTotals.
+	waiting   int
+	running   int            // also at upstreams that are leaving
+	runningAt map[string]int // by upstream
 }
 
 // urgency sorts by how long requests have been waiting; models that only want
@@ -40,9 +40,9 @@
 	needs []Need
 }
 
-// census sums up the instances' reports and the hosts. The plan looks at each
-// model many times, and a grown deployment has thousands of needs.
-type census struct {
+// totals are sums over the instances' reports and the hosts. The plan looks at
+// each model many times, and a grown deployment has thousands of reported needs.
+type totals struct {
 	at       bootclock.Time
 	valid    bool
 	replicas map[key]int  // upstreams that serve a model or load it
@@ -51,24 +51,24 @@
 	listed   bool         // wanted is up to date
 }
 
-// count takes the census anew if anything may have changed.
-func (p *Planner) count(now bootclock.Time) {
-	if p.census.valid && now.Sub(p.census.at) < censusAge {
+// refreshTotals computes the totals again if anything may have changed.
+func (p *Planner) refreshTotals(now bootclock.Time) {
+	if p.totals.valid && now.Sub(p.totals.at) < totalsAge {
 		return
 	}
-	p.census = census{at: now, valid: true, replicas: map[key]int{}, copies: map[key]bool{}}
-	p.countNeeds(now)
+	p.totals = totals{at: now, valid: true, replicas: map[key]int{}, copies: map[key]bool{}}
+	p.sumNeeds(now)
 	for _, h := range p.hosts {
 		if p.usable(h) {
-			p.countHost(h)
+			p.sumHost(h)
 		}
 	}
 }
 
-func (p *Planner) countNeeds(now bootclock.Time) {
+func (p *Planner) sumNeeds(now bootclock.Time) {
 	for _, d := range p.demands {
 		d.waiting, d.running = 0, 0
-		clear(d.at)
+		clear(d.runningAt)
 	}
 	for instance, r := range p.reports {
 		if now.Sub(r.at) >= needAge {
@@ -79,7 +79,7 @@
 			d := p.demand(key{n.Service, n.Model})
 			d.waiting += n.Waiting
 			for id, running := range n.Running {
-				d.at[id] += running
+				d.runningAt[id] += running
 				d.running += running
 			}
 		}
@@ -93,36 +93,36 @@
 	}
 }
 
-func (p *Planner) countHost(h *host) {
+func (p *Planner) sumHost(h *host) {
 	loading := ""
 	if h.order != nil && !h.order.order.Unload {
 		loading = h.order.order.Model
 	}
 	if loading != "" {
-		p.census.replicas[key{h.entry.Service, loading}]++
-		p.census.copies[key{h.entry.Service, loading}] = true
+		p.totals.replicas[key{h.entry.Service, loading}]++
+		p.totals.copies[key{h.entry.Service, loading}] = true
 	}
 	for name, r := range h.models {
 		k := key{h.entry.Service, name}
-		p.census.copies[k] = true
+		p.totals.copies[k] = true
 		if !r.retiring && (h.order == nil || h.order.order.Model != name) {
-			p.census.replicas[k]++
+			p.totals.replicas[k]++
 		}
 	}
 	for name := range h.copies {
-		p.census.copies[key{h.entry.Service, name}] = true
+		p.totals.copies[key{h.entry.Service, name}] = true
 	}
 }
 
 // wanted lists the models that need a replica, the most urgent first.
 func (p *Planner) wanted(now bootclock.Time) []key {
-	p.count(now)
-	if p.census.listed {
-		return p.census.wanted
+	p.refreshTotals(now)
+	if p.totals.listed {
+		return p.totals.wanted
 	}
 	var list []key
 	for k, d := range p.demands {
-		replicas := p.census.replicas[k]
+		replicas := p.totals.replicas[k]
 		if (replicas == 0 && (d.waiting > 0 || d.rate.now(now) >= absentRate)) || (replicas > 0 && d.running+d.waiting > crowded*replicas) {
 			list = append(list, k)
 		}
@@ -130,17 +130,17 @@
 	slices.SortFunc(list, func(a, b key) int {
 		return cmp.Or(cmp.Compare(p.demands[a].urgency(), p.demands[b].urgency()), cmp.Compare(a.model, b.model))
 	})
-	p.census.wanted, p.census.listed = list, true
+	p.totals.wanted, p.totals.listed = list, true
 	return list
 }
 
 // spares lists the busy models that the loss of one upstream would leave
 // without a replica for the time of a load, the busiest first.
 func (p *Planner) spares(now bootclock.Time) []key {
-	p.count(now)
+	p.refreshTotals(now)
 	var list []key
 	for k, d := range p.demands {
-		if p.census.replicas[k] == 1 && d.rate.now(now) >= spareRate {
+		if p.totals.replicas[k] == 1 && d.rate.now(now) >= spareRate {
 			list = append(list, k)
 		}
 	}
@@ -152,7 +152,7 @@
 
 // missing lists the models of which no engine has a copy.
 func (p *Planner) missing(now bootclock.Time) []key {
-	p.count(now)
+	p.refreshTotals(now)
 	rates := map[key]float64{}
 	var list []key
 	for name, s := range p.view.Config.Services {
@@ -161,7 +161,7 @@
 		}
 		for model := range s.Engine.Models {
 			k := key{name, model}
-			if p.census.copies[k] {
+			if p.totals.copies[k] {
 				continue
 			}
 			list = append(list, k)
