--- a/controller/catalogsync/store.go
+++ b/controller/catalogsync/store.go
@@ -26,7 +26,7 @@
 	Digest  string `cbor:"2,keyasint"`
 }
 
-// store reads and writes catalogues at the ports.
+// store reads and writes catalogues on the platform.
 type store struct {
 	table   ports.Table
 	objects ports.Objects
--- a/plumbing/connpool/conn.go
+++ b/plumbing/connpool/conn.go
@@ -56,16 +56,12 @@
 	net.Conn
 	address   string
 	reader    *bufio.Reader
-	reused    bool
 	idleSince bootclock.Time
 	idleFor   time.Duration // how long the other side keeps it, 0 if unknown
 	broken    bool
 	wrote     bool
 }
 
-// Reused reports whether the connection has served a request before.
-func (c *Conn) Reused() bool { return c.reused }
-
 // Wrote reports whether a byte of the present request may have left.
 func (c *Conn) Wrote() bool { return c.wrote }
 
@@ -137,7 +133,6 @@
 
 // noteKeepAlive records for how long the other side keeps the connection.
 func (c *Conn) noteKeepAlive(answer *http.Response) {
-	c.reused = true
 	if answer.Close {
 		c.broken = true
 	}
--- a/plumbing/connpool/pool.go
+++ b/plumbing/connpool/pool.go
@@ -55,9 +55,8 @@
 	config Config
 	dialer net.Dialer
 
-	mu     sync.Mutex
-	idle   map[string][]*Conn
-	opened uint64
+	mu   sync.Mutex
+	idle map[string][]*Conn
 }
 
 // New returns an empty pool.
@@ -80,13 +79,6 @@
 	return p
 }
 
-// Opened returns the number of connections dialled since start.
-func (p *Pool) Opened() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
 // Get returns an idle connection to the address that is still open, or dials.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
 	for {
@@ -105,9 +97,6 @@
 
 // Dial returns a new connection to the address.
 func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -94,6 +94,11 @@
 	if u.Engine != nil {
 		u.Engine.upstream = u
 	}
+	return u.serve(listener)
+}
+
+// serve answers requests on a listener and registers the upstream.
+func (u *Upstream) serve(listener net.Listener) error {
 	u.server = &http.Server{Handler: u, ConnState: u.count}
 	go u.server.Serve(listener) //nolint:errcheck // ends with Close.
 	return u.Register()
@@ -139,9 +144,7 @@
 	u.warmAt = time.Now().Add(u.ColdFor)
 	u.listener = listener
 	u.mu.Unlock()
-	u.server = &http.Server{Handler: u, ConnState: u.count}
-	go u.server.Serve(listener) //nolint:errcheck // ends with Close.
-	return u.Register()
+	return u.serve(listener)
 }
 
 // Address returns where the upstream listens.
--- a/tools/emulator/play.go
+++ b/tools/emulator/play.go
@@ -35,10 +35,10 @@
 	Outcome Outcome
 	// Code is the reason of the last refusal or failure.
 	Code string
-	// First is the time to the first event or the whole plain answer, and Total
-	// to the end, from the arrival.
-	First, Total time.Duration
-	Repeated     bool
+	// First is the time from the arrival to the first event or the whole plain
+	// answer.
+	First    time.Duration
+	Repeated bool
 }
 
 // progressEvery is how often Play tells how far it is.
@@ -111,7 +111,7 @@
 	for {
 		answer := p.send(ctx, a, k, began)
 		result.Outcome, result.Code = answer.outcome, answer.code
-		result.First, result.Total = answer.first, time.Since(began)
+		result.First = answer.first
 		if answer.outcome != Refused || result.Repeated || answer.comeBack <= 0 || !duration.Sleep(ctx, answer.comeBack) {
 			break
 		}
