--- a/decision/residency/planner_test.go
+++ b/decision/residency/planner_test.go
@@ -373,3 +373,19 @@
 		t.Errorf("orders %v while the engine with a copy is busy", orders)
 	}
 }
+
+// Guards against replicas for requests that end where they are: those at an
+// upstream that leaves do not come to the others.
+func TestRequestsAtLeavingUpstreamsNeedNoReplica(t *testing.T) {
+	now := bootclock.Time(time.Hour)
+	p, u, registry := sceneOf(t, now)
+	leaving := &upstreamSim{id: "u1", engine: u.engine, started: 1, models: map[string][]string{"m0": nil}}
+	entry := leaving.entry()
+	entry.Leaving = true
+	registry.SetUpstream(entry)
+	p.Observe(now, registry.View())
+	p.Needs(now, "i", []Need{{Service: service, Model: "m0", Arrived: 1, Running: map[string]int{"u0": 4, "u1": 40}}})
+	if wanted := p.wanted(now); len(wanted) != 0 {
+		t.Errorf("%v wanted for requests at an upstream that leaves", wanted)
+	}
+}
--- a/decision/residency/totals.go
+++ b/decision/residency/totals.go
@@ -21,7 +21,7 @@
 
 	// Sums over the instances' reports, by refreshTotals.
 	waiting   int
-	running   int            // also at upstreams that are leaving
+	running   int            // at upstreams that are not leaving
 	runningAt map[string]int // by upstream
 }
 
@@ -80,7 +80,9 @@
 			d.waiting += n.Waiting
 			for id, running := range n.Running {
 				d.runningAt[id] += running
-				d.running += running
+				if h := p.hosts[id]; h != nil && p.usable(h) {
+					d.running += running
+				}
 			}
 		}
 	}
