Remove the parts of a choice that nobody reads

Cause: Pick listed the hosts of a model and kept the cost of its choice, for no reader. It runs for each request and, while one waits, each 50 ms; the list was allocated anew each time.

--- a/decision/dispatch/dispatch.go
+++ b/decision/dispatch/dispatch.go
@@ -83,9 +83,6 @@
 	Reason   Reason
 	Eligible int
 	Excluded Exclusions
-	CostMS   float64
-	// Hosts are the upstreams that hold the model, for an adapter to be loaded.
-	Hosts []string
 }
 
 // Residence tells where models are served now, beyond what the entries say.
@@ -155,7 +152,6 @@
 			if !ok {
 				continue
 			}
-			choice.Hosts = append(choice.Hosts, u.ID)
 			if d.Adapter != "" && !slices.Contains(adapters, d.Adapter) {
 				choice.Reason = worse(choice.Reason, NoAdapter)
 				continue
@@ -192,11 +188,11 @@
 	}
 	switch {
 	case choice.Eligible > 1:
-		choice.CostMS, choice.Reason = best, LeastLoaded
+		choice.Reason = LeastLoaded
 	case choice.Eligible == 1:
-		choice.CostMS, choice.Reason = best, OnlyOne
+		choice.Reason = OnlyOne
 	case again != nil:
-		choice.Upstream, choice.CostMS, choice.Reason = again, bestAgain, TriedAgain
+		choice.Upstream, choice.Reason = again, TriedAgain
 	}
 	return choice
 }
