Run the command lines of three programs in one place

Cause: hibiscusyard, hibiscusyard-front and hibiscusyard-emulator each built the same parser and reported its result alike.

Change: cli.Run.

--- a/command/command.go
+++ b/command/command.go
@@ -12,7 +12,6 @@
 
 	"github.com/apex/log"
 	apexjson "github.com/apex/log/handlers/json"
-	"github.com/jessevdk/go-flags"
 	"github.com/samber/oops"
 
 	"github.com/hibiscusyard/hibiscusyard"
@@ -41,20 +40,9 @@
 	opts.Serve.streams, opts.Validate.streams, opts.Status.streams, opts.Version.streams = io, io, io, io
 	opts.Routes.bind("routes", io)
 	opts.Pools.bind("pools", io)
-	parser := flags.NewNamedParser("hibiscusyard", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Options", "", opts); err != nil {
-		fmt.Fprintln(stderr, err)
-		return cli.Failed
-	}
-	_, err := parser.ParseArgs(args)
-	return exitCode(err, io)
-}
-
-// exitCode reports the result and points to the help after a wrong call.
-func exitCode(err error, io streams) int {
-	code := cli.Exit(err, io.out, io.err)
+	code := cli.Run("hibiscusyard", opts, args, stdout, stderr)
 	if code == cli.Usage {
-		fmt.Fprintln(io.err, "run \"hibiscusyard --help\" for usage")
+		fmt.Fprintln(stderr, "run \"hibiscusyard --help\" for usage")
 	}
 	return code
 }
--- a/node/nodecmd/nodecmd.go
+++ b/node/nodecmd/nodecmd.go
@@ -12,7 +12,6 @@
 
 	"github.com/apex/log"
 	apexjson "github.com/apex/log/handlers/json"
-	"github.com/jessevdk/go-flags"
 
 	"github.com/hibiscusyard/hibiscusyard/node"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
@@ -62,13 +61,7 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	opts := &options{}
 	opts.Serve.out, opts.Validate.out, opts.Explain.out = stdout, stdout, stdout
-	parser := flags.NewNamedParser("hibiscusyard-front", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Options", "", opts); err != nil {
-		fmt.Fprintln(stderr, err)
-		return cli.Failed
-	}
-	_, err := parser.ParseArgs(args)
-	return cli.Exit(err, stdout, stderr)
+	return cli.Run("hibiscusyard-front", opts, args, stdout, stderr)
 }
 
 // Execute implements flags.Commander.
--- a/plumbing/cli/cli.go
+++ b/plumbing/cli/cli.go
@@ -27,6 +27,18 @@
 	return nil
 }
 
+// Run parses the arguments of a program whose commands are the tagged fields of
+// options, runs the one that is named and returns the exit code.
+func Run(program string, options any, args []string, stdout, stderr io.Writer) int {
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", options); err != nil {
+		fmt.Fprintln(stderr, err) //nolint:errcheck // nothing is left to tell it to.
+		return Failed
+	}
+	_, err := parser.ParseArgs(args)
+	return Exit(err, stdout, stderr)
+}
+
 // Exit reports the result of a command line and returns the exit code. Help
 // goes to stdout, errors go to stderr.
 func Exit(err error, stdout, stderr io.Writer) int {
--- a/tools/emulator/command.go
+++ b/tools/emulator/command.go
@@ -10,7 +10,6 @@
 
 	"github.com/apex/log"
 	apexjson "github.com/apex/log/handlers/json"
-	"github.com/jessevdk/go-flags"
 	"github.com/samber/oops"
 
 	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
@@ -52,13 +51,7 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	opts := &options{}
 	opts.Plan.out, opts.Run.out, opts.Validate.out = stdout, stdout, stdout
-	parser := flags.NewNamedParser("hibiscusyard-emulator", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Options", "", opts); err != nil {
-		fmt.Fprintln(stderr, err) //nolint:errcheck // nothing is left to tell it to.
-		return cli.Failed
-	}
-	_, err := parser.ParseArgs(args)
-	return cli.Exit(err, stdout, stderr)
+	return cli.Run("hibiscusyard-emulator", opts, args, stdout, stderr)
 }
 
 // Execute implements flags.Commander.
