--- a/coordinator/updates_test.go
+++ b/coordinator/updates_test.go
@@ -15,7 +15,7 @@
 // is told at once.
 func TestOnlyWaitingInstancesAreToldAtOnce(t *testing.T) {
 	const service = "engine"
-	now := bootclock.Time(time.Hour)
+	now := bootclock.Now()
 	engine := &fleet.Engine{Slots: 8, WeightsMB: 200, LoadsPerSecond: 5, Models: map[string]*fleet.Model{}}
 	for _, name := range []string{"m0", "m1", "m2"} {
 		engine.Models[name] = &fleet.Model{Name: name, WeightsMB: 100, Load: 2 * time.Second, Disk: time.Second}
