Bound what is read of an answer

Cause: net/http's reader takes heads of any length. The body of a call was cut at 16 MiB without an error.

Change: a connection reads at most 64 KiB until the end of an answer's head, with interim and foreign answers, and 32 MiB of its body; a call's answer that exceeds 16 MiB is an error. One event of a stream has at most 256 KiB.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -16,7 +16,7 @@
 )
 
 // maxEvent bounds one event of a stream.
-const maxEvent = 1 << 20
+const maxEvent = 256 << 10
 
 // errSequence means that a stream misses an event or repeats one.
 var errSequence = errors.New("events out of sequence")
--- a/plumbing/connpool/conn.go
+++ b/plumbing/connpool/conn.go
@@ -31,15 +31,41 @@
 	maxForeignBody = 1 << 20
 	// maxInterim bounds the 1xx answers in front of the final one.
 	maxInterim = 4
+	// maxHead bounds the bytes from the end of the request to the end of the
+	// answer's head, with the interim and foreign answers in between. Heads here
+	// have some hundred bytes; the platform allows callers 16 KiB.
+	maxHead = 64 << 10
+	// maxAnswer bounds the bytes of an answer behind its head unless Allow has
+	// said otherwise.
+	maxAnswer = 32 << 20
 )
 
 // Errors of an exchange.
 var (
 	// ErrForeign means that the connection delivers answers to other requests.
 	ErrForeign = errors.New("answer to another request")
+	// ErrTooLong means that the other side sent more bytes than an answer may
+	// have. A server in trouble may send without end.
+	ErrTooLong = errors.New("answer is too long")
 	errSurplus = errors.New("bytes after a complete answer")
 )
 
+// meter bounds the bytes that are read from a connection: net/http's reader
+// takes lines and heads of any length.
+type meter struct {
+	net.Conn
+	left int64
+}
+
+func (m *meter) Read(p []byte) (int, error) {
+	if m.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := m.Conn.Read(p[:min(int64(len(p)), m.left)])
+	m.left -= int64(n)
+	return n, err
+}
+
 // Request is one request as it goes on the wire.
 type Request struct {
 	Method string
@@ -49,12 +75,16 @@
 	Body   []byte
 	// HasBody sends a length also for an empty body.
 	HasBody bool
+	// IDHeader is the header by which answers name the request that they belong
+	// to. A call has no such name: an answer that bears one is another request's.
+	IDHeader string
 }
 
 // Conn is one connection. It serves one request at a time.
 type Conn struct {
 	net.Conn
 	address   string
+	meter     *meter
 	reader    *bufio.Reader
 	idleSince bootclock.Time
 	idleFor   time.Duration // how long the other side keeps it, 0 if unknown
@@ -102,10 +132,14 @@
 // belonging to other requests are skipped.
 func (c *Conn) Receive(method, idHeader, id string) (*http.Response, error) {
 	request := &http.Request{Method: method}
+	c.meter.left = maxHead
 	for skipped := 0; ; {
 		answer, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			c.broken = true
+			if c.meter.left <= 0 {
+				err = fmt.Errorf("%w: no end of its head in %d bytes", ErrTooLong, maxHead)
+			}
 			return nil, err
 		}
 		if answer.StatusCode < http.StatusOK {
@@ -118,12 +152,14 @@
 		got := answer.Header.Get(idHeader)
 		if idHeader == "" || got == "" || got == id {
 			c.noteKeepAlive(answer)
+			c.Allow(maxAnswer)
 			return answer, nil
 		}
 		if skipped++; skipped > maxForeign || answer.ContentLength < 0 || answer.ContentLength > maxForeignBody {
 			c.broken = true
 			return nil, ErrForeign
 		}
+		c.Allow(maxForeignBody + maxHead)
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 			c.broken = true
 			return nil, fmt.Errorf("%w: %w", ErrForeign, err)
@@ -131,6 +167,9 @@
 	}
 }
 
+// Allow bounds the bytes that may still be read of the present answer.
+func (c *Conn) Allow(n int64) { c.meter.left = n }
+
 // noteKeepAlive records for how long the other side keeps the connection.
 func (c *Conn) noteKeepAlive(answer *http.Response) {
 	if answer.Close {
--- a/plumbing/connpool/pool.go
+++ b/plumbing/connpool/pool.go
@@ -101,7 +101,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+	bounded := &meter{Conn: conn}
+	return &Conn{Conn: conn, address: address, meter: bounded, reader: bufio.NewReaderSize(bounded, readBuffer)}, nil
 }
 
 // take removes the most recently used connection that is not too old.
@@ -212,12 +213,13 @@
 		c.Close()
 		return nil, c.wrote, err
 	}
-	head, err := c.Receive(r.Method, "", "")
+	head, err := c.Receive(r.Method, r.IDHeader, "")
 	if err != nil {
 		c.Close()
 		return nil, true, err
 	}
-	body, err := io.ReadAll(io.LimitReader(head.Body, maxCallAnswer))
+	c.Allow(maxCallAnswer)
+	body, err := io.ReadAll(head.Body)
 	if err != nil {
 		c.Close()
 		return nil, true, err
--- a/plumbing/engine/engine.go
+++ b/plumbing/engine/engine.go
@@ -33,6 +33,8 @@
 	maxErrorBody = 4 << 10
 	idleConns    = 2
 	idleTimeout  = 30 * time.Second
+	// maxAnswerHeader bounds the headers of an answer in bytes.
+	maxAnswerHeader = 64 << 10
 )
 
 // Outcome is what is known about the effect of an order.
@@ -134,6 +136,8 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxAnswerHeader,
 	}
 	return &Client{http: &http.Client{
 		Transport:     transport,
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -46,8 +47,14 @@
 	ErrorAnswer        // an error of its own
 	EmptyStream        // a whole stream without an event
 	ClosedStream       // a stream without framing or an event that ends with its connection
+	EndlessHead        // the head of its answer goes on until the caller closes
+	EndlessBody        // the answer itself does
+	Dribble            // a stream that stalls: a byte now and then and no event
 )
 
+// dribbleEvery is the time between two bytes of a stalled stream.
+const dribbleEvery = 20 * time.Millisecond
+
 // Arrival is one request that reached an upstream.
 type Arrival struct {
 	ID, Tenant, Resume, Key string
@@ -299,6 +306,15 @@
 		hijack(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Type: text/event-stream\r\n\r\n",
 			HeaderID, r.Header.Get(HeaderID), HeaderSigned))
 		return
+	case EndlessHead:
+		pour(w, "HTTP/1.1 200 OK\r\n", "X-Noise: on and on\r\n", 0)
+		return
+	case EndlessBody:
+		pour(w, u.head(r, "text/plain"), "bytes without end ", 0)
+		return
+	case Dribble:
+		pour(w, u.head(r, "text/event-stream"), ":", dribbleEvery)
+		return
 	case ErrorAnswer:
 		w.Header().Set(HeaderSigned, "x")
 		w.WriteHeader(http.StatusInternalServerError)
@@ -314,6 +330,31 @@
 	fmt.Fprintf(w, "answer of %s to %s", u.ID, r.Header.Get(HeaderID))
 }
 
+// head returns the head of a success whose body ends with the connection.
+func (u *Upstream) head(r *http.Request, mediaType string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Type: %s\r\n\r\n", HeaderID, r.Header.Get(HeaderID), HeaderSigned, mediaType)
+}
+
+// pour sends a start and then a piece over and over until the caller closes.
+func pour(w http.ResponseWriter, start, piece string, pause time.Duration) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if pause == 0 {
+		piece = strings.Repeat(piece, pourBytes/len(piece))
+	}
+	_, err = io.WriteString(conn, start)
+	for err == nil {
+		_, err = io.WriteString(conn, piece)
+		time.Sleep(pause)
+	}
+}
+
+// pourBytes is about how much is written at once of an answer without end.
+const pourBytes = 32 << 10
+
 // hijack sends raw bytes and closes the connection.
 func hijack(w http.ResponseWriter, raw string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
