Spread the instances' own feeds and readings of the lease over the fleet

A weak instance that was offered the lease left it to others for 1.5 s.

The size of the fleet is estimated from the upstreams while no leader has told it. The row of the lease is not read again within 0.3 s. Once an instance has read a change that was not relayed it relies on the leader again. An offered lease is taken at once, also by a weak instance.

--- a/coordinator/contend.go
+++ b/coordinator/contend.go
@@ -31,7 +31,7 @@
 // lookSoon makes the coordinator look for a leader at once.
 func (c *Coordinator) lookSoon() {
 	c.mu.Lock()
-	c.looked = 0
+	c.looked, c.outdated = 0, true
 	c.mu.Unlock()
 	c.Notify()
 }
@@ -95,14 +95,19 @@
 	if early {
 		return
 	}
-	pause := lookEvery * time.Duration(max(c.client.Members(), lookers)) / lookers
-	if !c.config.Weak {
+	pause := lookEvery * time.Duration(max(c.config.Size(), lookers)) / lookers
+	if !c.config.Weak || c.client.Members() == 0 {
+		// An instance that has heard of no leader yet is known to none.
 		pause = min(pause, maxLook)
 	}
 	c.mu.Lock()
 	c.looked = now.Add(pause/2 + mathrand.N(pause))
+	fresh := !c.outdated && !c.lease.Unsettled() && now.Sub(c.lease.received) < seenLately
+	c.outdated = false
 	c.mu.Unlock()
-	c.read(ctx)
+	if !fresh {
+		c.read(ctx)
+	}
 	c.contend(ctx)
 	c.follow(ctx)
 	c.mu.Lock()
@@ -161,7 +166,7 @@
 		reserves = c.central.Reserve(sent)
 	}
 	change, ok := c.lease.Propose(sent, reserves)
-	if ok && !c.lease.Mine() && c.config.Weak {
+	if ok && !c.lease.Mine() && c.config.Weak && !c.lease.Offered() {
 		if c.freeSince == 0 {
 			c.freeSince = sent
 		}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -71,6 +71,8 @@
 	// itself known to the others.
 	lookers = 8
 	maxLook = time.Second
+	// seenLately is the age of the row up to which it is not read again.
+	seenLately = 300 * time.Millisecond
 )
 
 // Engines gives orders to upstreams.
@@ -85,6 +87,8 @@
 	Store                               ports.RowStore
 	Engines                             Engines
 	View                                func() *fleet.View
+	// Size estimates the number of instances, also while there is no leader.
+	Size func() int
 	// Sources are the tables that the leader relays to the other instances.
 	Sources []Source
 	Bounds  quota.CentralBounds
@@ -133,7 +137,9 @@
 	beats   map[string]beat // last word of each instance
 	peers   []string        // addresses of all instances, as last sent
 	looked  bootclock.Time
-	leading bool
+	// outdated says that the lease row has changed since it was read.
+	outdated bool
+	leading  bool
 	// announce are the instances that a new leader dials to make itself known.
 	announce []string
 	since    bootclock.Time // when this instance began to lead
--- a/coordinator/duties.go
+++ b/coordinator/duties.go
@@ -164,7 +164,7 @@
 	c.mu.Lock()
 	c.lease.Handed(from.Instance, h.Token)
 	c.levels, c.levelsToken = h.Levels, h.Token
-	c.looked = 0
+	c.looked, c.outdated = 0, true
 	c.mu.Unlock()
 	c.client.lost()
 	c.config.Log.WithFields(log.Fields{"from": from.Instance, "token": h.Token}).Info("leadership offered")
--- a/coordinator/duties_test.go
+++ b/coordinator/duties_test.go
@@ -70,3 +70,34 @@
 		t.Error("the released lease was not taken")
 	}
 }
+
+// Guards against a second call of every instance for each change that is too
+// large to be relayed: once an instance has read it, it relies on the leader again.
+func TestRelayCountsAgainOnceTheChangeIsRead(t *testing.T) {
+	now := bootclock.Now()
+	l := newClient(&Coordinator{config: Config{Instance: "follower", ShortestBound: 2 * time.Second}})
+	l.leader = "leader"
+	l.ages["t"] = relayAge{at: now, to: 7}
+	if l.Relays(now, "t", 6) {
+		t.Error("relies on the leader although a change that was not relayed is missing")
+	}
+	if !l.Relays(now, "t", 7) {
+		t.Error("follows the table itself after it has read the change")
+	}
+}
+
+// Guards a hand-over to a weak instance: it takes an offered lease at once, and
+// only a free one is left to stronger instances for a while.
+func TestOfferedLeaseIsNotLeftToOthers(t *testing.T) {
+	s, start := &rowStore{}, bootclock.Time(time.Hour)
+	a, b := NewLease("a", "a1", "1.1.1.1:1", gap), NewLease("b", "b1", "2.2.2.2:1", gap)
+	take(t, a, s, start)
+	read(t, b, s, start)
+	if b.Offered() {
+		t.Error("offered before the holder said so")
+	}
+	b.Handed("a", a.Token())
+	if !b.Offered() {
+		t.Error("an offer is not seen")
+	}
+}
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -169,7 +169,7 @@
 	if l.record.Holder == l.holder && l.record.Address == l.address && l.record.Boot != l.boot {
 		return true
 	}
-	if l.handed != 0 && l.handed == l.record.Token {
+	if l.Offered() {
 		return true
 	}
 	// The store's clock has advanced at least by the time since the answer.
@@ -183,6 +183,9 @@
 	}
 }
 
+// Offered reports whether the holder of the present term has offered the lease.
+func (l *Lease) Offered() bool { return l.handed != 0 && l.handed == l.record.Token }
+
 // Abandon ends the present term without a write, because the store can't be
 // reached. It returns the token, 0 if the lease was not held.
 func (l *Lease) Abandon(now bootclock.Time) uint64 {
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -90,9 +90,9 @@
 
 // relayAge is what the leader said last of its knowledge of a table.
 type relayAge struct {
-	at    bootclock.Time
-	age   time.Duration
-	fetch bool
+	at  bootclock.Time
+	age time.Duration
+	to  int64 // version up to which the leader told or should have been read
 }
 
 // relayed is up to which versions an instance has been sent changes on its link.
@@ -269,19 +269,19 @@
 			s.Apply(r.From, r.To, rows, proved)
 		}
 		l.mu.Lock()
-		// Until it has read what was not relayed, the instance follows the table itself.
-		l.ages[s.Table()] = relayAge{at: now, age: r.Age, fetch: s.Version() < r.To}
+		l.ages[s.Table()] = relayAge{at: now, age: r.Age, to: r.To}
 		l.mu.Unlock()
 	}
 }
 
-// Relays reports whether this instance can rely on the leader for a table. The
-// leader itself can't.
-func (l *Client) Relays(now bootclock.Time, table string) bool {
+// Relays reports whether this instance can rely on the leader for a table of
+// which it knows a version. Until it has read what was not relayed, it follows
+// the table itself. The leader can't rely on anybody.
+func (l *Client) Relays(now bootclock.Time, table string, version int64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a, ok := l.ages[table]
 	silence, bound := now.Sub(a.at), float64(l.c.config.ShortestBound)
-	return ok && !a.fetch && l.leader != "" && l.leader != l.c.config.Instance &&
+	return ok && version >= a.to && l.leader != "" && l.leader != l.c.config.Instance &&
 		float64(silence) < relayFresh*bound && float64(silence+a.age) < relayStale*bound
 }
--- a/node/node.go
+++ b/node/node.go
@@ -85,12 +85,13 @@
 	n.pool = connpool.New(connpool.Config{})
 	store := platform.NewStore(s.Store, n.pool)
 	n.state = newState(n.log)
+	shortest := milliseconds(min(s.Bounds.DrainMS, s.Bounds.ConfigurationMS))
 	n.state.desired = &watcher{
-		store: store, table: platform.TableDesired, wait: feedWait, log: n.log,
+		store: store, table: platform.TableDesired, wait: feedWait, shortest: shortest, log: n.log,
 		change: n.state.changeDesired, done: n.state.done,
 	}
 	n.state.entries = &watcher{
-		store: store, table: platform.TableUpstreams, wait: feedWait, gap: upstreamGap, log: n.log,
+		store: store, table: platform.TableUpstreams, wait: feedWait, gap: upstreamGap, shortest: shortest, log: n.log,
 		change: n.state.changeUpstream, done: n.state.done,
 	}
 	n.coord = coordinator.New(coordinator.Config{
@@ -100,17 +101,21 @@
 		Bounds: quota.CentralBounds{
 			Window: seconds(s.Bounds.QuotaWindowS), Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack,
 		},
-		Weak: s.Weak(), ShortestBound: milliseconds(min(s.Bounds.DrainMS, s.Bounds.ConfigurationMS)),
+		Weak: s.Weak(), ShortestBound: shortest, Size: n.state.size,
 		LeaseGap: milliseconds(s.Bounds.LeaseMS), StoreParallel: s.StoreParallel, Log: n.log, Metrics: n.metrics,
 	})
 	client := n.coord.Client()
-	n.state.desired.relayed = func(now bootclock.Time) bool { return client.Relays(now, platform.TableDesired) }
-	n.state.entries.relayed = func(now bootclock.Time) bool { return client.Relays(now, platform.TableUpstreams) }
+	n.state.desired.relayed = func(now bootclock.Time) bool {
+		return client.Relays(now, platform.TableDesired, n.state.desired.Version())
+	}
+	n.state.entries.relayed = func(now bootclock.Time) bool {
+		return client.Relays(now, platform.TableUpstreams, n.state.entries.Version())
+	}
 	followers := func() int {
 		if client.Leader() == s.Instance {
 			return 1
 		}
-		return client.Members()
+		return n.state.size()
 	}
 	n.state.desired.followers, n.state.entries.followers = followers, followers
 	n.state.members = client.Members
--- a/node/state.go
+++ b/node/state.go
@@ -60,6 +60,15 @@
 	return defaultMembers
 }
 
+// size estimates the number of instances for sharing calls of the store. Before
+// a leader has told it, deployments have about as many as upstreams.
+func (s *state) size() int {
+	if n := s.members(); n > 0 {
+		return n
+	}
+	return len(s.View().ByID)
+}
+
 func (s *state) publish() {
 	s.mu.Lock()
 	s.view.Store(s.registry.View())
--- a/node/watch.go
+++ b/node/watch.go
@@ -25,6 +25,15 @@
 	watchRetry    = 200 * time.Millisecond
 	watchTries    = 8
 	maxWatchRetry = time.Second
+	// followGapPerInstance spreads the feeds that the instances keep themselves
+	// while there is no leader: each change of a busy table would otherwise cost a
+	// call of each. Together they make about 250 calls a second and table.
+	followGapPerInstance = 4 * time.Millisecond
+	// followWaitPerInstance does the same for feeds without a change.
+	followWaitPerInstance = 5 * time.Millisecond
+	// followGapShare and followWaitShare bound both as shares of the shortest bound.
+	followGapShare  = 0.25
+	followWaitShare = 0.35
 	// relayCheck is the time between two looks whether the relay is still good.
 	relayCheck = 100 * time.Millisecond
 )
@@ -45,6 +54,8 @@
 	// followers returns how many instances follow the table while there is no
 	// relay: 1 at the leader, whom the others rely on. Nil is 1.
 	followers func() int
+	// shortest is the time in which an instance has to act on a change.
+	shortest time.Duration
 	// relayed reports whether the leader's relay of the table can be relied on.
 	relayed func(now bootclock.Time) bool
 	log     log.Interface
@@ -211,19 +222,35 @@
 		}
 		w.succeed()
 		w.done(changed)
-		if changed && w.gap > 0 {
-			duration.Sleep(ctx, w.gap)
+		if gap := w.pause(); changed && gap > 0 {
+			duration.Sleep(ctx, gap)
 		}
 	}
 }
 
+// pause returns the time between an answer with a change and the next feed.
+func (w *watcher) pause() time.Duration {
+	return max(w.gap, min(time.Duration(w.sharers())*followGapPerInstance, w.share(followGapShare)))
+}
+
+// feedFor returns how long a feed stays open without a change.
+func (w *watcher) feedFor() time.Duration {
+	return max(w.wait, min(time.Duration(w.sharers())*followWaitPerInstance, w.share(followWaitShare)))
+}
+
+func (w *watcher) share(of float64) time.Duration { return time.Duration(of * float64(w.shortest)) }
+
+// sharers returns how many instances follow the table as this one does.
+func (w *watcher) sharers() int {
+	if w.followers == nil {
+		return 1
+	}
+	return w.followers()
+}
+
 // retry returns the pause after a failed call.
 func (w *watcher) retry() time.Duration {
-	followers := 1
-	if w.followers != nil {
-		followers = w.followers()
-	}
-	return min(watchRetry*time.Duration(max(followers, watchTries))/watchTries, maxWatchRetry)
+	return min(watchRetry*time.Duration(max(w.sharers(), watchTries))/watchTries, maxWatchRetry)
 }
 
 // follow makes one call of the store and takes over its answer.
@@ -240,9 +267,10 @@
 		}
 		return true, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.wait+feedSlack)
+	wait := w.feedFor()
+	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
 	defer cancel()
-	page, err := w.store.Feed(ctx, w.table, after, w.wait)
+	page, err := w.store.Feed(ctx, w.table, after, wait)
 	if err != nil {
 		return false, err
 	}
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -112,3 +112,19 @@
 		}
 	}
 }
+
+// Guards the store against feeds that grow with the fleet: without a leader
+// each instance follows the tables itself, and each change of a busy table cost
+// a call of each of 295 instances every 0.2 s. Within the shortest bound every
+// instance still looks several times.
+func TestOwnFeedsAreSpreadOverTheInstances(t *testing.T) {
+	for followers, want := range map[int]time.Duration{0: upstreamGap, 8: upstreamGap, 85: 340 * time.Millisecond, 295: time.Second, 860: time.Second} {
+		w := &watcher{followers: func() int { return followers }, wait: feedWait, gap: upstreamGap, shortest: 4 * time.Second}
+		if got := w.pause(); got != want {
+			t.Errorf("%d instances pause for %s after a change, want %s", followers, got, want)
+		}
+		if open := w.feedFor(); open < feedWait || open > time.Duration(followWaitShare*float64(w.shortest)) {
+			t.Errorf("a feed of %d instances stays open for %s", followers, open)
+		}
+	}
+}
