Order the load a usual unload's time after its confirmation

Change: the load is ordered 60 ms after the confirmation, at once when the engine's entry shows the unload's end, and again at growing pauses while it is turned away.

--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/apex/log"
 
@@ -136,6 +137,9 @@
 	}
 	entry.Info("placement decision")
 	c.config.Metrics.GetOrCreateCounter(`hibiscusyard_orders_total{outcome="` + outcome.String() + `"}`).Inc()
+	if o.Unload && outcome == residency.Accepted {
+		time.AfterFunc(residency.UnloadTime, c.Notify)
+	}
 	c.Notify()
 	return outcome
 }
--- a/decision/residency/host.go
+++ b/decision/residency/host.go
@@ -80,6 +80,14 @@
 // late: what was loaded a moment ago is kept although it is not listed, so that
 // the memory taken is never underestimated.
 func (h *host) adopt(now bootclock.Time, models map[string][]string) {
+	for name, at := range h.dropped {
+		if _, listed := models[name]; !listed {
+			delete(h.dropped, name)
+			if h.after == at.Add(UnloadTime) {
+				h.after = now // the unload is over
+			}
+		}
+	}
 	for name, r := range h.models {
 		if _, ok := models[name]; !ok && now.Sub(r.loaded) > reportLag {
 			delete(h.models, name)
@@ -204,9 +212,9 @@
 }
 
 // unloaded takes over that an upstream carries out the unload of a model that
-// ran no requests. The next load is ordered without waiting for its word that
-// the model is gone: should the unload still be under way, the upstream does not
-// take the load.
+// ran no requests. The next load is ordered after the usual time of an unload
+// without waiting for its word that the model is gone: should the unload still be
+// under way, the upstream does not take the load.
 func (h *host) unloaded(now bootclock.Time, model string) {
 	delete(h.models, model)
 	h.order = nil
@@ -214,6 +222,19 @@
 		h.dropped = map[string]bootclock.Time{}
 	}
 	h.dropped[model] = now
+	h.after = now.Add(UnloadTime)
+}
+
+// unloading returns for how long the latest confirmed unload may have been under
+// way, and whether there is one.
+func (h *host) unloading(now bootclock.Time) (time.Duration, bool) {
+	latest, ok := time.Duration(0), false
+	for _, at := range h.dropped {
+		if d := now.Sub(at); d <= reportLag && (!ok || d < latest) {
+			latest, ok = d, true
+		}
+	}
+	return latest, ok
 }
 
 // emptying reports whether the unload of a model was confirmed a moment ago, so
--- a/decision/residency/order.go
+++ b/decision/residency/order.go
@@ -99,6 +99,9 @@
 	// UnloadNotice is the time between telling the instances that a model goes
 	// and ordering it, so that no request meets the unload.
 	UnloadNotice = 30 * time.Millisecond
+	// UnloadTime is about how long an upstream takes for the unload of a model that
+	// runs no requests; an order before its end is turned away.
+	UnloadTime = 60 * time.Millisecond
 	// answerSlack is added to the expected time of a load before the upstream
 	// is asked what has become of it.
 	answerSlack = 1500 * time.Millisecond
--- a/decision/residency/planner.go
+++ b/decision/residency/planner.go
@@ -180,6 +180,16 @@
 			delete(h.models, o.Model)
 			h.order = nil
 		}
+	case Conflict:
+		under, ok := h.unloading(now)
+		if !ok || o.Unload {
+			h.unsure, h.asked = true, 0
+			break
+		}
+		// The unload before it waits for a run: the load is ordered again, at
+		// growing pauses.
+		h.drop(now)
+		h.after = now.Add(max(under, UnloadTime))
 	case NotSent, Refused:
 		h.drop(now)
 	case Gone:
--- a/decision/residency/planner_test.go
+++ b/decision/residency/planner_test.go
@@ -405,10 +405,21 @@
 	p.Sent(now, unload, u.accept(now, unload))
 	registry.SetUpstream(before)
 	p.Observe(now, registry.View())
-	orders := p.Plan(now)
-	if len(orders) != 1 || orders[0].Unload || orders[0].Model != "m3" || orders[0].Sequence != unload.Sequence+1 {
-		t.Fatalf("orders %v after the confirmed unload of %s, want the load of m3", orders, unload.Model)
+	wantLoad := func() Order {
+		t.Helper()
+		orders := p.Plan(now)
+		if len(orders) != 1 || orders[0].Unload || orders[0].Model != "m3" || orders[0].Sequence != unload.Sequence+1 {
+			t.Fatalf("orders %v after the confirmed unload of %s, want the load of m3", orders, unload.Model)
+		}
+		return orders[0]
+	}
+	if orders := p.Plan(now); len(orders) != 0 {
+		t.Fatalf("orders %v while the unload is under way", orders)
 	}
+	now = now.Add(UnloadTime)
+	p.Sent(now, wantLoad(), Conflict) // the unload takes longer than usual
+	now = now.Add(UnloadTime)
+	wantLoad()
 	if step := p.Adapter(now, service, "m0", "a1"); step.Order != nil {
 		t.Errorf("%+v while the places of the unloaded model's adapters may be taken", *step.Order)
 	}
