Relay changes of the desired state by what differs

On the small twin each version of the desired state cost a call of each instance, because its row (250 KB) is too large to be relayed, and a history that the store had forgotten cost four: the leader read the tables anew and could then tell nobody what had changed since.

Change: a large row is relayed as a delta against the value that the receiver has; values of the last three versions are kept. What the leader reads anew still tells the changes since the first state it knew.

--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/hibiscusyard/hibiscusyard/decision/delta"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
@@ -41,6 +42,8 @@
 	// Since returns the rows whose changes after a version matter to requests,
 	// if all are known.
 	Since(after int64) (rows []ports.VersionedRow, to int64, ok bool)
+	// At returns the value that a row had up to a version, if it is known.
+	At(key string, version int64) (value []byte, ok bool)
 	// Apply takes over all changes after one version up to another one.
 	Apply(from, to int64, rows []ports.VersionedRow, proved bootclock.Time)
 }
@@ -86,6 +89,8 @@
 	Value   []byte `cbor:"2,keyasint,omitempty"`
 	Version int64  `cbor:"3,keyasint"`
 	Deleted bool   `cbor:"4,keyasint,omitempty"`
+	// Delta makes the value of the one that the receiver has.
+	Delta *delta.Delta `cbor:"5,keyasint,omitempty"`
 }
 
 // relayAge is what the leader said last of its knowledge of a table.
@@ -101,7 +106,7 @@
 // changes are those of one source after a version. Most instances have been
 // told up to the same version, so that they are looked up once for all.
 type changes struct {
-	rows []ports.VersionedRow
+	rows []relayedRow
 	to   int64
 	ok   bool
 	size int // bytes of the rows
@@ -201,9 +206,7 @@
 		if after.size > fetchBytes {
 			r.Fetch = true
 		} else {
-			for _, row := range after.rows {
-				r.Rows = append(r.Rows, relayedRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
-			}
+			r.Rows = after.rows
 		}
 		news = news || len(after.rows) > 0
 		list = append(list, r)
@@ -211,11 +214,22 @@
 	return list, news
 }
 
+// changesSince returns the changes of a source after a version, large rows by
+// what differs from the value that they had then.
 func changesSince(s Source, version int64) changes {
 	var found changes
-	found.rows, found.to, found.ok = s.Since(version)
-	for _, row := range found.rows {
-		found.size += len(row.Value)
+	var rows []ports.VersionedRow
+	rows, found.to, found.ok = s.Since(version)
+	for _, row := range rows {
+		r := relayedRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted}
+		size := len(row.Value)
+		if size > fetchBytes {
+			if old, ok := s.At(row.Key, version); ok {
+				d := delta.Of(old, row.Value)
+				r.Value, r.Delta, size = nil, d, d.Size()
+			}
+		}
+		found.rows, found.size = append(found.rows, r), found.size+size
 	}
 	return found
 }
@@ -256,16 +270,12 @@
 			return
 		}
 		s := l.c.config.Sources[i]
-		complete := r.From <= s.Version() && !r.Fetch
+		rows, complete := l.received(s, r)
 		if complete {
 			var proved bootclock.Time
 			if p.Echo != 0 {
 				proved = p.Echo.Add(-r.Age)
 			}
-			rows := make([]ports.VersionedRow, len(r.Rows))
-			for j, row := range r.Rows {
-				rows[j] = ports.VersionedRow{Table: s.Table(), Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted}
-			}
 			s.Apply(r.From, r.To, rows, proved)
 		}
 		l.mu.Lock()
@@ -274,6 +284,29 @@
 	}
 }
 
+// received returns the rows of a relay, and whether it holds all changes from
+// what this instance knows on.
+func (l *Client) received(s Source, r relay) ([]ports.VersionedRow, bool) {
+	if r.From > s.Version() || r.Fetch {
+		return nil, false
+	}
+	rows := make([]ports.VersionedRow, 0, len(r.Rows))
+	for _, row := range r.Rows {
+		value := row.Value
+		if row.Delta != nil {
+			old, _ := s.At(row.Key, r.From)
+			text, err := row.Delta.Apply(old)
+			if err != nil {
+				l.c.config.Log.WithError(err).WithField("key", row.Key).Info("relayed change not applied; reading the row")
+				return nil, false
+			}
+			value = text
+		}
+		rows = append(rows, ports.VersionedRow{Table: s.Table(), Key: row.Key, Value: value, Version: row.Version, Deleted: row.Deleted})
+	}
+	return rows, true
+}
+
 // Relays reports whether this instance can rely on the leader for a table of
 // which it knows a version. Until it has read what was not relayed, it follows
 // the table itself. The leader can't rely on anybody.
--- a/node/watch.go
+++ b/node/watch.go
@@ -78,6 +78,26 @@
 type watchedRow struct {
 	ports.VersionedRow
 	mattered int64
+	// earlier are the values before, the newest first, if they are large: changes
+	// of such rows are relayed by what differs.
+	earlier []ports.VersionedRow
+}
+
+const (
+	// keptValue is the size from which earlier values of a row are kept, and
+	// keptValues their number: the desired state has 250 KB in a large deployment.
+	keptValue  = 4 << 10
+	keptValues = 3
+)
+
+// follow returns the row as it is known after a change.
+func (r watchedRow) follow(row ports.VersionedRow, mattered int64) watchedRow {
+	next := watchedRow{VersionedRow: row, mattered: mattered}
+	if len(r.Value) > keptValue {
+		next.earlier = append([]ports.VersionedRow{r.VersionedRow}, r.earlier...)
+		next.earlier = next.earlier[:min(len(next.earlier), keptValues)]
+	}
+	return next
 }
 
 // Table returns the name of the table.
@@ -119,6 +139,22 @@
 	return rows, w.version, true
 }
 
+// At returns the value that a row had up to a version of the table, if it is known.
+func (w *watcher) At(key string, version int64) ([]byte, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	row, ok := w.rows[key]
+	if !ok || !w.synced {
+		return nil, false
+	}
+	for _, r := range append([]ports.VersionedRow{row.VersionedRow}, row.earlier...) {
+		if r.Version <= version {
+			return r.Value, !r.Deleted
+		}
+	}
+	return nil, false
+}
+
 // Apply takes over rows that another instance relays: all changes after a
 // version up to another one, as of the time proved.
 func (w *watcher) Apply(from, to int64, rows []ports.VersionedRow, proved bootclock.Time) {
@@ -144,7 +180,9 @@
 		changed = true
 		if w.change(row) {
 			w.mu.Lock()
-			w.rows[row.Key] = watchedRow{row, row.Version}
+			known := w.rows[row.Key]
+			known.mattered = row.Version
+			w.rows[row.Key] = known
 			w.mu.Unlock()
 		}
 	}
@@ -163,7 +201,7 @@
 	if ok && row.Version <= known.Version {
 		return false
 	}
-	w.rows[row.Key] = watchedRow{row, known.mattered}
+	w.rows[row.Key] = known.follow(row, known.mattered)
 	return true
 }
 
@@ -186,7 +224,12 @@
 	w.mu.Unlock()
 	w.take(rows, page.Version, proved)
 	w.mu.Lock()
-	w.baseline, w.synced = page.Version, true
+	if w.baseline == 0 {
+		// Later reads of the whole table show all changes since the state that was
+		// known before, so that others are still told of them.
+		w.baseline = page.Version
+	}
+	w.synced = true
 	w.mu.Unlock()
 }
 
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -128,3 +130,42 @@
 		}
 	}
 }
+
+// Guards against a reading of both tables by every instance when the store has
+// forgotten its history: what the leader reads anew still tells what has changed
+// since the versions that the others know, rows that were dropped included.
+func TestReadingAnewTellsTheOthersWhatChanged(t *testing.T) {
+	w := newWatcher(map[string]string{})
+	w.reset(ports.Page{Version: 10, Rows: []ports.VersionedRow{row("kept", "1", 4), row("changed", "1", 5), row("dropped", "1", 6)}}, 0)
+	w.synced = false // the history is gone
+	w.reset(ports.Page{Version: 20, Rows: []ports.VersionedRow{row("kept", "1", 4), row("changed", "2", 15)}}, 0)
+	rows, to, ok := w.Since(10)
+	if !ok || to != 20 || len(rows) != 2 {
+		t.Fatalf("%v up to %d (%v), want the changed and the dropped row", rows, to, ok)
+	}
+	for _, r := range rows {
+		if (r.Key == "dropped") != r.Deleted || r.Key == "kept" {
+			t.Errorf("told of %+v", r)
+		}
+	}
+	if _, _, ok := w.Since(9); ok {
+		t.Error("tells changes since a time that was never known")
+	}
+}
+
+// Guards relays by what differs: a large row's value is known as of the versions
+// that the others may have.
+func TestEarlierValuesOfLargeRowsAreKept(t *testing.T) {
+	w := newWatcher(map[string]string{})
+	text := func(n int) string { return strings.Repeat(strconv.Itoa(n), keptValue+1) }
+	w.reset(ports.Page{Version: 10, Rows: []ports.VersionedRow{row("large", text(1), 5), row("small", "1", 6)}}, 0)
+	w.take([]ports.VersionedRow{row("large", text(2), 12), row("small", "2", 13)}, 13, 0)
+	for version, want := range map[int64]string{5: text(1), 11: text(1), 12: text(2), 99: text(2)} {
+		if got, ok := w.At("large", version); !ok || string(got) != want {
+			t.Errorf("another value at version %d (%v)", version, ok)
+		}
+	}
+	if _, ok := w.At("large", 4); ok {
+		t.Error("a value from before the row was known")
+	}
+}
