Load crowded models before rare ones and follow the weight store's speed

Replicas without a copy on a disk come from the weight store, where models that one request waited for came first. The store there serves eight loads at full speed, and the default uses four.

Change: of the models that need a replica those come first for which more requests wait or queue; models that a few wait for still go in turns. The number of loads at once follows how long loads take, between 2 and 16. A replay of rare models from disk and one of a shift of demand stand as tests.

--- a/decision/residency/ceiling_test.go
+++ b/decision/residency/ceiling_test.go
@@ -88,3 +88,55 @@
 	}
 	return false
 }
+
+// Guards the weight store's use in deployments whose stores serve 2, 4 or 8
+// loads at full speed, which no table tells: more at once take longer each and
+// no more are done, fewer leave the store idle.
+func TestLoadsAtOnceFollowTheStore(t *testing.T) {
+	for _, fullSpeedAt := range []int{2, 4, 8} {
+		p := NewPlanner(4)
+		const usual, lag = 7800 * time.Millisecond, 300 * time.Millisecond
+		for range 40 {
+			beside := p.StoreParallel
+			took := time.Duration(float64(usual) * max(1, float64(beside)/float64(fullSpeedAt)))
+			p.learn(finished{took: took + lag, usual: usual, beside: beside})
+		}
+		if p.StoreParallel < fullSpeedAt || p.StoreParallel > fullSpeedAt+2 {
+			t.Errorf("%d loads at once at a store that serves %d at full speed", p.StoreParallel, fullSpeedAt)
+		}
+	}
+}
+
+// Replays a shift of demand (cantaro-pozos-large, quiet-1, 9 to 20 s): a model
+// with three replicas gets 40 requests at once while many rare models without a
+// copy wait for the weight store. Its requests queued for 3 s for as long as the
+// rare ones came first.
+func TestCrowdedModelComesBeforeRareOnes(t *testing.T) {
+	now := bootclock.Time(time.Hour)
+	config := engineService(40, 0)
+	registry := fleet.NewRegistry()
+	registry.SetConfig(config)
+	sims := map[string]*upstreamSim{}
+	for i := range 6 {
+		u := &upstreamSim{id: fmt.Sprintf("u%d", i), engine: config.Services[service].Engine, started: 1, models: map[string][]string{}}
+		if i < 3 {
+			u.models["m0"] = nil
+		}
+		sims[u.id] = u
+		registry.SetUpstream(u.entry())
+	}
+	p := NewPlanner(2)
+	p.Observe(now, registry.View())
+	for _, ask := range p.Unsure(now) {
+		p.Reported(now, now.Add(-1), ask.ID, ask.Started, sims[ask.ID].current())
+	}
+	needs := []Need{{Service: service, Model: "m0", Arrived: 40, Running: map[string]int{"u0": 14, "u1": 13, "u2": 13}}}
+	for i := 1; i < 30; i++ {
+		needs = append(needs, Need{Service: service, Model: fmt.Sprintf("m%d", i), Arrived: 1, Waiting: 1})
+	}
+	p.Needs(now, "i", needs)
+	orders := p.Plan(now)
+	if len(orders) == 0 || orders[0].Model != "m0" {
+		t.Errorf("orders %v, want a replica of the crowded model first", orders)
+	}
+}
--- a/decision/residency/host.go
+++ b/decision/residency/host.go
@@ -39,6 +39,16 @@
 	sent     bootclock.Time
 	due      bootclock.Time // when it should be done
 	accepted bool
+	// usual is how long a load takes alone, and beside the loads from the weight
+	// store under way when it was ordered, itself included.
+	usual  time.Duration
+	beside int
+}
+
+// finished is a load from the weight store that has ended.
+type finished struct {
+	took, usual time.Duration
+	beside      int
 }
 
 // host is what is known of one upstream with an engine.
@@ -64,6 +74,8 @@
 	// its late word may still list them.
 	dropped map[string]bootclock.Time
 	tally   tally // as counted in the planner's totals
+	// loaded is a load from the weight store that ended since the last touch.
+	loaded *finished
 }
 
 func newHost(u *fleet.Upstream, e *fleet.Engine) *host {
@@ -257,6 +269,9 @@
 		h.sequence = max(h.sequence, p.order.Sequence+1)
 		if !p.order.Unload {
 			h.models[p.order.Model] = &resident{adapters: map[string]*adapter{}, used: now, loaded: now}
+			if p.beside > 0 {
+				h.loaded = &finished{took: now.Sub(p.sent), usual: p.usual, beside: p.beside}
+			}
 		} else {
 			delete(h.models, p.order.Model)
 		}
--- a/decision/residency/order.go
+++ b/decision/residency/order.go
@@ -124,6 +124,15 @@
 	storeBurst = 3
 	// storeShare is the part of the store's rate that is used.
 	storeShare = 0.9
+	// fullSpeed and slowedDown are how much longer than alone a load from the weight
+	// store takes at most while the store serves all at full speed, and at least
+	// when it does not. One load more than four takes a quarter longer.
+	fullSpeed  = 1.05
+	slowedDown = 1.15
+	// minStoreParallel and maxStoreParallel bound the loads from the weight store
+	// at once; the deployments' stores serve 2 to 8 at full speed.
+	minStoreParallel = 2
+	maxStoreParallel = 16
 	// adapterReady is how long the load of an adapter takes at most, as long
 	// as few are under way.
 	adapterReady = 25 * time.Millisecond
--- a/decision/residency/planner.go
+++ b/decision/residency/planner.go
@@ -11,8 +11,8 @@
 
 // Planner decides over the engines of all services.
 type Planner struct {
-	// StoreParallel is the number of loads that the weight store serves at
-	// full speed at once.
+	// StoreParallel is the number of loads from the weight store at once. It
+	// follows how long loads take.
 	StoreParallel int
 	// Prefetch loads models that no engine has a copy of while the weight
 	// store is idle.
@@ -331,12 +331,15 @@
 		return orders
 	}
 	m := c.host.engine.Models[k.model]
-	takes := loadTime(m, c.source)
+	takes, beside := loadTime(m, c.source), 0
 	if c.source == FromStore {
 		p.store.level--
-		takes = time.Duration(float64(takes) * max(1, float64(p.storeLoads(now)+1)/float64(p.StoreParallel)))
+		beside = p.storeLoads(now) + 1
+		takes = time.Duration(float64(takes) * max(1, float64(beside)/float64(p.StoreParallel)))
 	}
-	return append(orders, p.give(now, c.host, Order{Model: k.model, Source: c.source}, takes))
+	orders = append(orders, p.give(now, c.host, Order{Model: k.model, Source: c.source}, takes))
+	c.host.order.usual, c.host.order.beside = m.Load, beside
+	return orders
 }
 
 // storeLoads returns the loads from the weight store that are under way.
--- /dev/null
+++ b/decision/residency/rare_test.go
@@ -0,0 +1,258 @@
+package residency
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+)
+
+// rareLoad is the load of a large deployment: most models are rare, each asked
+// for about once in 13 s, half of them have no replica, and engines have copies
+// of 18 models on their disks.
+type rareLoad struct {
+	engines, models, busy int
+	rare, common          float64 // requests a second
+	objective             time.Duration
+}
+
+const (
+	rareOrderTime  = 5 * time.Millisecond   // until the answer to an order
+	rareUnloadTime = 50 * time.Millisecond  // as the deployments' engines take
+	rareEntryLag   = 250 * time.Millisecond // until an entry has reached the leader
+	rareRun        = 1200 * time.Millisecond
+	rareStep       = 10 * time.Millisecond
+)
+
+type rareEngine struct {
+	*upstreamSim
+	unloading string
+	free      bootclock.Time // end of the unload
+}
+
+type rareRequest struct {
+	model   string
+	arrived bootclock.Time
+	at      string // upstream
+	ends    bootclock.Time
+}
+
+type rareWorld struct {
+	rareLoad
+	p        *Planner
+	r        *rand.Rand
+	registry *fleet.Registry
+	engines  map[string]*rareEngine
+	entries  []rareEntry
+	sent     []rareOrder
+	waiting  []*rareRequest
+	running  []*rareRequest
+	waits    []time.Duration
+}
+
+type rareEntry struct {
+	at bootclock.Time
+	u  *fleet.Upstream
+}
+
+type rareOrder struct {
+	at bootclock.Time
+	o  Order
+}
+
+func newRareWorld(load rareLoad, now bootclock.Time) *rareWorld {
+	config := engineService(load.models, 0)
+	e := config.Services[service].Engine
+	e.Slots, e.LoadsPerSecond = 12, 110
+	for _, m := range e.Models {
+		m.Load, m.Disk, m.Warm = 7800*time.Millisecond, 1200*time.Millisecond, 630*time.Millisecond
+	}
+	w := &rareWorld{rareLoad: load, p: NewPlanner(4), r: rand.New(rand.NewPCG(7, 9)), registry: fleet.NewRegistry(), engines: map[string]*rareEngine{}}
+	w.registry.SetConfig(config)
+	next := 0
+	for i := range load.engines {
+		u := &rareEngine{upstreamSim: &upstreamSim{id: fmt.Sprintf("u%03d", i), engine: e, started: 1, models: map[string][]string{}}}
+		for len(u.models) < 3 {
+			u.models[fmt.Sprintf("m%d", next%load.models)] = nil
+			next++
+		}
+		u.disk = slices.Sorted(maps.Keys(u.models))
+		for len(u.disk) < 18 {
+			u.disk = append(u.disk, fmt.Sprintf("m%d", w.r.IntN(load.models)))
+		}
+		w.engines[u.id] = u
+		w.registry.SetUpstream(u.entry())
+	}
+	w.p.Observe(now, w.registry.View())
+	for _, ask := range w.p.Unsure(now) {
+		w.p.Reported(now, now.Add(-1), ask.ID, ask.Started, w.engines[ask.ID].current())
+	}
+	return w
+}
+
+// step plays one step of the world and of the leader.
+func (w *rareWorld) step(now bootclock.Time) {
+	for _, id := range slices.Sorted(maps.Keys(w.engines)) {
+		u := w.engines[id]
+		if u.unloading != "" && now >= u.free && !slices.ContainsFunc(w.running, func(q *rareRequest) bool { return q.at == id && q.model == u.unloading }) {
+			u.unloading = ""
+			w.entries = append(w.entries, rareEntry{now.Add(rareEntryLag), u.entry()})
+		}
+		if u.loading != "" && now >= u.until {
+			u.models[u.loading], u.loading = nil, ""
+			w.entries = append(w.entries, rareEntry{now.Add(rareEntryLag), u.entry()})
+		}
+	}
+	w.arrive(now)
+	w.observe(now)
+	w.needs(now)
+	w.answer(now)
+	w.p.Told(now)
+	for _, o := range w.p.Plan(now) {
+		w.sent = append(w.sent, rareOrder{now.Add(rareOrderTime), o})
+	}
+	for _, ask := range w.p.Unsure(now) {
+		w.p.Reported(now, now, ask.ID, ask.Started, w.engines[ask.ID].current())
+	}
+}
+
+func (w *rareWorld) arrive(now bootclock.Time) {
+	for range w.poisson(w.rare) {
+		w.waiting = append(w.waiting, &rareRequest{model: fmt.Sprintf("m%d", w.busy+w.r.IntN(w.models-w.busy)), arrived: now})
+	}
+	for range w.poisson(w.common) {
+		w.waiting = append(w.waiting, &rareRequest{model: fmt.Sprintf("m%d", w.r.IntN(w.busy)), arrived: now})
+	}
+	w.running = slices.DeleteFunc(w.running, func(q *rareRequest) bool { return now >= q.ends })
+	w.waiting = slices.DeleteFunc(w.waiting, func(q *rareRequest) bool {
+		for _, h := range inOrder(w.p.totals.serving[key{service, q.model}]) {
+			u := w.engines[h.entry.ID]
+			if _, ok := u.models[q.model]; ok && h.serves(q.model) && u.unloading != q.model {
+				q.at, q.ends = u.id, now.Add(rareRun)
+				w.running = append(w.running, q)
+				if !w.isBusy(q.model) {
+					w.waits = append(w.waits, now.Sub(q.arrived))
+				}
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func (w *rareWorld) isBusy(model string) bool {
+	var n int
+	fmt.Sscanf(model, "m%d", &n) //nolint:errcheck // the names are made here.
+	return n < w.busy
+}
+
+func (w *rareWorld) poisson(perSecond float64) int {
+	n, each := 0, perSecond*rareStep.Seconds()
+	for each > 0 {
+		if w.r.Float64() < min(each, 1) {
+			n++
+		}
+		each--
+	}
+	return n
+}
+
+func (w *rareWorld) observe(now bootclock.Time) {
+	changed := false
+	w.entries = slices.DeleteFunc(w.entries, func(e rareEntry) bool {
+		if now < e.at {
+			return false
+		}
+		changed = w.registry.SetUpstream(e.u) || changed
+		return true
+	})
+	if changed {
+		w.p.Observe(now, w.registry.View())
+	}
+}
+
+func (w *rareWorld) needs(now bootclock.Time) {
+	byModel := map[string]*Need{}
+	need := func(model string) *Need {
+		if byModel[model] == nil {
+			byModel[model] = &Need{Service: service, Model: model, Running: map[string]int{}}
+		}
+		return byModel[model]
+	}
+	for _, q := range w.waiting {
+		n := need(q.model)
+		n.Waiting++
+		if q.arrived == now {
+			n.Arrived++
+		}
+	}
+	for _, q := range w.running {
+		n := need(q.model)
+		n.Running[q.at]++
+		if q.ends == now.Add(rareRun) && q.arrived == now {
+			n.Arrived++
+		}
+	}
+	list := make([]Need, 0, len(byModel))
+	for _, name := range slices.Sorted(maps.Keys(byModel)) {
+		list = append(list, *byModel[name])
+	}
+	w.p.Needs(now, "i", list)
+}
+
+// answer lets the engines take the orders that reach them.
+func (w *rareWorld) answer(now bootclock.Time) {
+	w.sent = slices.DeleteFunc(w.sent, func(s rareOrder) bool {
+		if now < s.at {
+			return false
+		}
+		u := w.engines[s.o.Upstream]
+		outcome := Conflict
+		if u.unloading == "" {
+			outcome = u.accept(now, s.o)
+		}
+		if outcome == Accepted && s.o.Unload {
+			u.unloading, u.free = s.o.Model, now.Add(rareUnloadTime)
+		}
+		if outcome == Accepted && !s.o.Unload {
+			u.until = now.Add(loadTime(u.engine.Models[s.o.Model], s.o.Source))
+		}
+		w.p.Sent(now, s.o, outcome)
+		return true
+	})
+}
+
+// Replays the rare models of a large deployment (cantaro-pozos-large, quiet-1):
+// 121 requests a second for 1,619 models of which half have no replica.
+func TestRareModelsComeFromDiskInTime(t *testing.T) {
+	load := rareLoad{engines: 320, models: 1779, busy: 64, rare: 121, common: 60, objective: 3 * time.Second}
+	now := bootclock.Time(time.Hour)
+	w := newRareWorld(load, now)
+	for end := now.Add(6 * time.Second); now < end; now = now.Add(rareStep) {
+		w.step(now)
+	}
+	slices.Sort(w.waits)
+	n := len(w.waits)
+	late := 0
+	for _, d := range w.waits {
+		if d > load.objective {
+			late++
+		}
+	}
+	left := 0
+	for _, q := range w.waiting {
+		if now.Sub(q.arrived) > load.objective {
+			left++
+		}
+	}
+	t.Logf("%d served, waited p50 %s, p75 %s, p90 %s, p99 %s; %d late, %d still wait for longer than the objective",
+		n, w.waits[n/2], w.waits[n*3/4], w.waits[n*9/10], w.waits[n*99/100], late, left)
+	if onTime := float64(n-late) / float64(n+left); onTime < 0.8 {
+		t.Errorf("%.2f served in time, want 0.8", onTime)
+	}
+}
--- a/decision/residency/totals.go
+++ b/decision/residency/totals.go
@@ -103,6 +103,22 @@
 func (p *Planner) touch(h *host) {
 	p.stale[h] = struct{}{}
 	p.unsent[h.entry.ID] = struct{}{}
+	if h.loaded != nil {
+		p.learn(*h.loaded)
+		h.loaded = nil
+	}
+}
+
+// learn adapts the number of loads from the weight store that run at once. The
+// platform does not tell how many it serves at full speed; beyond them each load
+// takes longer and no more are done.
+func (p *Planner) learn(f finished) {
+	switch {
+	case f.beside >= p.StoreParallel && float64(f.took) <= fullSpeed*float64(f.usual)+float64(reportLag):
+		p.StoreParallel = min(p.StoreParallel+1, maxStoreParallel)
+	case float64(f.took) > slowedDown*float64(f.usual)+float64(reportLag):
+		p.StoreParallel = max(p.StoreParallel-1, minStoreParallel)
+	}
 }
 
 // refresh brings the totals up to date.
@@ -266,12 +282,31 @@
 	return list
 }
 
+// sortByUrgency puts the models first for which most requests wait or queue
+// beyond what the replicas serve, and of equals those that have waited longest.
+// The weight store loads about one model a second: a model that many ask for a
+// second must not wait for all that are asked for once.
 func (p *Planner) sortByUrgency(list []key) {
+	pressure := make(map[key]int, len(list))
+	for _, k := range list {
+		pressure[k] = p.pressure(k)
+	}
 	slices.SortFunc(list, func(a, b key) int {
-		return cmp.Or(cmp.Compare(p.demands[a].urgency(), p.demands[b].urgency()), cmp.Compare(a.model, b.model))
+		return cmp.Or(cmp.Compare(pressure[b], pressure[a]), cmp.Compare(p.demands[a].urgency(), p.demands[b].urgency()), cmp.Compare(a.model, b.model))
 	})
 }
 
+// pressure returns the requests for a model that no replica has room for. A few
+// requests count like one, since models that are asked for once go in turns.
+func (p *Planner) pressure(k key) int {
+	d := p.demands[k]
+	n := d.waiting
+	if replicas := p.totals.replicas(k); replicas > 0 {
+		n += p.running(d) - crowded*replicas
+	}
+	return max(n, 0) / crowded
+}
+
 // lacking reports whether a model is worth a replica, or one more.
 func (p *Planner) lacking(now bootclock.Time, k key, d *demand) bool {
 	if replicas := p.totals.replicas(k); replicas > 0 {
