Test a planned stop under load and the lapse of an upstream's entry

Looked for what operators of similar systems reported: requests cut at a planned stop, and running work given up for a silent machine. Both tests pass at once. With the wait for open requests taken out of Shutdown the first one fails (requests that ran, without an answer); nothing ends a send on the platform's word, so that the second has no guard to take out.

--- a/node/scene_test.go
+++ b/node/scene_test.go
@@ -135,6 +135,12 @@
 // send makes one request on a connection of its own.
 func (s *scene) send(front int, r request) answer {
 	s.t.Helper()
+	return s.sendBy(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, front, r)
+}
+
+// sendBy sends a request by a client, which may keep its connections.
+func (s *scene) sendBy(client *http.Client, front int, r request) answer {
+	s.t.Helper()
 
 	if r.id == "" {
 		r.id = fmt.Sprintf("request-%d", requests.Add(1))
@@ -164,7 +170,6 @@
 	if r.key != "" {
 		hr.Header.Set("Authorization", "Token "+r.key)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(hr)
 	if err != nil {
 		return answer{err: err}
--- a/node/trouble_test.go
+++ b/node/trouble_test.go
@@ -1,8 +1,11 @@
 package node_test
 
 import (
+	"fmt"
 	"net/http"
 	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,3 +83,86 @@
 	slow.deadline = 10 * time.Second
 	wantStream(t, s.send(0, slow))
 }
+
+// Guards a planned stop under load: callers that keep sending over open
+// connections get a whole answer for each request that an upstream has run, and
+// a refusal that says so for others. A request that crosses the close of its
+// connection has run nowhere.
+func TestStopUnderLoadAnswersWhatItAccepted(t *testing.T) {
+	s := newScene(t, 2)
+	const callers = 24
+	stop := make(chan struct{})
+	var lost sync.Map // requests without an answer
+	var answered atomic.Int64
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				r := request{id: fmt.Sprintf("stop-%d-%d", i, n), path: "/signup/1", key: "committee-key"}
+				if i%2 == 0 {
+					r = draft("notices")
+					r.id = fmt.Sprintf("stop-%d-%d", i, n)
+				}
+				a := s.sendBy(client, 0, r)
+				switch {
+				case a.err != nil:
+					lost.Store(r.id, a.err)
+					time.Sleep(10 * time.Millisecond) // the listener may be closed
+				case a.status == http.StatusOK:
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	s.eventually("requests are served", func() bool { return answered.Load() > callers })
+	for _, u := range s.engines {
+		u.SetPace(8, 60*time.Millisecond) // longer than the last wait for connections
+	}
+	before := answered.Load()
+	s.eventually("longer requests are served", func() bool { return answered.Load() > before+callers })
+	s.nodes[0].Shutdown()
+	close(stop)
+	group.Wait()
+	for _, list := range [][]*userplatform.Upstream{s.engines, s.rotas} {
+		for _, u := range list {
+			for _, arrival := range u.Arrivals() {
+				if err, ok := lost.Load(arrival.ID); ok && arrival.Ran {
+					t.Errorf("%s ran at %s and its caller got no answer: %v", arrival.ID, u.ID, err)
+				}
+			}
+		}
+	}
+}
+
+// Guards running work against an upstream that is only silent to the platform:
+// its entry lapses in the middle of a stream, which is neither cut nor started
+// again elsewhere.
+func TestLapsedEntryEndsNoRunningWork(t *testing.T) {
+	s := newScene(t, 1, "notices")
+	for _, u := range s.engines {
+		u.SetPace(8, 150*time.Millisecond)
+	}
+	r := draft("notices")
+	r.id = "lapsed"
+	r.deadline = 10 * time.Second
+	done := make(chan answer, 1)
+	go func() { done <- s.send(0, r) }()
+	s.eventually("the stream runs", func() bool {
+		ran, _ := runs("lapsed", s.engines...)
+		return ran == 1
+	})
+	for _, u := range s.engines {
+		s.store.Drop("servers", u.ID)
+	}
+	wantStream(t, <-done)
+	if ran, _ := runs("lapsed", s.engines...); ran != 1 {
+		t.Errorf("the stream ran %d times, want once", ran)
+	}
+}
