--- a/decision/residency/planner_test.go
+++ b/decision/residency/planner_test.go
@@ -317,7 +317,8 @@
 	if orders := p.Plan(now); len(orders) != 0 {
 		t.Fatalf("orders before the instances were told: %v", orders)
 	}
-	if served := p.Placements()[0].Models; len(served) != 2 || served["m2"] != nil {
+	placements, _ := p.Changes()
+	if served := placements[0].Models; len(served) != 2 || served["m2"] != nil {
 		t.Fatalf("served %v, want m0 and m1 as m2 makes way", served)
 	}
 	p.Told(now)
