--- a/node/settings.go
+++ b/node/settings.go
@@ -35,8 +35,8 @@
 	LinkMbps float64 `json:"link_mbps"`
 	// LogLevel is "debug", "info", "warn" or "error". Default "info".
 	LogLevel string `json:"log_level"`
-	// StoreParallel is the number of loads that the weight store serves at
-	// full speed at once. Default 4.
+	// StoreParallel is the number of loads from the weight store at once with
+	// which a leader begins; it follows how long loads take. Default 4.
 	StoreParallel int `json:"store_parallel"`
 	// Bounds are the promises of the deployment. Required.
 	Bounds Bounds `json:"bounds"`
