Let nothing follow an answer that was cut

Change: on a route for streams a success without a stream of events is no answer; a large answer that is cut breaks the caller's connection and is not sent again.

Result: node.TestAnswerThatIsNoStreamIsNotGoneOnWith fails before and passes after.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -119,6 +119,9 @@
 		return x.broken(ctx, errInvalid, false)
 	case success && strings.HasPrefix(answer.Header.Get("Content-Type"), eventStream):
 		return x.stream(ctx, answer)
+	case success && x.r.Route.Kind == fleet.Streaming:
+		x.conn.Break()
+		return x.broken(ctx, fmt.Errorf("%w: no stream of events", errInvalid), false)
 	default:
 		return x.whole(ctx, answer, head, success)
 	}
@@ -241,11 +244,22 @@
 			return attempt{result: dispatch.Served}
 		}
 		if err != nil {
-			return x.broken(ctx, err, false)
+			return x.torn(ctx, err)
 		}
 	}
 }
 
+// torn ends an answer that was cut after a part of it was passed on. Nothing may
+// follow that part.
+func (x *exchange) torn(ctx context.Context, cause error) attempt {
+	a := x.broken(ctx, cause, false)
+	a.resume = false
+	if ctx.Err() == nil {
+		a.err = x.r.Attempt.Refuse(verdict.UpstreamTruncated, "upstream %s broke its answer off", x.u.ID).Because(cause)
+	}
+	return a
+}
+
 // writeHead copies the headers of the answer.
 func (x *exchange) writeHead(answer *http.Response) {
 	header := x.r.Writer.Header()
--- a/node/trouble_test.go
+++ b/node/trouble_test.go
@@ -175,3 +175,21 @@
 		t.Errorf("the stream ran %d times, want once", ran)
 	}
 }
+
+// Guards a caller against an answer that joins two: bytes that are no stream, cut
+// in the middle, and behind them the stream of another upstream, ended as if it
+// were complete. Found by the soak (seeds 612 to 649).
+func TestAnswerThatIsNoStreamIsNotGoneOnWith(t *testing.T) {
+	s := newScene(t, 1, "notices")
+	for range 3 {
+		s.engines[0].Fail(userplatform.EndlessBody)
+		s.engines[1].Fail(userplatform.TurnedAway)
+		a := s.send(0, draft("notices"))
+		if a.err == nil && a.status == http.StatusOK {
+			wantStream(t, a)
+			if len(a.body) > 1<<20 {
+				t.Errorf("a success of %d bytes that begins with %q", len(a.body), a.body[:40])
+			}
+		}
+	}
+}
