--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -26,7 +26,7 @@
 // regressions are the seeds that ever failed, each with its cause.
 var regressions = []uint64{
 	203, 208, // a log line after the writer was closed panicked at the exit
-	301, // an error answer in place of the rest of a stream ended it in order
+	301,                                                        // an error answer in place of the rest of a stream ended it in order
 	612, 616, 617, 619, 625, 627, 632, 634, 635, 639, 644, 649, // a stream followed an answer without end that was cut
 }
 
