Remove a twin and a check that the index makes needless

Cause: emptying and unloading went through the same map for the same answer, and chooseKeeper looked again at what the set of keepers already guarantees.

Change: the adapter's decision asks unloading; the keeper's choice drops both checks.

--- a/decision/residency/adapter.go
+++ b/decision/residency/adapter.go
@@ -33,7 +33,8 @@
 			a.used = now
 			return AdapterStep{Loaded: true, Upstream: id}
 		}
-		if h.unsure || h.sequence == sequenceUnknown || h.adapter != nil || h.order != nil || h.emptying(now) || h.fetching(now) || now.Before(h.after) {
+		_, unloading := h.unloading(now)
+		if h.unsure || h.sequence == sequenceUnknown || h.adapter != nil || h.order != nil || unloading || h.fetching(now) || now.Before(h.after) {
 			wait = true
 			continue
 		}
--- a/decision/residency/choose.go
+++ b/decision/residency/choose.go
@@ -51,7 +51,7 @@
 	better = -1
 	for _, h := range inOrder(p.totals.keepers[k]) {
 		m := h.engine.Models[k.model]
-		if m == nil || !p.usable(h) || h.models[k.model] != nil {
+		if m == nil {
 			continue
 		}
 		source := h.source(k.model)
--- a/decision/residency/host.go
+++ b/decision/residency/host.go
@@ -238,7 +238,7 @@
 }
 
 // unloading returns for how long the latest confirmed unload may have been under
-// way, and whether there is one.
+// way, and whether there is one: the places of its adapters may still be taken.
 func (h *host) unloading(now bootclock.Time) (time.Duration, bool) {
 	latest, ok := time.Duration(0), false
 	for _, at := range h.dropped {
@@ -249,17 +249,6 @@
 	return latest, ok
 }
 
-// emptying reports whether the unload of a model was confirmed a moment ago, so
-// that the places of its adapters may still be taken.
-func (h *host) emptying(now bootclock.Time) bool {
-	for model, at := range h.dropped {
-		if now.Sub(at) > reportLag {
-			delete(h.dropped, model)
-		}
-	}
-	return len(h.dropped) > 0
-}
-
 // settle compares what an upstream says it serves with the order under way.
 func (h *host) settle(now bootclock.Time, models map[string][]string) {
 	if p := h.order; p != nil {
