--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -43,6 +43,7 @@
 
 // observer receives the events of a response that the balancer records.
 type observer struct {
+	onHead  func(ResponseHead) // response head, also of one that the caller does not get
 	onFirst func()             // first event or complete response
 	onLoad  func(requests int) // load reported in the headers
 }
@@ -102,6 +103,7 @@
 	}
 	defer resp.Body.Close()
 	head := x.Dialect.ReadResponse(resp.StatusCode, resp.Header)
+	x.observe.onHead(head)
 	if head.HasLoad {
 		x.observe.onLoad(head.Load)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,10 @@
 	ID       string
 	Load     int // requests running or waiting at the upstream, if HasLoad
 	HasLoad  bool
+	// RateLimit is the number of requests a second that the upstream takes from all
+	// instances together, if HasRateLimit.
+	RateLimit    float64
+	HasRateLimit bool
 }
 
 // Dialect reads and writes the headers of one kind of ingress.
@@ -115,6 +119,8 @@
 	firstAt    bootclock.Time // arrival of the first event or the complete response, 0 before
 	eventAt    bootclock.Time // arrival of the last event
 	longestGap time.Duration  // longest time between two events
+	// rateLimit is the limit that the last response named, -1 if it named none.
+	rateLimit float64
 	// adapterLogged is set once a failed load of the adapter has been logged.
 	adapterLogged bool
 	// grantedAt is when the workspace's tokens were granted, 0 if they were not.
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -268,8 +268,13 @@
 	f.mu.Lock()
 	ticket := f.balancer.Start(bootclock.Now(), u, d)
 	f.mu.Unlock()
-	r.Upstream, r.sentAt = u.ID, bootclock.Now()
+	r.Upstream, r.sentAt, r.rateLimit = u.ID, bootclock.Now(), -1
 	observe := observer{
+		onHead: func(head ResponseHead) {
+			if head.HasRateLimit {
+				r.rateLimit = head.RateLimit
+			}
+		},
 		onFirst: func() {
 			now := bootclock.Now()
 			if r.firstAt == 0 {
@@ -302,7 +307,7 @@
 	r.Log.WithFields(log.Fields{
 		"first_ms": first, "pause_ms": r.longestGap.Milliseconds(), "route": r.RouteName, "upstream": u.ID, "reason": r.choice.Reason, "eligible": r.choice.Eligible,
 		"model": r.Model, "adapter": r.Adapter, "waited_ms": r.sentAt.Sub(r.Arrived).Milliseconds(), "waited_for": r.waitedFor, "config": r.Config, "config_age_ms": r.ConfigAge.Milliseconds(), "result": a.outcome.String(), "runs": r.runs,
-		"after_ms": bootclock.Since(r.Arrived).Milliseconds(),
+		"after_ms": bootclock.Since(r.Arrived).Milliseconds(), "rate_limit": r.rateLimit,
 	}).Info("upstream chosen")
 	return a
 }
