--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -87,7 +88,8 @@
 	state       string
 	faults      []Fault // of the next requests, one each
 	arrivals    []Arrival
-	connections int // opened since the start
+	limits      []namedLimit // oldest first
+	connections int          // opened since the start
 	warmUpEnd   time.Time
 }
 
@@ -276,6 +278,9 @@
 		u.running++
 	}
 	w.Header().Set(HeaderLoad, fmt.Sprintf("%d,0,%d", u.running, u.Slots))
+	if l := u.currentLimit(); l != nil {
+		w.Header().Set(HeaderLimit, strconv.FormatFloat(l.rate, 'f', -1, 64))
+	}
 	u.mu.Unlock()
 	if refusal != 0 {
 		w.Header().Set(HeaderNotExecuted, "1")
