Keep the limits that upstreams name over all instances together

Cause: nothing read Server-Limit. The class of fault: a limit over the whole fleet that each instance would have to keep alone. Evidence: rate_limit was in no decision; six instances sent to one upstream within 4 s, none more than four times. Change: package upstreamlimit keeps what each run of an upstream last said; instances report changes to the leader, which passes them on and grants the sends from one bucket an upstream, also below one request a second. Without a leader the instances take turns at a third of the limit (the turns of the slow start, now shared). The end of a limit counts only if its request was sent after the limit was received. A request that no upstream can take within half of its objective is refused at once with the time to come back. Why it holds: grants come from one bucket under the lease; a new leader begins with empty ones.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/upstreamlimit"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
@@ -46,8 +47,8 @@
 type absence struct{ upstream, model, adapter string }
 
 // Client sends an instance's demand and requests to the leader and holds the state
-// that the leader distributes. It implements gateway.Placement and gateway.Limiter
-// and is safe for concurrent use.
+// that the leader distributes. It implements gateway.Placement, gateway.Limiter
+// and gateway.UpstreamLimits, and is safe for concurrent use.
 type Client struct {
 	c *Coordinator
 
@@ -70,6 +71,7 @@
 	relayStatuses  map[string]relayStatus
 	token          uint64   // fencing token of the newest known leader
 	peers          []string // addresses of all instances, as last received from the leader
+	limits         *upstreamlimit.Table
 }
 
 func newClient(c *Coordinator) *Client {
@@ -77,6 +79,7 @@
 		c: c, placements: map[string]residency.Placement{}, ready: map[modelKey]bootclock.Time{},
 		absent: map[absence]bootclock.Time{}, demands: map[modelKey]*modelDemand{}, changed: make(chan struct{}),
 		urgent: make(chan struct{}, 1), synced: map[string]string{}, relayStatuses: map[string]relayStatus{},
+		limits: upstreamlimit.NewTable(),
 	}
 }
 
@@ -253,6 +256,9 @@
 	for _, id := range u.Removed {
 		delete(l.placements, id)
 	}
+	for _, r := range u.Limits {
+		l.applyLimitLocked(r.ID, r.Statement(now))
+	}
 	l.ordersAt = now.Add(u.OrdersIn)
 	if u.Full {
 		clear(l.ready)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
 	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/upstreamlimit"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
@@ -129,6 +130,10 @@
 	// change has not been sent to all instances yet.
 	placements map[string]residency.Placement
 	unsent     map[string]struct{}
+	// sends holds the buckets of limited upstreams while this instance leads, and
+	// unsentLimits the changed limits that have not been sent to all instances yet.
+	sends        *upstreamlimit.Buckets
+	unsentLimits map[upstreamlimit.ID]struct{}
 	// waiters are the instances that have reported waiting requests since the last
 	// planning.
 	waiters         map[string]struct{}
@@ -208,6 +213,8 @@
 	hub.Handle(peer.KindHeartbeat, c.client.handleHeartbeat)
 	hub.Handle(peer.KindHandover, c.handleHandover)
 	hub.Handle(peer.KindPlacements, c.client.handlePlacements)
+	hub.Handle(peer.KindUpstreamLimit, c.handleUpstreamLimit)
+	hub.Handle(peer.KindTakeSend, c.handleTakeSend)
 	hub.OnChange(c.linkChanged)
 	return hub
 }
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
 	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/upstreamlimit"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
@@ -80,6 +81,7 @@
 	c.handoverLevels = nil
 	c.observedView, c.reports, c.sentPeers = nil, map[string]instanceReport{}, nil
 	c.placements, c.unsent, c.waiters = map[string]residency.Placement{}, map[string]struct{}{}, map[string]struct{}{}
+	c.sends, c.unsentLimits = upstreamlimit.NewBuckets(), map[upstreamlimit.ID]struct{}{}
 	c.relayProgress = map[string]*relayProgress{}
 	c.announceTo = c.client.peerAddresses()
 	c.config.Log.WithFields(log.Fields{"token": c.lease.Token(), "reserves": len(levels), "orders_in_ms": max(c.lease.ordersAt.Sub(now).Milliseconds(), 0)}).Info("leadership taken")
--- /dev/null
+++ b/coordinator/limits.go
@@ -0,0 +1,172 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/upstreamlimit"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
+)
+
+// takeSendRequest asks the leader for one send to a limited upstream.
+type takeSendRequest struct {
+	// Limit is what the sender knows of the limit.
+	Limit upstreamlimit.Report `cbor:"1,keyasint"`
+	// MaxWait is how long the request may wait before it is sent.
+	MaxWait time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
+func limitID(u *fleet.Upstream) upstreamlimit.ID {
+	return upstreamlimit.ID{Upstream: u.ID, Started: u.Started}
+}
+
+// Limit implements dispatch.Limits.
+func (l *Client) Limit(u *fleet.Upstream) (rate float64, limited bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, _ := l.limits.Get(limitID(u))
+	return s.AllowedRate(), s.Limited
+}
+
+// PruneLimits implements gateway.UpstreamLimits.
+func (l *Client) PruneLimits(v *fleet.View) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limits.Prune(func(upstream string) bool { return v.ByID[upstream] != nil })
+}
+
+// RecordLimit implements gateway.UpstreamLimits. A change is reported to the leader,
+// which passes it on to all instances.
+func (l *Client) RecordLimit(u *fleet.Upstream, s upstreamlimit.Statement) {
+	id := limitID(u)
+	if !l.applyLimit(id, s) {
+		return
+	}
+	leader := l.Leader()
+	switch leader {
+	case "":
+	case l.c.config.Instance:
+		l.c.limitChanged(id, s)
+	default:
+		go l.c.send(leader, peer.KindUpstreamLimit, upstreamlimit.NewReport(bootclock.Now(), id, s))
+	}
+}
+
+// applyLimit applies a statement and reports whether it changed the limit.
+func (l *Client) applyLimit(id upstreamlimit.ID, s upstreamlimit.Statement) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.applyLimitLocked(id, s)
+}
+
+// applyLimitLocked is applyLimit for callers that hold mu.
+func (l *Client) applyLimitLocked(id upstreamlimit.ID, s upstreamlimit.Statement) bool {
+	if !l.limits.Record(id, s) {
+		return false
+	}
+	if !s.Limited {
+		l.broadcast()
+	}
+	l.c.config.Log.WithFields(log.Fields{"upstream": id.Upstream, "limited": s.Limited, "rate_limit": s.Rate}).Info("upstream limit")
+	return true
+}
+
+// TakeSend implements gateway.UpstreamLimits. It fails if there is no leader.
+func (l *Client) TakeSend(ctx context.Context, u *fleet.Upstream, maxWait time.Duration) (upstreamlimit.Grant, error) {
+	id := limitID(u)
+	l.mu.Lock()
+	s, _ := l.limits.Get(id)
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	request := takeSendRequest{Limit: upstreamlimit.NewReport(bootclock.Now(), id, s), MaxWait: maxWait}
+	grant, err := callLeader(ctx, l, peer.KindTakeSend, request, l.c.takeSend)
+	if err == nil && grant.Unlimited {
+		now := bootclock.Now()
+		l.applyLimit(id, upstreamlimit.Statement{Since: now, Until: now})
+	}
+	return grant, err
+}
+
+func (c *Coordinator) handleTakeSend(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
+	var req takeSendRequest
+	if err := cbor.Unmarshal(body, &req); err != nil {
+		return nil, err
+	}
+	return c.takeSend(ctx, req)
+}
+
+// takeSend grants one send to a limited upstream. The lease is checked at the moment
+// of the grant, since no other instance grants sends until the lease ends.
+func (c *Coordinator) takeSend(_ context.Context, req takeSendRequest) (upstreamlimit.Grant, error) {
+	id := req.Limit.ID
+	c.recordLimit(req.Limit)
+	s, known := c.client.limit(id)
+	if known && !s.Limited {
+		return upstreamlimit.Grant{Unlimited: true}, nil
+	}
+	now := bootclock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.leading || !c.lease.Held(now) {
+		return upstreamlimit.Grant{}, errNotLeading
+	}
+	return c.sends.Take(now, id, s.AllowedRate(), min(req.MaxWait, c.lease.until.Sub(now))), nil
+}
+
+// limit returns the newest known statement of an upstream.
+func (l *Client) limit(id upstreamlimit.ID) (upstreamlimit.Statement, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limits.Get(id)
+}
+
+func (c *Coordinator) handleUpstreamLimit(_ context.Context, _ peer.Identity, body []byte) (any, error) {
+	var report upstreamlimit.Report
+	if err := cbor.Unmarshal(body, &report); err != nil {
+		return nil, err
+	}
+	c.recordLimit(report)
+	return nil, nil
+}
+
+// recordLimit applies the report of another instance.
+func (c *Coordinator) recordLimit(report upstreamlimit.Report) {
+	s := report.Statement(bootclock.Now())
+	if c.client.applyLimit(report.ID, s) {
+		c.limitChanged(report.ID, s)
+	}
+}
+
+// limitChanged passes a changed limit on to all instances if this instance leads.
+func (c *Coordinator) limitChanged(id upstreamlimit.ID, s upstreamlimit.Statement) {
+	c.mu.Lock()
+	if c.leading {
+		c.unsentLimits[id] = struct{}{}
+		if !s.Limited {
+			c.sends.Remove(id)
+		}
+	}
+	c.mu.Unlock()
+	c.Notify()
+}
+
+// limitReports returns the reports of the changed limits and of all limits. The caller
+// holds mu.
+func (c *Coordinator) limitReports(now bootclock.Time) (changed, all []upstreamlimit.Report) {
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
+	c.client.limits.All(func(id upstreamlimit.ID, s upstreamlimit.Statement) {
+		report := upstreamlimit.NewReport(now, id, s)
+		all = append(all, report)
+		if _, ok := c.unsentLimits[id]; ok {
+			changed = append(changed, report)
+		}
+	})
+	return changed, all
+}
--- a/coordinator/updates.go
+++ b/coordinator/updates.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/upstreamlimit"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
@@ -27,6 +28,9 @@
 	Resigned bool `cbor:"6,keyasint,omitempty"`
 	// Peers are the addresses of all instances, to which the next leader connects.
 	Peers []string `cbor:"7,keyasint,omitempty"`
+	// Limits are the limits that upstreams name: those changed since the last push, or
+	// all of them.
+	Limits []upstreamlimit.Report `cbor:"9,keyasint,omitempty"`
 }
 
 // readyEstimate is the estimated time until a model that requests wait for is served.
@@ -104,7 +108,7 @@
 		return nil, nil
 	}
 	peers := c.newPeers(connected)
-	if len(c.unsent) == 0 && peers == nil && !c.client.anyUnsynced(connected) {
+	if len(c.unsent) == 0 && len(c.unsentLimits) == 0 && peers == nil && !c.client.anyUnsynced(connected) {
 		return nil, nil
 	}
 	c.lastPush = now
@@ -119,7 +123,10 @@
 		}
 	}
 	clear(c.unsent)
-	full = &update{Token: c.lease.Token(), OrdersIn: ordersIn, Peers: c.sentPeers, Full: true}
+	changedLimits, allLimits := c.limitReports(now)
+	clear(c.unsentLimits)
+	changed.Limits = changedLimits
+	full = &update{Token: c.lease.Token(), OrdersIn: ordersIn, Peers: c.sentPeers, Full: true, Limits: allLimits}
 	for _, id := range slices.Sorted(maps.Keys(c.placements)) {
 		full.Changed = append(full.Changed, c.placements[id])
 	}
@@ -204,7 +211,7 @@
 		message := changed
 		if c.client.markSynced(id.Instance, id.Incarnation) {
 			body, message = &fullBody, full
-		} else if len(changed.Changed) == 0 && len(changed.Removed) == 0 && changed.Peers == nil {
+		} else if len(changed.Changed) == 0 && len(changed.Removed) == 0 && len(changed.Limits) == 0 && changed.Peers == nil {
 			continue
 		}
 		if *body == nil {
--- a/decision/dispatch/dispatch.go
+++ b/decision/dispatch/dispatch.go
@@ -41,8 +41,6 @@
 	// coldShare is the fraction of a cold upstream's rate limit that is used,
 	// because the instances' time windows are distributed at random and not evenly.
 	coldShare = 0.5
-	// coldWindow is the length of an instance's time window at a cold upstream.
-	coldWindow = 400 * time.Millisecond
 )
 
 // Demand describes a request that needs an upstream.
@@ -68,7 +66,7 @@
 	NoUpstream  Reason = "no_upstream"       // the service has no usable upstream
 	NotLoaded   Reason = "model_not_loaded"  // no upstream serves the model
 	NoAdapter   Reason = "adapter_not_loaded"
-	AllExcluded Reason = "all_excluded" // all are full, ejected, cold or tried before
+	AllExcluded Reason = "all_excluded" // all are full, ejected, cold, at their limit or tried before
 )
 
 // Exclusions counts the upstreams that serve the model and adapter of a request
@@ -78,6 +76,13 @@
 	Full    int // rejected a request as full within fullBackoff
 	Ejected int // ejected by the passive health check
 	Cold    int // limited to a rate of requests after a cold start
+	Limited int // the limit that the upstream names is used up
+}
+
+// onlyLimited reports whether only limits exclude upstreams that this request has not
+// tried.
+func (e Exclusions) onlyLimited() bool {
+	return e.Limited > 0 && e.Full == 0 && e.Ejected == 0 && e.Cold == 0
 }
 
 // Choice is the result of Pick.
@@ -86,6 +91,19 @@
 	Reason   Reason
 	Eligible int
 	Excluded Exclusions
+	// limited is the limited upstream that may get a request first, at limitedUntil; nil
+	// if there is none.
+	limited      *load
+	limitedUntil bootclock.Time
+}
+
+// LimitedFor returns the time until an upstream may get a request within its limit. ok
+// is false if upstreams are excluded for other reasons, which may end earlier.
+func (c Choice) LimitedFor(now bootclock.Time) (d time.Duration, ok bool) {
+	if c.limited == nil || !c.Excluded.onlyLimited() {
+		return 0, false
+	}
+	return c.limitedUntil.Sub(now), true
 }
 
 // ServedModels returns the models, with their adapters, that an upstream serves now.
@@ -107,6 +125,7 @@
 	fullUntil  bootclock.Time
 	health     health
 	cold       coldGate
+	limit      limitGate
 }
 
 // Balancer chooses upstreams for one instance. It is not safe for concurrent use.
@@ -115,6 +134,8 @@
 	InstanceID string
 	// Members is the number of instances that share the upstreams.
 	Members int
+	// Limits is nil if no upstream names a limit.
+	Limits Limits
 
 	loads map[string]*load
 }
@@ -176,6 +197,12 @@
 		case !l.cold.allows(now, b.InstanceID, u, service, b.Members):
 			choice.Excluded.Cold++
 			continue
+		case b.deferred(now, l, u):
+			choice.Excluded.Limited++
+			if choice.limited == nil || l.limit.until.Before(choice.limitedUntil) {
+				choice.limited, choice.limitedUntil = l, l.limit.until
+			}
+			continue
 		}
 		cost := b.cost(now, l, u, service, d)
 		if tried {
@@ -275,7 +302,7 @@
 	l.running++
 	l.tokens += d.Tokens
 	l.prefill += d.Prompt
-	l.cold.recordSent(now)
+	l.cold.turns.recordSent(now)
 	t := &Ticket{load: l, demand: d, started: now}
 	l.unanswered = append(l.unanswered, t)
 	return t
@@ -409,7 +436,7 @@
 
 // String describes the exclusions for logs.
 func (e Exclusions) String() string {
-	return fmt.Sprintf("%d tried, %d full, %d ejected, %d cold", e.Tried, e.Full, e.Ejected, e.Cold)
+	return fmt.Sprintf("%d tried, %d full, %d ejected, %d cold, %d limited", e.Tried, e.Full, e.Ejected, e.Cold, e.Limited)
 }
 
 // String returns the outcome as it appears in logs.
--- a/decision/dispatch/health.go
+++ b/decision/dispatch/health.go
@@ -107,14 +107,11 @@
 }
 
 // coldGate limits this instance's requests to a cold upstream during its slow
-// start. Each instance has its own time window in a cycle that is long enough to
-// keep the sum over all instances within the upstream's rate limit. With only a
-// rate limit per instance, all of them could send a request at the same moment.
+// start.
 type coldGate struct {
 	entry     *fleet.Upstream
 	coldUntil bootclock.Time
-	next      bootclock.Time
-	cycle     time.Duration
+	turns     turns
 }
 
 // allows reports whether a request may be sent now. An entry gives the remaining
@@ -127,17 +124,8 @@
 		}
 	}
 	if s.ColdPerSecond <= 0 || !now.Before(g.coldUntil) {
-		g.cycle = 0
+		g.turns.cycle = 0
 		return true
 	}
-	g.cycle = time.Duration(float64(time.Second) * float64(max(members, 1)) / (s.ColdPerSecond * coldShare))
-	offset := time.Duration(hashFraction(instanceID, u.ID) * float64(g.cycle))
-	sinceOffset := (time.Duration(now) + g.cycle - offset) % g.cycle
-	return sinceOffset < coldWindow && !now.Before(g.next)
-}
-
-// recordSent records a request that is being sent. The next one is allowed in the
-// next time window.
-func (g *coldGate) recordSent(now bootclock.Time) {
-	g.next = now.Add(min(g.cycle, max(g.cycle-coldWindow, g.cycle/2)))
+	return g.turns.wait(now, instanceID, u.ID, s.ColdPerSecond*coldShare, members) == 0
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -43,7 +43,7 @@
 
 // observer receives the events of a response that the balancer records.
 type observer struct {
-	onHead  func(ResponseHead) // response head, also of one that the caller does not get
+	onHead  func(head ResponseHead, success bool)
 	onFirst func()             // first event or complete response
 	onLoad  func(requests int) // load reported in the headers
 }
@@ -103,14 +103,14 @@
 	}
 	defer resp.Body.Close()
 	head := x.Dialect.ReadResponse(resp.StatusCode, resp.Header)
-	x.observe.onHead(head)
 	if head.HasLoad {
 		x.observe.onLoad(head.Load)
 	}
+	success := resp.StatusCode >= 200 && resp.StatusCode < 300
+	x.observe.onHead(head, success)
 	if head.NotRun {
 		return x.declined(resp, head)
 	}
-	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	if x.r.Writer.Begun() && !(success && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)) {
 		// The caller already has part of a stream: only its remainder may follow.
 		x.conn.MarkBroken()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/decision/dispatch"
 	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/upstreamlimit"
 	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/chain"
@@ -93,6 +94,18 @@
 	Take(ctx context.Context, workspace *fleet.Workspace, tokens int64, maxWait time.Duration) *verdict.Refusal
 }
 
+// UpstreamLimits keeps the limits that upstreams name, over all instances. Its methods
+// are safe for concurrent use.
+type UpstreamLimits interface {
+	dispatch.Limits
+	// RecordLimit records what an answer of an upstream said about its limit.
+	RecordLimit(upstream *fleet.Upstream, s upstreamlimit.Statement)
+	// TakeSend asks for one send to a limited upstream that waits at most maxWait.
+	TakeSend(ctx context.Context, upstream *fleet.Upstream, maxWait time.Duration) (upstreamlimit.Grant, error)
+	// PruneLimits forgets upstreams that are no longer registered.
+	PruneLimits(v *fleet.View)
+}
+
 // Request is a request with the route, service and workspace that the desired
 // state assigns to it.
 type Request struct {
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -12,8 +12,10 @@
 	"github.com/hibiscusyard/hibiscusyard/decision/dispatch"
 	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
 	"github.com/hibiscusyard/hibiscusyard/decision/quota"
+	"github.com/hibiscusyard/hibiscusyard/decision/upstreamlimit"
 	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 )
 
 const (
@@ -36,6 +38,15 @@
 	// maxSends bounds the sends of one request, including those that an upstream
 	// rejected because it was full.
 	maxSends = 4
+	// leaderRecheck is how long a limited upstream is excluded before the leader is asked
+	// again after it could not be reached, and leaderRetryAfter the Retry-After meanwhile.
+	leaderRecheck    = 500 * time.Millisecond
+	leaderRetryAfter = time.Second
+	// tokenReserve is the rest of the life of the workspace's tokens that is kept when a
+	// request waits for its upstream.
+	tokenReserve = 50 * time.Millisecond
+	// waitedForUpstreamLimit is the logged reason of a wait for the upstream's limit.
+	waitedForUpstreamLimit = "upstream_limit"
 	// waitedForLimit is the logged reason of a wait for the workspace's tokens;
 	// other waits are logged with the reason of the choice.
 	waitedForLimit = "limit"
@@ -51,6 +62,7 @@
 	State     State
 	Placement Placement
 	Limiter   Limiter
+	Limits    UpstreamLimits
 	Forward   *Forward
 	Budget    *Budget
 	// StaleAfter has the same meaning as in Identify.
@@ -70,6 +82,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.balancer.Prune(v)
+	f.Limits.PruneLimits(v)
 }
 
 // Serve implements Filter.
@@ -107,9 +120,10 @@
 	}
 }
 
-// admit waits for an upstream and then for the workspace's tokens, so that
-// tokens are taken only when the request can be sent. After a wait for tokens
-// it selects the upstream again: the first one may be leaving by then.
+// admit waits for an upstream, then for the workspace's tokens and then for the
+// upstream's own limit, so that tokens are taken only when the request can be sent.
+// After a wait for tokens it selects the upstream again: the first one may be leaving
+// by then.
 func (f *Route) admit(ctx context.Context, r *Request, d dispatch.Demand, retry bool) (*fleet.Upstream, error) {
 	for {
 		u, err := f.acquire(ctx, r, d, retry)
@@ -121,7 +135,10 @@
 			return nil, r.Attempt.Refuse(verdict.ConfigurationStale, "this instance can't prove that keys are current").WithRetryAfter(defaultRetryAfter)
 		}
 		if r.Workspace == nil || !r.Workspace.Limited() || r.hasTokens(now) {
-			return u, nil
+			if ok, err := f.takeSend(ctx, r, u); ok || err != nil {
+				return u, err
+			}
+			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, r.WaitLeft(now)-deadlineReserve)
 		refusal := f.Limiter.Take(limited, r.Workspace, r.Tokens(), r.maxLimitWait(now))
@@ -136,6 +153,64 @@
 	}
 }
 
+// takeSend takes one send from the limit that an upstream names, and reports whether
+// the request may be sent. If not, the upstream is excluded until it may get a
+// request again.
+func (f *Route) takeSend(ctx context.Context, r *Request, u *fleet.Upstream) (bool, error) {
+	rate, limited := f.Limits.Limit(u)
+	if !limited {
+		return true, nil
+	}
+	grant, err := f.Limits.TakeSend(ctx, u, r.maxSendWait(bootclock.Now()))
+	if ctx.Err() != nil {
+		return false, r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection")
+	}
+	now := bootclock.Now()
+	if err != nil {
+		grant = f.takeTurn(now, u, rate)
+	}
+	switch {
+	case grant.Unlimited || grant.Granted && grant.Delay <= 0:
+		return true, nil
+	case grant.Granted:
+		r.waitedFor = waitedForUpstreamLimit
+		duration.Sleep(ctx, grant.Delay)
+		return bootclock.Since(now) < grant.Delay+upstreamlimit.GrantLife && f.mayStillSend(u), nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancer.Defer(u, rate, now.Add(grant.Delay), now.Add(grant.RetryAfter))
+	return false, nil
+}
+
+// takeTurn decides about one send while there is no leader.
+func (f *Route) takeTurn(now bootclock.Time, u *fleet.Upstream, rate float64) upstreamlimit.Grant {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wait := f.balancer.TakeTurn(now, u, rate)
+	return upstreamlimit.Grant{Granted: wait == 0, Delay: min(wait, leaderRecheck), RetryAfter: min(wait, leaderRetryAfter)}
+}
+
+// mayStillSend reports whether an upstream is in service after a wait.
+func (f *Route) mayStillSend(u *fleet.Upstream) bool {
+	view := f.State.View()
+	current := view.ByID[u.ID]
+	return current != nil && current.SameRun(u) && view.Usable(current)
+}
+
+// maxSendWait returns how long the request may wait for the limit of its upstream: not
+// at all if there is another upstream, and not beyond the life of its tokens.
+func (r *Request) maxSendWait(now bootclock.Time) time.Duration {
+	if r.choice.Eligible > 1 {
+		return 0
+	}
+	wait := min(r.maxLimitWait(now), r.WaitLeft(now)-deadlineReserve)
+	if r.Workspace != nil && r.Workspace.Limited() && r.runs == 0 {
+		wait = min(wait, r.grantedAt.Add(quota.CentralGrantLife).Sub(now)-tokenReserve)
+	}
+	return max(wait, 0)
+}
+
 // hasTokens reports whether the request holds valid tokens. A grant expires if
 // it is not used within quota.CentralGrantLife; once an upstream may have run
 // the request, the grant covers all retries.
@@ -164,7 +239,7 @@
 		now := bootclock.Now()
 		view := f.State.View()
 		f.mu.Lock()
-		f.balancer.Members = f.State.Members()
+		f.balancer.Members, f.balancer.Limits = f.State.Members(), f.Limits
 		choice := f.balancer.Pick(now, view, f.Placement, d)
 		f.mu.Unlock()
 		r.choice = choice
@@ -218,6 +293,11 @@
 		return r.Attempt.Refuse(verdict.DeadlineTooShort, "no upstream became free in time: %s", c.Reason)
 	case c.Reason == dispatch.NoUpstream:
 		return r.Attempt.Refuse(verdict.NoUpstream, "no upstream of %s is in service", r.Service).WithRetryAfter(defaultRetryAfter)
+	case c.Reason == dispatch.AllExcluded && f.limitTooLong(now, r, c, retry):
+		f.mu.Lock()
+		after := f.balancer.RetryAfter(now, c)
+		f.mu.Unlock()
+		return r.Attempt.Refuse(verdict.UpstreamOverloaded, "the limits of the upstreams are used up: %s", c.Excluded).WithRetryAfter(after)
 	case c.Reason == dispatch.AllExcluded && (retry || waited > time.Duration(busyWaitShare*float64(r.Route.LatencyObjective))):
 		return r.Attempt.Refuse(verdict.QueueFull, "no upstream has room: %s", c.Excluded).WithRetryAfter(defaultRetryAfter)
 	case c.Reason == dispatch.NotLoaded:
@@ -233,6 +313,13 @@
 	return nil
 }
 
+// limitTooLong reports whether the request would wait too long for an upstream that
+// has used up its limit.
+func (f *Route) limitTooLong(now bootclock.Time, r *Request, c dispatch.Choice, retry bool) bool {
+	wait, ok := c.LimitedFor(now)
+	return ok && (retry || wait > r.maxLimitWait(now))
+}
+
 // mayRetry reports whether the request is sent again, and counts the retry in
 // the budget unless the connection was refused.
 func (f *Route) mayRetry(ctx context.Context, r *Request, res sendResult) bool {
@@ -270,11 +357,7 @@
 	f.mu.Unlock()
 	r.Upstream, r.sentAt, r.rateLimit = u.ID, bootclock.Now(), -1
 	observe := observer{
-		onHead: func(head ResponseHead) {
-			if head.HasRateLimit {
-				r.rateLimit = head.RateLimit
-			}
-		},
+		onHead: func(head ResponseHead, success bool) { f.recordLimit(r, u, head, success) },
 		onFirst: func() {
 			now := bootclock.Now()
 			if r.firstAt == 0 {
@@ -312,6 +395,22 @@
 	return a
 }
 
+// recordLimit records what an answer says about the limit of its upstream. Answers of
+// other upstreams say nothing about it; the end of a limit is taken from a signed
+// success alone, because any process in between can answer with an error.
+func (f *Route) recordLimit(r *Request, u *fleet.Upstream, head ResponseHead, success bool) {
+	if head.Upstream != "" && head.Upstream != u.ID {
+		return
+	}
+	s := upstreamlimit.Statement{Limited: head.HasRateLimit, Rate: head.RateLimit, Since: r.sentAt, Until: bootclock.Now()}
+	if s.Limited {
+		r.rateLimit = s.Rate
+	} else if !success || !head.Signed || head.ID != r.ID {
+		return
+	}
+	f.Limits.RecordLimit(u, s)
+}
+
 // pickService selects one of a route's services at random by weight.
 func pickService(targets []fleet.Target) string {
 	total := 0
--- a/plumbing/peer/message.go
+++ b/plumbing/peer/message.go
@@ -32,6 +32,8 @@
 	KindLoadAdapter
 	KindHandover
 	KindHeartbeat
+	KindUpstreamLimit
+	KindTakeSend
 )
 
 // envelope frames every message after the handshake. Replies repeat the ID of
