Bound the questions about limited upstreams, and let stand-ins, emulator and soak name limits

Cause: at 860 instances each denied instance asked the leader again as soon as one request was due, so that one limited upstream could cost the leader some hundred questions a second more than its link carries; the soak and the emulator had no upstream that names a limit. Change: an instance asks again after 2 ms for each instance of the fleet at the earliest (500 questions a second in all).

--- a/decision/dispatch/limit.go
+++ b/decision/dispatch/limit.go
@@ -15,6 +15,10 @@
 	// maxRetryQueue bounds the time by which refused requests delay the retries of
 	// later ones.
 	maxRetryQueue = 5 * time.Second
+	// askPerInstance is the shortest time between two questions about one limited
+	// upstream, per instance of the fleet. It bounds what the leader is asked to 500
+	// questions a second for each limited upstream.
+	askPerInstance = 2 * time.Millisecond
 )
 
 // Limits holds the limits that upstreams name.
@@ -34,8 +38,9 @@
 
 // Defer excludes a limited upstream until it may get a request again. Callers that
 // are refused meanwhile can return from retryAt on.
-func (b *Balancer) Defer(u *fleet.Upstream, rate float64, until, retryAt bootclock.Time) {
+func (b *Balancer) Defer(now bootclock.Time, u *fleet.Upstream, rate float64, until, retryAt bootclock.Time) {
 	gate := &b.load(u).limit
+	until = max(until, now.Add(time.Duration(b.Members)*askPerInstance))
 	gate.rate, gate.until, gate.retryAt = rate, until, max(until, retryAt)
 }
 
--- a/decision/upstreamlimit/simulation_test.go
+++ b/decision/upstreamlimit/simulation_test.go
@@ -21,6 +21,9 @@
 	ruleSlack  = 5
 )
 
+// maxAsked bounds the questions to the leader about one limited upstream, per second.
+const maxAsked = 550
+
 // simulation is a fleet of instances in front of one service, in virtual time.
 type simulation struct {
 	random    *rand.Rand
@@ -33,6 +36,7 @@
 	leader    *upstreamlimit.Buckets
 	sent      map[string][]bootclock.Time
 	refused   int
+	asked     int // questions to the leader
 }
 
 // Limit implements dispatch.Limits.
@@ -73,7 +77,7 @@
 		}
 		if _, limited := s.Limit(u); limited {
 			if until := s.take(b, u); until != 0 {
-				b.Defer(u, s.rate, until, until)
+				b.Defer(s.now, u, s.rate, until, until)
 				continue
 			}
 		}
@@ -91,6 +95,7 @@
 		}
 		return 0
 	}
+	s.asked++
 	grant := s.leader.Take(s.now, upstreamlimit.ID{Upstream: u.ID, Started: u.Started}, s.rate, 0)
 	if grant.Granted {
 		return 0
@@ -133,12 +138,15 @@
 			for _, upstreams := range []int{1, 3} {
 				t.Run(fmt.Sprintf("%d instances, limit %g, %d upstreams", instances, rate, upstreams), func(t *testing.T) {
 					s := newSimulation(uint64(instances)+uint64(rate*10), instances, upstreams, 1, rate)
-					load := max(10*rate, 20) * float64(upstreams)
+					load := max(10*rate, 2*float64(instances), 20) * float64(upstreams)
 					const calm = 60 * time.Second
 					s.run(calm, load)
 					if got := float64(len(s.sent["u0"])); got < 0.8*rate*calm.Seconds()-1 {
 						t.Errorf("u0 got %g requests in %s at a limit of %g a second", got, calm, rate)
 					}
+					if perSecond := float64(s.asked) / calm.Seconds(); perSecond > maxAsked {
+						t.Errorf("the leader was asked %.0f times a second, want at most %d", perSecond, maxAsked)
+					}
 					for range 10 {
 						s.leader = nil
 						s.run(time.Duration(s.random.IntN(8000))*time.Millisecond, load)
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -179,7 +179,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.balancer.Defer(u, rate, now.Add(grant.Delay), now.Add(grant.RetryAfter))
+	f.balancer.Defer(now, u, rate, now.Add(grant.Delay), now.Add(grant.RetryAfter))
 	return false, nil
 }
 
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -40,7 +40,7 @@
 			answers := s.sendLoad(limitLoad)
 			length := time.Since(began).Seconds()
 			for _, u := range s.rotas[:c.limited] {
-				for _, violation := range u.LimitViolations(limitGrace) {
+				for _, violation := range u.LimitViolations(limitGrace, nil) {
 					t.Error(violation)
 				}
 				if got := float64(len(u.Arrivals())); got < 0.7*c.rate*length-1 {
@@ -117,7 +117,7 @@
 	lost := s.stopLeader()
 	s.sendLoad(limitLoad)
 	for _, u := range s.rotas {
-		for _, violation := range u.LimitViolations(limitGrace) {
+		for _, violation := range u.LimitViolations(limitGrace, nil) {
 			t.Errorf("%s was lost: %s", lost, violation)
 		}
 		if got := len(u.Arrivals()); got < 10 {
--- a/standin/userplatform/limit.go
+++ b/standin/userplatform/limit.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// NamesLimit reports whether the upstream names a limit now.
+func (u *Upstream) NamesLimit() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.currentLimit() != nil
+}
+
 // currentLimit returns the limit that the upstream names, nil if there is none. The
 // caller holds mu.
 func (u *Upstream) currentLimit() *namedLimit {
@@ -50,9 +57,10 @@
 }
 
 // LimitViolations describes the windows in which the upstream got more requests, from
-// all instances together, than the limit that it named allowed. Windows that begin
-// earlier than grace after the limit was first named do not count.
-func (u *Upstream) LimitViolations(grace time.Duration) []string {
+// all instances together, than the limit that it named allowed. Arrivals earlier than
+// grace after the limit was named do not count, nor do those that excused, if it is
+// set, excuses.
+func (u *Upstream) LimitViolations(grace time.Duration, excused func(Arrival) bool) []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var found []string
@@ -60,7 +68,7 @@
 		allowed := limitFactor*l.rate*limitWindow.Seconds() + limitSlack
 		var window []time.Time
 		for _, a := range u.arrivals {
-			if a.At.Before(l.from.Add(grace)) || (!l.until.IsZero() && a.At.After(l.until)) {
+			if a.At.Before(l.from.Add(grace)) || (!l.until.IsZero() && a.At.After(l.until)) || (excused != nil && excused(a)) {
 				continue
 			}
 			window = append(window, a.At)
--- a/test/soak/clients_test.go
+++ b/test/soak/clients_test.go
@@ -29,6 +29,7 @@
 // outcome is the result of one request as the client saw it.
 type outcome struct {
 	id      string
+	member  *member // the instance that got the request
 	key     string
 	sent    time.Time
 	unsafe  bool
@@ -84,6 +85,7 @@
 		path, method, o.unsafe = "/signup/1", http.MethodPost, true
 	}
 	m := s.members[random.IntN(len(s.members))]
+	o.member = m
 	var body io.Reader
 	if method == http.MethodPost {
 		body = io.NopCloser(strings.NewReader("body")) // without GetBody, so that net/http does not repeat it
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -31,6 +32,17 @@
 	612, 616, 617, 619, 625, 627, 632, 634, 635, 639, 644, 649, // a stream continued after an endless answer that had been cut
 }
 
+// limitGrace is the time after which a named limit must be kept.
+const limitGrace = 3 * time.Second
+
+// lastInstanceFault is the last kind of fault that kills, freezes, restarts or cuts off
+// an instance.
+const lastInstanceFault = 5
+
+// firstSeedWithLimits is the first seed with which upstreams also name limits. One run
+// with it is part of each test.
+const firstSeedWithLimits = 2000
+
 // firstSeedWithEndless is the first seed with which upstreams also send endless
 // answers or stall. The regression seeds below it draw the same faults as when
 // they failed.
@@ -43,7 +55,7 @@
 // store that fails, loses answers or drops its history, upstreams that crash,
 // fail, stall or send endless answers. No process may use more memory than an instance has.
 func TestSoak(t *testing.T) {
-	list := append([]uint64(nil), regressions...)
+	list := append([]uint64{firstSeedWithLimits}, regressions...)
 	for i := range *seeds {
 		list = append(list, *first+uint64(i))
 	}
@@ -59,6 +71,9 @@
 	if seed >= firstSeedWithEndless {
 		s.faultKinds = 14
 	}
+	if seed >= firstSeedWithLimits {
+		s.faultKinds = 16 // limits are drawn twice as often as other faults
+	}
 	var group sync.WaitGroup
 	for n := range clients {
 		r := rand.New(rand.NewPCG(seed, uint64(n+1)))
@@ -103,6 +118,10 @@
 	u := s.allUpstreams()[random.IntN(len(s.allUpstreams()))]
 	kind := random.IntN(s.faultKinds)
 	s.t.Logf("fault %d at %s and %s for %s", kind, m.name, u.ID, pause)
+	if kind <= lastInstanceFault {
+		began := time.Now()
+		defer func() { m.excused = append(m.excused, period{began, time.Now().Add(limitGrace)}) }()
+	}
 	switch kind {
 	case 0:
 		m.process.Kill()
@@ -153,11 +172,20 @@
 		}
 	case 13:
 		u.Fail(userplatform.EndlessHeader, userplatform.StalledStream, userplatform.EndlessBody)
+	case 14, 15:
+		if u.NamesLimit() {
+			u.StopNamingLimit()
+		} else {
+			u.NameLimit(0.5 + 10*random.Float64())
+		}
 	}
 }
 
 func (s *system) restore() {
 	s.store.Gate().SetFaults(standin.Faults{})
+	for _, u := range s.allUpstreams() {
+		u.StopNamingLimit()
+	}
 	for _, m := range s.members {
 		if m.process.Ended() {
 			s.start(m)
@@ -208,6 +236,7 @@
 			s.t.Errorf("%s was ordered to load more models than fit", u.ID)
 		}
 	}
+	s.checkLimits(outcomes)
 	served := 0
 	for _, o := range outcomes {
 		if o.status == http.StatusOK {
@@ -228,3 +257,23 @@
 	}
 	s.t.Logf("%d of %d requests served", served, len(outcomes))
 }
+
+// checkLimits checks that upstreams did not get more requests than the limits that they
+// named, apart from those that came through an instance that was killed, frozen,
+// restarted or cut off.
+func (s *system) checkLimits(outcomes []outcome) {
+	s.t.Helper()
+	through := map[string]*member{}
+	for _, o := range outcomes {
+		through[o.id] = o.member
+	}
+	excused := func(a userplatform.Arrival) bool {
+		m := through[a.ID]
+		return m != nil && slices.ContainsFunc(m.excused, func(p period) bool { return a.At.After(p.from) && a.At.Before(p.until) })
+	}
+	for _, u := range s.allUpstreams() {
+		for _, violation := range u.LimitViolations(limitGrace, excused) {
+			s.t.Error(violation)
+		}
+	}
+}
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/node/sample"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
@@ -37,8 +38,11 @@
 	ready         string
 	store, ingest *processtest.Proxy
 	process       *processtest.Process
+	excused       []period // in which it need not keep the limits of upstreams
 }
 
+type period struct{ from, until time.Time }
+
 // system is the stand-in of the platform with its upstreams, and the instances,
 // which run as processes.
 type system struct {
--- a/tools/emulator/emulator_test.go
+++ b/tools/emulator/emulator_test.go
@@ -58,6 +58,7 @@
 	}
 	wrong := strings.NewReplacer(`"service": "rota", "type": "safe"`, `"service": "rotas", "type": "safe"`,
 		`"target": "engine-2"`, `"target": "engine-9"`, `"kind": "store_outage"`, `"kind": "earthquake"`,
+		`"kind": "upstream_error", "target": "rota-1"`, `"kind": "upstream_limited", "for": "1s", "rate": -1, "target": "rota-1"`,
 		`"name": "archive", "rate": 3000`, `"name": "archive", "rate": 0`).Replace(string(data))
 	_, err = ParseScenario([]byte(wrong))
 	if err == nil {
@@ -66,6 +67,7 @@
 	for _, want := range []string{
 		`line 19: kinds[1].service: no service is named "rotas"`, `line 26: faults[0].target: no upstream is named "engine-9"`,
 		"line 28: faults[2].kind: must be one of ", "line 14: workspaces[2]: rate, burst and share must be above 0",
+		"line 27: faults[1].rate: must not be negative",
 	} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("error lacks %q:\n%v", want, err)
@@ -80,7 +82,7 @@
 	path := filepath.Join(folder, "short.json")
 	text := strings.NewReplacer(`"duration": "10s"`, `"duration": "2s", "faults": [{"at": "500ms", "kind": "upstream_reset", "target": "rota-1", "count": 3},
 		{"at": "700ms", "for": "300ms", "kind": "upstream_crash", "target": "rota-2"}, {"at": "1s", "kind": "instance_replaced"},
-		{"at": "1s", "for": "300ms", "kind": "store_outage"}]`).Replace(string(sampleScenario))
+		{"at": "1s", "for": "300ms", "kind": "store_outage"}, {"at": "100ms", "for": "1s", "kind": "upstream_limited", "target": "rota-1", "rate": 2}]`).Replace(string(sampleScenario))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/tools/emulator/fault.go
+++ b/tools/emulator/fault.go
@@ -41,17 +41,24 @@
 	"upstream_drain": {needsTarget: true, apply: func(_ context.Context, w *Deployment, f *Fault) error {
 		return w.upstreams[f.Target].Drain()
 	}},
-	"upstream_full":      requestFault(userplatform.RefusedAtCapacity),
-	"upstream_reset":     requestFault(userplatform.ResetBefore),
-	"upstream_lost":      requestFault(userplatform.ResetAfter),
-	"upstream_error":     requestFault(userplatform.ErrorResponse),
-	"upstream_cut":       requestFault(userplatform.CutStream),
-	"upstream_foreign":   requestFault(userplatform.ForeignResponseFirst),
-	"upstream_endless":   requestFault(userplatform.EndlessHeader),
-	"upstream_pours":     requestFault(userplatform.EndlessBody),
-	"upstream_stalls":    requestFault(userplatform.StalledStream),
-	"orders_unanswered":  {needsTarget: true, apply: loseOrders},
-	"instance_replaced":  {apply: func(ctx context.Context, w *Deployment, _ *Fault) error { return w.replaceInstance(ctx) }},
+	"upstream_full":     requestFault(userplatform.RefusedAtCapacity),
+	"upstream_reset":    requestFault(userplatform.ResetBefore),
+	"upstream_lost":     requestFault(userplatform.ResetAfter),
+	"upstream_error":    requestFault(userplatform.ErrorResponse),
+	"upstream_cut":      requestFault(userplatform.CutStream),
+	"upstream_foreign":  requestFault(userplatform.ForeignResponseFirst),
+	"upstream_endless":  requestFault(userplatform.EndlessHeader),
+	"upstream_pours":    requestFault(userplatform.EndlessBody),
+	"upstream_stalls":   requestFault(userplatform.StalledStream),
+	"orders_unanswered": {needsTarget: true, apply: loseOrders},
+	"instance_replaced": {apply: func(ctx context.Context, w *Deployment, _ *Fault) error { return w.replaceInstance(ctx) }},
+	"upstream_limited": {needsTarget: true, needsDuration: true, apply: func(ctx context.Context, w *Deployment, f *Fault) error {
+		u := w.upstreams[f.Target]
+		u.NameLimit(f.Rate)
+		duration.Sleep(ctx, f.For.Std())
+		u.StopNamingLimit()
+		return nil
+	}},
 	"upstream_slow_down": {needsTarget: true, needsDuration: true, apply: slowDown},
 }
 
--- a/tools/emulator/scenario.go
+++ b/tools/emulator/scenario.go
@@ -136,6 +136,9 @@
 	// Count is the number of requests or orders that the fault affects.
 	// Default 1.
 	Count int `json:"count"`
+	// Rate is the limit in requests a second that an upstream names during
+	// "upstream_limited".
+	Rate float64 `json:"rate"`
 	// Delay is the latency added by "store_slow".
 	Delay duration.Duration `json:"delay"`
 }
@@ -315,6 +318,9 @@
 	if f.At < 0 || f.At > s.Duration {
 		c.Fail(path+".at", "must be within the duration")
 	}
+	if f.Kind == "upstream_limited" && !(f.Rate >= 0) {
+		c.Fail(path+".rate", "must not be negative")
+	}
 	if f.Kind == "store_slow" && f.Delay <= 0 {
 		c.Fail(path+".delay", "must be above 0")
 	}
