--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -39,10 +39,13 @@
 // an instance.
 const lastInstanceFault = 5
 
-// firstSeedWithLimits is the first seed with which upstreams also name limits. One run
-// with it is part of each test.
+// firstSeedWithLimits is the first seed with which upstreams also name limits.
 const firstSeedWithLimits = 2000
 
+// seedWithLimits is a seed with limits that is part of each test. It fails if instances
+// ignore the limits.
+const seedWithLimits = 2002
+
 // firstSeedWithEndless is the first seed with which upstreams also send endless
 // answers or stall. The regression seeds below it draw the same faults as when
 // they failed.
@@ -55,7 +58,7 @@
 // store that fails, loses answers or drops its history, upstreams that crash,
 // fail, stall or send endless answers. No process may use more memory than an instance has.
 func TestSoak(t *testing.T) {
-	list := append([]uint64{firstSeedWithLimits}, regressions...)
+	list := append([]uint64{seedWithLimits}, regressions...)
 	for i := range *seeds {
 		list = append(list, *first+uint64(i))
 	}
