Check a request again after the question for its upstream's limit

Cause: found when reading the change. The question can take 0.4 s and a grant may wait longer; meanwhile the upstream can begin to leave, the proof that the workspace's key is valid can get too old, and the workspace's tokens can expire. Only the first was checked, and only after a wait. Change: all three are checked after each grant; otherwise the request chooses again.

--- a/gateway/route.go
+++ b/gateway/route.go
@@ -169,18 +169,17 @@
 	if err != nil {
 		grant = f.takeTurn(now, u, rate)
 	}
-	switch {
-	case grant.Unlimited || grant.Granted && grant.Delay <= 0:
-		return true, nil
-	case grant.Granted:
+	if !grant.Unlimited && !grant.Granted {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.balancer.Defer(now, u, rate, now.Add(grant.Delay), now.Add(grant.RetryAfter))
+		return false, nil
+	}
+	if grant.Granted && grant.Delay > 0 {
 		r.waitedFor = waitedForUpstreamLimit
 		duration.Sleep(ctx, grant.Delay)
-		return bootclock.Since(now) < grant.Delay+upstreamlimit.GrantLife && f.mayStillSend(u), nil
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.balancer.Defer(now, u, rate, now.Add(grant.Delay), now.Add(grant.RetryAfter))
-	return false, nil
+	return bootclock.Since(now) < grant.Delay+upstreamlimit.GrantLife && f.mayStillSend(r, u), nil
 }
 
 // takeTurn decides about one send while there is no leader.
@@ -191,11 +190,16 @@
 	return upstreamlimit.Grant{Granted: wait == 0, Delay: min(wait, leaderRecheck), RetryAfter: min(wait, leaderRetryAfter)}
 }
 
-// mayStillSend reports whether an upstream is in service after a wait.
-func (f *Route) mayStillSend(u *fleet.Upstream) bool {
-	view := f.State.View()
+// mayStillSend reports whether what allowed a request before the question for its
+// upstream's limit still holds: the upstream is in service, and the workspace's key and
+// tokens are valid.
+func (f *Route) mayStillSend(r *Request, u *fleet.Upstream) bool {
+	now, view := bootclock.Now(), f.State.View()
 	current := view.ByID[u.ID]
-	return current != nil && current.SameRun(u) && view.Usable(current)
+	if current == nil || !current.SameRun(u) || !view.Usable(current) {
+		return false
+	}
+	return r.Workspace == nil || f.State.Age(now) <= f.StaleAfter && (!r.Workspace.Limited() || r.hasTokens(now))
 }
 
 // maxSendWait returns how long the request may wait for the limit of its upstream: not
