Log the fingerprint of each request and whether its upstream crashed

Cause: no log line said which requests of which callers are the same one, as a caller's repeat has an ID of its own.

Change: request.Fingerprint, a hash of workspace, method, host, path, query and body, in the line 'upstream chosen'.

--- a/gateway/route.go
+++ b/gateway/route.go
@@ -429,7 +429,7 @@
 		}
 	}
 	entry.WithFields(log.Fields{
-		"parts": strings.Join(r.SharedParts(), ","), "events": r.events,
+		"fingerprint": r.Fingerprint(), "crashed": a.crashed, "parts": strings.Join(r.SharedParts(), ","), "events": r.events,
 		"first_ms": first, "pause_ms": r.longestGap.Milliseconds(), "route": r.RouteName, "upstream": u.ID, "reason": r.choice.Reason, "eligible": r.choice.Eligible,
 		"model": r.Model, "adapter": r.Adapter, "waited_ms": r.sentAt.Sub(r.Arrived).Milliseconds(), "waited_for": r.waitedFor, "config": r.Config, "config_age_ms": r.ConfigAge.Milliseconds(), "result": a.outcome.String(), "runs": r.runs,
 		"after_ms": bootclock.Since(r.Arrived).Milliseconds(), "rate_limit": r.rateLimit,
--- a/plumbing/request/request.go
+++ b/plumbing/request/request.go
@@ -5,7 +5,11 @@
 package request
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -61,8 +65,14 @@
 	Config    int64
 	ConfigAge time.Duration
 	Log       log.Interface
+
+	fingerprint string // empty until Fingerprint is called
 }
 
+// fingerprintBytes is the length of a fingerprint, long enough that no two requests share
+// one by chance.
+const fingerprintBytes = 16
+
 // Base returns the request itself. It makes types that embed Request implement
 // Carrier.
 func (r *Request) Base() *Request { return r }
@@ -110,6 +120,23 @@
 	return ids
 }
 
+// Fingerprint identifies what the caller asked: two requests of one workspace with the
+// same method, path, query and body have the same fingerprint, whatever their IDs. It is
+// a cryptographic hash, so that no caller can make a request that matches another one's.
+func (r *Request) Fingerprint() string {
+	if r.fingerprint == "" {
+		h := sha256.New()
+		var length [8]byte
+		for _, field := range [][]byte{[]byte(r.WorkspaceName), []byte(r.HTTP.Method), []byte(strings.ToLower(r.HTTP.Host)), []byte(r.HTTP.RequestURI), r.Body} {
+			binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+			h.Write(length[:]) //nolint:errcheck // a hash never fails.
+			h.Write(field)     //nolint:errcheck // a hash never fails.
+		}
+		r.fingerprint = hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+	}
+	return r.fingerprint
+}
+
 // MayRepeat reports whether the request may be sent to another upstream:
 // either it certainly was not run, or running it again is harmless.
 func (r *Request) MayRepeat() bool { return r.Attempt.Verdict() == verdict.NotRun || r.Repeatable }
