--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -26,11 +27,11 @@
 	refusalTime = 300 * time.Millisecond
 )
 
-// promptAnswer is the answer to a request of sendPrompts.
-type promptAnswer struct {
+// loadAnswer is the answer to a request of sendDrawn.
+type loadAnswer struct {
 	answer
 	instance int
-	crashing bool // the request had the part that crashes upstreams
+	crashing bool // the request crashes upstreams
 	sent     time.Time
 	length   time.Duration
 }
@@ -46,6 +47,9 @@
 			Engine: &userplatform.Engine{ModelCapacity: 2, AdapterSlots: 4, LoadTime: 50 * time.Millisecond, Models: map[string][]string{"letters": nil}},
 		}))
 	}
+	for i := len(s.rotas); i < 4; i++ {
+		s.rotas = append(s.rotas, s.start(&userplatform.Upstream{ID: fmt.Sprintf("rota-%d", i+1), Service: "rota", Zone: "north", Slots: 6}))
+	}
 	for _, u := range s.engines {
 		u.CrashOnPart(part, crashDowntime)
 	}
@@ -55,16 +59,9 @@
 // sendPrompts sends streams to all instances, about 40 a second. A tenth of them have the
 // part "crashing" at the given position in the prompt. The others share all other parts
 // with them.
-func (s *testSystem) sendPrompts(length time.Duration, position int) []promptAnswer {
+func (s *testSystem) sendPrompts(length time.Duration, position int) []loadAnswer {
 	s.t.Helper()
-	var mu sync.Mutex
-	var answers []promptAnswer
-	var group sync.WaitGroup
-	ticker := time.NewTicker(time.Second / 40)
-	defer ticker.Stop()
-	random := rand.New(rand.NewPCG(1, 2))
-	for began, i := time.Now(), 0; time.Since(began) < length; i++ {
-		<-ticker.C
+	return s.sendDrawn(length, func(i int, random *rand.Rand) (request, bool) {
 		parts := []string{"first", fmt.Sprintf("session-%d", random.IntN(10))}
 		crashing := random.Float64() < crashShare
 		if crashing {
@@ -72,9 +69,26 @@
 		}
 		r := draftRequest("letters")
 		r.prefix = fmt.Sprintf("%s:50,%s:30,own-%d:20", parts[0], parts[1], i)
+		return r, crashing
+	})
+}
+
+// sendDrawn sends the requests that draw returns to all instances, about 40 a second. draw
+// also reports whether a request crashes upstreams.
+func (s *testSystem) sendDrawn(length time.Duration, draw func(i int, random *rand.Rand) (request, bool)) []loadAnswer {
+	s.t.Helper()
+	var mu sync.Mutex
+	var answers []loadAnswer
+	var group sync.WaitGroup
+	ticker := time.NewTicker(time.Second / 40)
+	defer ticker.Stop()
+	random := rand.New(rand.NewPCG(1, 2))
+	for began, i := time.Now(), 0; time.Since(began) < length; i++ {
+		<-ticker.C
+		r, crashing := draw(i, random)
 		group.Go(func() {
 			sent := time.Now()
-			a := promptAnswer{answer: s.send(i%len(s.nodes), r), instance: i % len(s.nodes), crashing: crashing, sent: sent, length: time.Since(sent)}
+			a := loadAnswer{answer: s.send(i%len(s.nodes), r), instance: i % len(s.nodes), crashing: crashing, sent: sent, length: time.Since(sent)}
 			mu.Lock()
 			defer mu.Unlock()
 			answers = append(answers, a)
@@ -84,22 +98,29 @@
 	return answers
 }
 
-// checkCrashes checks that requests with the part stopped reaching upstreams in time and
-// are refused at once, and that the others are served. Answers of a stopped instance, -1
-// for none, do not count.
-func (s *testSystem) checkCrashes(answers []promptAnswer, stopped int) {
+// checkCrashes checks that requests with the part stopped reaching upstreams in time, and
+// checks the answers.
+func (s *testSystem) checkCrashes(answers []loadAnswer, stopped int) {
+	s.t.Helper()
+	for _, violation := range userplatform.PromptCrashViolations(s.engines, "crashing", crashGrace, nil) {
+		s.t.Error(violation)
+	}
+	s.checkAnswers(answers, stopped)
+}
+
+// checkAnswers checks that requests that crash upstreams are refused at once in the end,
+// and that the others are served. Answers of a stopped instance, -1 for none, do not
+// count.
+func (s *testSystem) checkAnswers(answers []loadAnswer, stopped int) {
 	s.t.Helper()
 	crashed := 0
-	for _, u := range s.engines {
+	for _, u := range slices.Concat(s.engines, s.rotas) {
 		crashed += len(u.Crashes())
 	}
 	if crashed == 0 {
 		s.t.Fatal("no upstream crashed; the test shows nothing")
 	}
 	s.t.Logf("%d crashes", crashed)
-	for _, violation := range userplatform.PromptCrashViolations(s.engines, "crashing", crashGrace, nil) {
-		s.t.Error(violation)
-	}
 	end := answers[len(answers)-1].sent
 	sound, served := 0, 0
 	for _, a := range answers {
@@ -108,7 +129,7 @@
 		case late && a.crashing:
 			wait, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
 			if a.status != http.StatusServiceUnavailable || err != nil || wait <= 0 || a.length > refusalTime {
-				s.t.Errorf("request with the crashing part: got status %d, Retry-After %q after %s, want 503 with a time within %s", a.status, a.header.Get("Retry-After"), a.length, refusalTime)
+				s.t.Errorf("request that crashes upstreams: got status %d, Retry-After %q after %s, want 503 with a time within %s", a.status, a.header.Get("Retry-After"), a.length, refusalTime)
 			}
 		case late:
 			sound++
@@ -134,6 +155,46 @@
 	}
 }
 
+// Guards against one request that crashes one upstream after the other, with all kinds of
+// routes, while other requests share its caller, its path or all parts of its prompt, and
+// against a request that is asked often and refused because it stands beside crashes.
+func TestRequestThatCrashesUpstreamsIsKeptFromThem(t *testing.T) {
+	for _, c := range []struct{ name, method, prefix string }{
+		{"stream", http.MethodPost, "/drafts/"}, {"unsafe", http.MethodPost, "/signup/"}, {"safe", http.MethodGet, "/lookup/"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newCrashSystem(t, "")
+			for _, u := range slices.Concat(s.engines, s.rotas) {
+				u.CrashOnRequest("committee", c.prefix+"crashing", crashDowntime)
+				u.SetPace(u.Events, 20*time.Millisecond)
+			}
+			answers := s.sendDrawn(crashLoad, func(i int, random *rand.Rand) (request, bool) {
+				r, crashing := request{method: c.method, key: "committee-key"}, false
+				switch p := random.Float64(); {
+				case p < crashShare:
+					r.path, crashing = c.prefix+"crashing", true
+				case p < 1.2*crashShare:
+					r.path, r.key = c.prefix+"crashing", "archive-key"
+				case p < 0.5:
+					r.path = c.prefix + "popular"
+				default:
+					r.path = fmt.Sprint(c.prefix, i)
+				}
+				if c.name == "stream" {
+					r.model, r.tokens = "letters", "100,20"
+					r.prefix = fmt.Sprintf("first:50,session:30,own-%s:20", r.path)
+				}
+				return r, crashing
+			})
+			for _, violation := range userplatform.RequestCrashViolations(slices.Concat(s.engines, s.rotas), "committee", c.prefix+"crashing", crashGrace, nil) {
+				s.t.Error(violation)
+			}
+			s.checkAnswers(answers, -1)
+		})
+	}
+}
+
 // Guards against evidence and verdicts that are lost with the leader.
 func TestPromptPartIsKeptFromUpstreamsWhenTheLeaderIsLost(t *testing.T) {
 	s := newCrashSystem(t, "crashing")
--- a/standin/userplatform/crash.go
+++ b/standin/userplatform/crash.go
@@ -11,13 +11,21 @@
 	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 )
 
-// The rule for parts of prompts that crash upstreams: from grace after the crash with
-// number promptCrashes on, at most maxPromptSends more requests with the part arrive.
+// The rules for what crashes upstreams: from grace after the crash with the given number
+// on, at most maxCrashSends more requests with the cause arrive.
 const (
-	promptCrashes  = 5
-	maxPromptSends = 3
+	partCrashes    = 5 // for a part of prompts
+	requestCrashes = 3 // for a whole request
+	maxCrashSends  = 3
 )
 
+// Crash is a crash that a request caused.
+type Crash struct {
+	At time.Time
+	// Part is the part of its prompt that caused it, empty if the whole request did.
+	Part string
+}
+
 // CrashOnPart makes the upstream crash when it begins to write an answer to a request
 // whose prompt shares the part with other requests. After downtime it restarts at the
 // same address without models. An empty part ends this.
@@ -27,23 +35,35 @@
 	u.crashPart, u.crashDowntime = part, downtime
 }
 
-// Crashes returns the times of the crashes that CrashOnPart caused.
-func (u *Upstream) Crashes() []time.Time {
+// CrashOnRequest makes the upstream crash when it begins to answer a request of a tenant
+// for the path, as CrashOnPart does. An empty path ends this.
+func (u *Upstream) CrashOnRequest(tenant, path string, downtime time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.crashTenant, u.crashPath, u.crashDowntime = tenant, path, downtime
+}
+
+// Crashes returns the crashes that requests caused.
+func (u *Upstream) Crashes() []Crash {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return slices.Clone(u.crashes)
 }
 
-// crashIfTriggered starts a crash if the request has the part that causes one, and
-// reports whether it did.
-func (u *Upstream) crashIfTriggered(h http.Header) bool {
+// crashIfTriggered starts a crash if the request causes one, and reports whether it did.
+func (u *Upstream) crashIfTriggered(r *http.Request) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.crashPart == "" || !slices.Contains(sharedParts(h), u.crashPart) {
+	crash := Crash{At: time.Now()}
+	switch {
+	case u.crashPart != "" && slices.Contains(sharedParts(r.Header), u.crashPart):
+		crash.Part = u.crashPart
+	case u.crashPath != "" && r.URL.Path == u.crashPath && r.Header.Get(HeaderTenant) == u.crashTenant:
+	default:
 		return false
 	}
 	if u.server != nil { // otherwise another request has crashed it already
-		u.crashes = append(u.crashes, time.Now())
+		u.crashes = append(u.crashes, crash)
 		go u.crash(u.server, u.crashDowntime)
 		u.server = nil
 	}
@@ -80,28 +100,45 @@
 }
 
 // PromptCrashViolations describes the requests with a part that reached the upstreams
-// although it had crashed promptCrashes of them, unless they arrived earlier than grace
-// after that or excused, if it is set, excuses them.
+// although it had crashed too many of them, unless they arrived earlier than grace after
+// that or excused, if it is set, excuses them.
 func PromptCrashViolations(upstreams []*Upstream, part string, grace time.Duration, excused func(Arrival) bool) []string {
+	return crashViolations(upstreams, "part "+part, part, partCrashes, grace, func(a Arrival) bool {
+		return slices.Contains(a.Parts, part) && (excused == nil || !excused(a))
+	})
+}
+
+// RequestCrashViolations is PromptCrashViolations for a whole request.
+func RequestCrashViolations(upstreams []*Upstream, tenant, path string, grace time.Duration, excused func(Arrival) bool) []string {
+	return crashViolations(upstreams, "request "+path, "", requestCrashes, grace, func(a Arrival) bool {
+		return a.Path == path && a.Tenant == tenant && (excused == nil || !excused(a))
+	})
+}
+
+func crashViolations(upstreams []*Upstream, cause, part string, number int, grace time.Duration, counts func(Arrival) bool) []string {
 	var crashes []time.Time
 	for _, u := range upstreams {
-		crashes = append(crashes, u.Crashes()...)
+		for _, c := range u.Crashes() {
+			if c.Part == part {
+				crashes = append(crashes, c.At)
+			}
+		}
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
-	if len(crashes) < promptCrashes {
+	if len(crashes) < number {
 		return nil
 	}
 	var late []string
 	for _, u := range upstreams {
 		for _, a := range u.Arrivals() {
-			if slices.Contains(a.Parts, part) && a.At.After(crashes[promptCrashes-1].Add(grace)) && (excused == nil || !excused(a)) {
+			if a.At.After(crashes[number-1].Add(grace)) && counts(a) {
 				late = append(late, fmt.Sprintf("%s at %s", a.ID, u.ID))
 			}
 		}
 	}
-	if len(late) <= maxPromptSends {
+	if len(late) <= maxCrashSends {
 		return nil
 	}
-	return []string{fmt.Sprintf("part %s crashed %d upstreams; %d requests with it arrived later than %s after crash %d, allowed %d: %v",
-		part, len(crashes), len(late), grace, promptCrashes, maxPromptSends, late)}
+	return []string{fmt.Sprintf("%s crashed %d upstreams; %d requests with it arrived later than %s after crash %d, allowed %d: %v",
+		cause, len(crashes), len(late), grace, number, maxCrashSends, late)}
 }
--- a/standin/userplatform/engine.go
+++ b/standin/userplatform/engine.go
@@ -232,7 +232,7 @@
 	if !duration.Sleep(r.Context(), e.batch.prefillTime(e.Batch, p)) {
 		return
 	}
-	if e.upstream.crashIfTriggered(r.Header) {
+	if e.upstream.crashIfTriggered(r) {
 		<-r.Context().Done()
 		return
 	}
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -98,9 +98,10 @@
 	warmUpEnd   time.Time
 	closed      bool
 
-	crashPart     string // part of a prompt that crashes the upstream, empty for none
-	crashDowntime time.Duration
-	crashes       []time.Time
+	crashPart              string // part of a prompt that crashes the upstream, empty for none
+	crashTenant, crashPath string // request that crashes it, empty for none
+	crashDowntime          time.Duration
+	crashes                []Crash
 }
 
 // Start starts the upstream on a loopback port and registers it in the store.
@@ -380,6 +381,10 @@
 		u.Engine.stream(w, r, fault)
 		return
 	}
+	if u.crashIfTriggered(r) {
+		<-r.Context().Done()
+		return
+	}
 	fmt.Fprintf(w, "answer of %s to %s", u.ID, r.Header.Get(HeaderID))
 }
 
