--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -74,7 +74,7 @@
 	peers          []string // addresses of all instances, as last received from the leader
 	limits         *upstreamlimit.Table
 	quarantine     *quarantine.Ledger
-	evidenceAt     bootclock.Time // when the evidence against parts of prompts last changed
+	evidenceAt     bootclock.Time // when the evidence against causes of crashes last changed
 	leaderSince    bootclock.Time // when the current leader became known
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -137,7 +137,7 @@
 	// unsentLimits the changed limits that have not been sent to all instances yet.
 	sends        *upstreamlimit.Buckets
 	unsentLimits map[upstreamlimit.ID]struct{}
-	// quarantineChanged is set if the verdicts or the evidence about parts of prompts have
+	// quarantineChanged is set if the verdicts or the evidence about causes of crashes have
 	// changed since they were last judged.
 	quarantineChanged bool
 	// savedVerdicts is the row with the verdicts that was last written, and sentEntries
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -134,8 +134,8 @@
 	return l.c.hub.Notify(ctx, leader, peer.KindDemandReport, instanceReport{Demands: demands, Sent: bootclock.Now(), Versions: l.versions(), Weak: l.c.config.Weak, Uptime: bootclock.Since(l.c.started), Resigned: l.c.hasResigned(), Evidence: evidence})
 }
 
-// collectReport returns the demand since the last report, the evidence against parts of
-// prompts, the leader, and whether a report is due. After a report with demand, one report without demand is sent to
+// collectReport returns the demand since the last report, the evidence against causes
+// of crashes, the leader, and whether a report is due. After a report with demand, one report without demand is sent to
 // clear it.
 func (l *Client) collectReport() ([]residency.ModelDemand, *quarantine.Evidence, string, bool) {
 	now := bootclock.Now()
--- a/coordinator/quarantine.go
+++ b/coordinator/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/apex/log"
@@ -29,43 +30,41 @@
 	unsaved = "unsaved"
 )
 
-// takeTrialRequest asks the leader for one request with a quarantined part.
-type takeTrialRequest struct {
-	Part string `cbor:"1,keyasint"`
-}
+// takeTrialRequest asks the leader for one request with a quarantined cause.
+type takeTrialRequest struct{ quarantine.Cause }
 
 // Blocked implements gateway.Quarantine.
-func (l *Client) Blocked(now bootclock.Time, parts []string) (string, time.Duration) {
+func (l *Client) Blocked(now bootclock.Time, causes []quarantine.Cause) (quarantine.Cause, time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.quarantine.Blocked(now, parts)
+	return l.quarantine.Blocked(now, causes)
 }
 
 // MayRepeat implements gateway.Quarantine.
-func (l *Client) MayRepeat(parts []string) bool {
+func (l *Client) MayRepeat(causes []quarantine.Cause) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.quarantine.MayRepeat(bootclock.Now(), parts)
+	return l.quarantine.MayRepeat(bootclock.Now(), causes)
 }
 
 // RecordCrash implements gateway.Quarantine. The leader is told at once.
-func (l *Client) RecordCrash(u *fleet.Upstream, parts []string) {
+func (l *Client) RecordCrash(u *fleet.Upstream, causes []quarantine.Cause) {
 	l.mu.Lock()
-	added := l.quarantine.RecordCrash(bootclock.Now(), quarantine.Run{Upstream: u.ID, Started: u.Started}, parts)
+	added := l.quarantine.RecordCrash(bootclock.Now(), quarantine.Run{Upstream: u.ID, Started: u.Started}, causes)
 	if added {
 		l.evidenceAt = bootclock.Now()
 	}
 	l.mu.Unlock()
 	if added {
-		l.c.config.Log.WithFields(log.Fields{"upstream": u.ID, "parts": parts}).Info("upstream crashed during a request")
+		l.c.config.Log.WithFields(log.Fields{"upstream": u.ID, "causes": fmt.Sprint(causes)}).Info("upstream crashed during a request")
 		l.reportSoon()
 	}
 }
 
 // RecordSuccess implements gateway.Quarantine.
-func (l *Client) RecordSuccess(parts []string, began bootclock.Time) {
+func (l *Client) RecordSuccess(causes []quarantine.Cause, began bootclock.Time) {
 	l.mu.Lock()
-	wanted := l.quarantine.RecordSuccess(parts, began)
+	wanted := l.quarantine.RecordSuccess(causes, began)
 	if wanted {
 		l.evidenceAt = bootclock.Now()
 	}
@@ -76,13 +75,13 @@
 }
 
 // TakeTrial implements gateway.Quarantine. It fails if there is no leader.
-func (l *Client) TakeTrial(ctx context.Context, part string) (quarantine.Trial, error) {
+func (l *Client) TakeTrial(ctx context.Context, cause quarantine.Cause) (quarantine.Trial, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	trial, err := callLeader(ctx, l, peer.KindTakeTrial, takeTrialRequest{Part: part}, l.c.takeTrial)
+	trial, err := callLeader(ctx, l, peer.KindTakeTrial, takeTrialRequest{cause}, l.c.takeTrial)
 	if err == nil && trial.Released {
 		l.mu.Lock()
-		l.quarantine.Forget(part)
+		l.quarantine.Forget(cause)
 		l.mu.Unlock()
 	}
 	return trial, err
@@ -104,7 +103,7 @@
 	defer c.Notify()
 	c.client.mu.Lock()
 	defer c.client.mu.Unlock()
-	return c.client.quarantine.TakeTrial(now, req.Part), nil
+	return c.client.quarantine.TakeTrial(now, req.Cause), nil
 }
 
 // evidence returns what the next report tells the leader: new evidence, and all of it
@@ -124,7 +123,7 @@
 	return &e
 }
 
-// noEvidence reports whether this instance knows nothing against any part of a prompt.
+// noEvidence reports whether this instance knows nothing against any cause of crashes.
 func (l *Client) noEvidence() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -152,7 +151,7 @@
 	c.Notify()
 }
 
-// judge quarantines parts. The leader knows the evidence of all instances and passes the
+// judge quarantines causes of crashes. The leader knows the evidence of all instances and passes the
 // result on; other instances judge by their own while there is no leader.
 func (c *Coordinator) judge(now bootclock.Time) {
 	c.mu.Lock()
@@ -170,9 +169,13 @@
 		c.client.broadcast()
 	}
 	c.client.mu.Unlock()
-	for _, part := range found {
-		c.config.Log.WithFields(log.Fields{"part": part, "leader": leads}).Warn("prompt part quarantined")
-		c.config.Metrics.GetOrCreateCounter(`hibiscusyard_quarantined_parts_total`).Inc()
+	for _, cause := range found {
+		message, counter := "prompt part quarantined", `hibiscusyard_quarantined_parts_total`
+		if cause.Kind == quarantine.WholeRequest {
+			message, counter = "request quarantined", `hibiscusyard_quarantined_requests_total`
+		}
+		c.config.Log.WithFields(log.Fields{"cause": cause.String(), "leader": leads}).Warn(message)
+		c.config.Metrics.GetOrCreateCounter(counter).Inc()
 	}
 	if !leads {
 		return
@@ -190,7 +193,7 @@
 	}
 }
 
-// entries returns what the leader knows of parts of prompts.
+// entries returns what the leader knows of causes of crashes.
 func (l *Client) entries(now bootclock.Time) []quarantine.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -211,9 +214,11 @@
 
 // savedVerdict is a verdict as stored in the row, with its end on the store's clock.
 type savedVerdict struct {
-	Part    string        `json:"part"`
-	Strikes int           `json:"strikes"`
-	Until   time.Duration `json:"until_ns"`
+	// Part is the ID of the cause, which may be a whole request.
+	Part    string          `json:"part"`
+	Kind    quarantine.Kind `json:"kind,omitempty"`
+	Strikes int             `json:"strikes"`
+	Until   time.Duration   `json:"until_ns"`
 }
 
 // saveVerdicts writes the row if the verdicts have changed since it was written.
@@ -226,7 +231,7 @@
 	c.mu.Unlock()
 	list := make([]savedVerdict, 0, len(verdicts))
 	for _, e := range verdicts {
-		list = append(list, savedVerdict{Part: e.Part, Strikes: e.Strikes, Until: (clock + e.Remaining).Round(time.Second)})
+		list = append(list, savedVerdict{Part: e.ID, Kind: e.Kind, Strikes: e.Strikes, Until: (clock + e.Remaining).Round(time.Second)})
 	}
 	value, err := json.Marshal(list)
 	if err != nil {
@@ -242,7 +247,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
 		if _, err := c.config.Store.Commit(ctx, ports.Change{Table: Table, Key: quarantineKey, Value: value, Unconditional: true}); err != nil {
-			c.config.Log.WithError(err).Warn("quarantined parts not written to the store; retrying")
+			c.config.Log.WithError(err).Warn("quarantine not written to the store; retrying")
 			time.AfterFunc(saveRetry, func() {
 				c.mu.Lock()
 				c.savedVerdicts, c.quarantineChanged = unsaved, true
@@ -261,12 +266,12 @@
 		}
 		var list []savedVerdict
 		if err := json.Unmarshal(row.Value, &list); err != nil {
-			c.config.Log.WithError(err).Warn("row with quarantined parts can't be decoded")
+			c.config.Log.WithError(err).Warn("row with the quarantine can't be decoded")
 			return
 		}
 		entries := make([]quarantine.Entry, 0, len(list))
 		for _, v := range list {
-			entries = append(entries, quarantine.Entry{Part: v.Part, Strikes: v.Strikes, Remaining: max(v.Until-page.Clock, 0)})
+			entries = append(entries, quarantine.Entry{Cause: quarantine.Cause{ID: v.Part, Kind: v.Kind}, Strikes: v.Strikes, Remaining: max(v.Until-page.Clock, 0)})
 		}
 		now := bootclock.Now()
 		c.client.mu.Lock()
--- a/coordinator/updates.go
+++ b/coordinator/updates.go
@@ -32,7 +32,7 @@
 	// Limits are the limits that upstreams name: those changed since the last push, or
 	// all of them.
 	Limits []upstreamlimit.Report `cbor:"9,keyasint,omitempty"`
-	// Quarantine are the quarantined and the suspected parts of prompts, all of them if
+	// Quarantine are the quarantined and the suspected causes of crashes, all of them if
 	// HasQuarantine is set.
 	Quarantine    []quarantine.Entry `cbor:"10,keyasint,omitempty"`
 	HasQuarantine bool               `cbor:"11,keyasint,omitempty"`
--- a/decision/quarantine/ledger_test.go
+++ b/decision/quarantine/ledger_test.go
@@ -18,11 +18,20 @@
 	return quarantine.Run{Upstream: fmt.Sprintf("engine-%d", n), Started: 1}
 }
 
+// parts returns the causes of a request with shared parts.
+func parts(ids ...string) []quarantine.Cause {
+	causes := make([]quarantine.Cause, 0, len(ids))
+	for _, id := range ids {
+		causes = append(causes, quarantine.Cause{ID: id})
+	}
+	return causes
+}
+
 // crashWith records crashes of different runs a second apart, the first one now, and
 // returns the time of the last one.
-func crashWith(l *quarantine.Ledger, from time.Duration, firstRun, n int, parts ...string) time.Duration {
+func crashWith(l *quarantine.Ledger, from time.Duration, firstRun, n int, ids ...string) time.Duration {
 	for i := range n {
-		l.RecordCrash(at(from), run(firstRun+i), parts)
+		l.RecordCrash(at(from), run(firstRun+i), parts(ids...))
 		l.Judge(at(from))
 		if i < n-1 {
 			from += time.Second
@@ -31,9 +40,9 @@
 	return from
 }
 
-func blocked(l *quarantine.Ledger, now time.Duration, parts ...string) string {
-	part, _ := l.Blocked(at(now), parts)
-	return part
+func blocked(l *quarantine.Ledger, now time.Duration, ids ...string) string {
+	cause, _, _ := l.Blocked(at(now), parts(ids...))
+	return cause.ID
 }
 
 // Guards against a part that crashes upstreams and is not found, at any position.
@@ -43,10 +52,10 @@
 			l := quarantine.NewLedger()
 			last := time.Duration(0)
 			for i := range 3 {
-				parts := []string{"system", "session-" + fmt.Sprint(i), "document-" + fmt.Sprint(i)}
-				parts[position] = "deadly"
-				last = crashWith(l, time.Duration(i)*time.Second, i, 1, parts...)
-				l.RecordSuccess([]string{"system"}, at(last+500*time.Millisecond))
+				ids := []string{"system", "session-" + fmt.Sprint(i), "document-" + fmt.Sprint(i)}
+				ids[position] = "deadly"
+				last = crashWith(l, time.Duration(i)*time.Second, i, 1, ids...)
+				l.RecordSuccess(parts("system"), at(last+500*time.Millisecond))
 			}
 			l.Judge(at(last + time.Second))
 			if got := blocked(l, last+time.Second, "system", "deadly"); got != "deadly" {
@@ -63,11 +72,11 @@
 func TestCoincidingCrashesQuarantineNothing(t *testing.T) {
 	l := quarantine.NewLedger()
 	for i := range 9 {
-		l.RecordCrash(at(time.Duration(i)*10*time.Millisecond), run(i), []string{"new"})
+		l.RecordCrash(at(time.Duration(i)*10*time.Millisecond), run(i), parts("new"))
 	}
-	l.RecordSuccess([]string{"popular"}, at(-time.Second))
+	l.RecordSuccess(parts("popular"), at(-time.Second))
 	for i := range 9 {
-		l.RecordCrash(at(time.Duration(i)*200*time.Millisecond), run(100+i), []string{"popular"})
+		l.RecordCrash(at(time.Duration(i)*200*time.Millisecond), run(100+i), parts("popular"))
 		l.Judge(at(time.Duration(i) * 200 * time.Millisecond))
 	}
 	if found := l.Judge(at(3 * time.Second)); len(found) > 0 {
@@ -78,7 +87,7 @@
 // Guards against a part that has been sound before and then crashes upstreams.
 func TestPartThatTurnsDeadlyIsQuarantined(t *testing.T) {
 	l := quarantine.NewLedger()
-	l.RecordSuccess([]string{"part"}, at(-time.Second))
+	l.RecordSuccess(parts("part"), at(-time.Second))
 	last := crashWith(l, 0, 0, 4, "part")
 	l.Judge(at(last + time.Second))
 	if blocked(l, last+time.Second, "part") == "" {
@@ -93,8 +102,8 @@
 	last := crashWith(l, 0, 0, 3, "system", "deadly")
 	l.Judge(at(last + time.Second))
 	for i := range 10 {
-		l.RecordCrash(at(last+time.Duration(i)*time.Second), run(10+i), []string{"system", "deadly"})
-		l.RecordCrash(at(last+time.Duration(i)*time.Second), run(10+i), []string{"system", "bystander"})
+		l.RecordCrash(at(last+time.Duration(i)*time.Second), run(10+i), parts("system", "deadly"))
+		l.RecordCrash(at(last+time.Duration(i)*time.Second), run(10+i), parts("system", "bystander"))
 		l.Judge(at(last + time.Duration(i)*time.Second))
 	}
 	if got := blocked(l, last, "system", "bystander"); got != "" {
@@ -108,25 +117,25 @@
 	l := quarantine.NewLedger()
 	now := crashWith(l, 0, 0, 3, "sound") + time.Second
 	l.Judge(at(now))
-	_, wait := l.Blocked(at(now), []string{"sound"})
+	_, wait, _ := l.Blocked(at(now), parts("sound"))
 	if wait <= 0 || wait > 10*time.Second {
 		t.Fatalf("first quarantine lasts %s more, want up to 10s", wait)
 	}
-	if trial := l.TakeTrial(at(now), "sound"); trial.Granted || trial.Wait != wait {
+	if trial := l.TakeTrial(at(now), quarantine.Cause{ID: "sound"}); trial.Granted || trial.Wait != wait {
 		t.Errorf("trial during the quarantine: %+v", trial)
 	}
 	now += wait
-	if trial := l.TakeTrial(at(now), "sound"); !trial.Granted {
+	if trial := l.TakeTrial(at(now), quarantine.Cause{ID: "sound"}); !trial.Granted {
 		t.Errorf("no trial after the quarantine: %+v", trial)
 	}
-	if trial := l.TakeTrial(at(now), "sound"); trial.Granted {
+	if trial := l.TakeTrial(at(now), quarantine.Cause{ID: "sound"}); trial.Granted {
 		t.Error("two trials at once")
 	}
-	l.RecordSuccess([]string{"sound"}, at(now+time.Second))
+	l.RecordSuccess(parts("sound"), at(now+time.Second))
 	if got := blocked(l, now+time.Second, "sound"); got != "" {
 		t.Error("still quarantined after a success")
 	}
-	if trial := l.TakeTrial(at(now+time.Second), "sound"); !trial.Released {
+	if trial := l.TakeTrial(at(now+time.Second), quarantine.Cause{ID: "sound"}); !trial.Released {
 		t.Errorf("question for a part that is released: %+v", trial)
 	}
 }
@@ -139,9 +148,9 @@
 	l.Judge(at(now))
 	begun, trials := now, 0
 	for n := 3; now-begun < 10*time.Minute; now += 100 * time.Millisecond {
-		if l.TakeTrial(at(now), "deadly").Granted {
+		if l.TakeTrial(at(now), quarantine.Cause{ID: "deadly"}).Granted {
 			trials++
-			l.RecordCrash(at(now+100*time.Millisecond), run(n), []string{"deadly"})
+			l.RecordCrash(at(now+100*time.Millisecond), run(n), parts("deadly"))
 			n++
 		}
 	}
@@ -157,7 +166,7 @@
 	now := crashWith(l, 0, 0, 3, "deadly") + time.Second
 	l.Judge(at(now))
 	crashWith(l, now, 10, 5, "deadly")
-	if _, wait := l.Blocked(at(now+5*time.Second), []string{"deadly"}); wait > 10*time.Second {
+	if _, wait, _ := l.Blocked(at(now+5*time.Second), parts("deadly")); wait > 10*time.Second {
 		t.Errorf("the next trial is due in %s, want up to 10s", wait)
 	}
 }
@@ -173,7 +182,7 @@
 		t.Fatal("the verdict is not taken over")
 	}
 	late := l.Entries(at(now))
-	other.RecordSuccess([]string{"deadly"}, at(now))
+	other.RecordSuccess(parts("deadly"), at(now))
 	other.Merge(at(now), late)
 	if blocked(other, now, "deadly") != "" {
 		t.Error("a late message undoes a release")
@@ -191,7 +200,7 @@
 	for i := range 3 {
 		l := quarantine.NewLedger()
 		now := at(time.Duration(i) * time.Second)
-		l.RecordCrash(now, run(i), []string{"system", "deadly"})
+		l.RecordCrash(now, run(i), parts("system", "deadly"))
 		l.Judge(now)
 		leader.Apply(now, l.Evidence(now, 0))
 		leader.Judge(now)
@@ -200,7 +209,7 @@
 	now := 3 * time.Second
 	// Another instance knows a success of the first part and is asked for it.
 	l := quarantine.NewLedger()
-	l.RecordSuccess([]string{"system"}, at(now))
+	l.RecordSuccess(parts("system"), at(now))
 	l.Adopt(at(now), leader.Entries(at(now)))
 	leader.Apply(at(now), l.Evidence(at(now), 0))
 	leader.Judge(at(now + time.Second))
@@ -217,11 +226,11 @@
 // Guards against a repeat of a request that may be the cause of the crash.
 func TestOnlyRequestsWithSoundPartsAreRepeated(t *testing.T) {
 	l := quarantine.NewLedger()
-	l.RecordSuccess([]string{"system"}, at(0))
-	if !l.MayRepeat(at(time.Second), []string{"system"}) || !l.MayRepeat(at(time.Second), nil) {
+	l.RecordSuccess(parts("system"), at(0))
+	if !l.MayRepeat(at(time.Second), parts("system")) || !l.MayRepeat(at(time.Second), nil) {
 		t.Error("a request with sound parts is not repeated")
 	}
-	if l.MayRepeat(at(time.Second), []string{"system", "unknown"}) || l.MayRepeat(at(2*time.Minute), []string{"system"}) {
+	if l.MayRepeat(at(time.Second), parts("system", "unknown")) || l.MayRepeat(at(2*time.Minute), parts("system")) {
 		t.Error("a request with unknown parts is repeated")
 	}
 }
@@ -232,19 +241,166 @@
 	l := quarantine.NewLedger()
 	now := crashWith(l, 0, 0, 3, "sound") + time.Second
 	l.Judge(at(now))
-	l.Forget("sound")
+	l.Forget(quarantine.Cause{ID: "sound"})
 	if blocked(l, now, "sound") != "" {
 		t.Error("still quarantined")
 	}
-	const parts = 100_000
-	for i := range parts {
-		l.RecordSuccess([]string{fmt.Sprint(i)}, at(time.Duration(i)*10*time.Millisecond))
+	const count = 100_000
+	for i := range count {
+		l.RecordSuccess(parts(fmt.Sprint(i)), at(time.Duration(i)*10*time.Millisecond))
 	}
-	end := parts * 10 * time.Millisecond
-	if !l.MayRepeat(at(end), []string{fmt.Sprint(parts - 1), fmt.Sprint(parts - 5000)}) {
+	end := count * 10 * time.Millisecond
+	if !l.MayRepeat(at(end), parts(fmt.Sprint(count-1), fmt.Sprint(count-5000))) {
 		t.Error("successes of the last minute are forgotten")
 	}
-	if l.MayRepeat(at(end), []string{"1"}) {
+	if l.MayRepeat(at(end), parts("1")) {
 		t.Error("an old success is kept")
 	}
 }
+
+// request returns the causes of a request with shared parts.
+func request(fingerprint string, ids ...string) []quarantine.Cause {
+	return quarantine.Causes(ids, fingerprint)
+}
+
+// blockedRequest returns the ID of the quarantined cause of a request, empty for none.
+func blockedRequest(l *quarantine.Ledger, now time.Duration, fingerprint string, ids ...string) string {
+	cause, _, _ := l.Blocked(at(now), request(fingerprint, ids...))
+	return cause.ID
+}
+
+// Guards against a request that crashes one upstream after the other, with and without
+// parts that sound requests share.
+func TestRequestOfThreeCrashesIsQuarantined(t *testing.T) {
+	for _, ids := range [][]string{nil, {"system", "session"}} {
+		l := quarantine.NewLedger()
+		now := time.Duration(0)
+		for i := range 3 {
+			now = time.Duration(i) * time.Second
+			l.RecordCrash(at(now), run(i), request("deadly", ids...))
+			l.RecordCrash(at(now), run(i), request(fmt.Sprint("bystander-", i), ids...))
+			l.Judge(at(now))
+		}
+		now += time.Second
+		l.Judge(at(now))
+		if got := blockedRequest(l, now, "deadly", ids...); got != "deadly" {
+			t.Errorf("with parts %v: %q is quarantined, want deadly", ids, got)
+		}
+		if got := blockedRequest(l, now, "bystander-1", ids...); got != "" {
+			t.Errorf("with parts %v: %q of a sound request is quarantined", ids, got)
+		}
+	}
+}
+
+// Guards against a request that crashes several upstreams at the same moment and so looks
+// like the failure of a rack, and against a refusal of one that is asked often and was at
+// all upstreams of a rack that failed.
+func TestRequestThatCrashesUpstreamsAtOnce(t *testing.T) {
+	l := quarantine.NewLedger()
+	l.RecordSuccess(request("popular"), at(-time.Second))
+	for i := range 3 {
+		now := at(time.Duration(i) * 10 * time.Millisecond)
+		l.RecordCrash(now, run(i), request("deadly"))
+		l.RecordCrash(now, run(i), request("popular"))
+		l.Judge(now)
+	}
+	l.Judge(at(200 * time.Millisecond))
+	now := 400 * time.Millisecond
+	l.Judge(at(now))
+	if blockedRequest(l, now, "deadly") == "" {
+		t.Error("the request that crashed three upstreams is not quarantined")
+	}
+	if got := blockedRequest(l, now, "popular"); got != "" {
+		t.Errorf("%q is quarantined", got)
+	}
+}
+
+// Guards against a request that is asked often and refused because it stood beside the
+// crashes of another one, as it does whenever its callers repeat it like that one.
+func TestRequestBesideCrashesIsServed(t *testing.T) {
+	l := quarantine.NewLedger()
+	now := time.Duration(0)
+	for i := range 20 {
+		now = time.Duration(i) * 700 * time.Millisecond
+		if blockedRequest(l, now, "deadly") == "" {
+			l.RecordCrash(at(now), run(i), request("deadly"))
+			l.RecordCrash(at(now), run(i), request("popular"))
+		}
+		l.Judge(at(now))
+		l.Judge(at(now + 300*time.Millisecond))
+		l.RecordSuccess(request("popular"), at(now+400*time.Millisecond))
+		if got := blockedRequest(l, now+500*time.Millisecond, "popular"); got != "" {
+			t.Fatalf("refused after crash %d", i+1)
+		}
+	}
+	if blockedRequest(l, now, "deadly") == "" {
+		t.Error("the request that crashes upstreams is not quarantined")
+	}
+}
+
+// Guards against an arbitrary choice between two requests that were present at the same
+// crashes: one crash more decides, and if it does not, both are tried again later.
+func TestCausesThatCrashesCanNotTellApart(t *testing.T) {
+	for _, apart := range []bool{true, false} {
+		l := quarantine.NewLedger()
+		now := time.Duration(0)
+		for i := range 4 {
+			now = time.Duration(i) * time.Second
+			if got := blockedRequest(l, now, "deadly"); got != "" {
+				t.Fatalf("quarantined after %d crashes", i)
+			}
+			l.RecordCrash(at(now), run(i), request("deadly"))
+			if i < 3 || !apart {
+				l.RecordCrash(at(now), run(i), request("bystander"))
+			}
+			l.Judge(at(now))
+			l.Judge(at(now + 500*time.Millisecond))
+		}
+		now += 600 * time.Millisecond
+		if blockedRequest(l, now, "deadly") == "" {
+			t.Error("not quarantined after four crashes")
+		}
+		if got := blockedRequest(l, now, "bystander"); (got == "") != apart {
+			t.Errorf("apart %t: quarantined cause of the bystander %q", apart, got)
+		}
+	}
+}
+
+// Guards against a request that goes from one upstream to the next with each repeat of an
+// instance, and against no repeat at all of requests that stood beside one crash.
+func TestRequestIsRepeatedAfterOneCrashOnly(t *testing.T) {
+	l := quarantine.NewLedger()
+	l.RecordCrash(at(0), run(0), request("lookup"))
+	if !l.MayRepeat(at(0), request("lookup")) {
+		t.Error("not repeated after its first crash")
+	}
+	l.RecordCrash(at(time.Second), run(1), request("lookup"))
+	if l.MayRepeat(at(time.Second), request("lookup")) {
+		t.Error("repeated after its second crash")
+	}
+	l.RecordSuccess(request("lookup"), at(2*time.Second))
+	if !l.MayRepeat(at(3*time.Second), request("lookup")) {
+		t.Error("not repeated although it ran")
+	}
+}
+
+// Guards against verdicts on requests that get lost, or become verdicts on parts, on their
+// way between instances.
+func TestEntriesCarryTheKindOfACause(t *testing.T) {
+	l := quarantine.NewLedger()
+	for i := range 3 {
+		now := at(time.Duration(i) * time.Second)
+		instance := quarantine.NewLedger()
+		instance.RecordCrash(now, run(i), request("deadly", "system"))
+		l.Apply(now, instance.Evidence(now, 0))
+		l.Judge(now)
+	}
+	now := 3 * time.Second
+	l.RecordSuccess(parts("system"), at(now))
+	l.Judge(at(now))
+	other := quarantine.NewLedger()
+	other.Adopt(at(now), l.Entries(at(now)))
+	if blockedRequest(other, now, "deadly") != "deadly" || blocked(other, now, "deadly") != "" {
+		t.Error("the verdict is not one on a whole request")
+	}
+}
--- a/decision/quarantine/message.go
+++ b/decision/quarantine/message.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -10,16 +11,16 @@
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
-// Entry is what an instance knows of a part, in a message between instances, whose
+// Entry is what an instance knows of a cause, in a message between instances, whose
 // clocks differ.
 type Entry struct {
-	Part string `cbor:"1,keyasint"`
-	// Strikes is the number of quarantines of the part so far, 0 for a suspect: a part
+	Cause
+	// Strikes is the number of quarantines of the cause so far, 0 for a suspect: a cause
 	// for whose successes the instances are asked.
 	Strikes int `cbor:"2,keyasint,omitempty"`
 	// Remaining is the time until a trial is allowed.
 	Remaining time.Duration `cbor:"3,keyasint,omitempty"`
-	// Age is the time since the last crash that counts against the part or, if Released
+	// Age is the time since the last crash that counts against the cause or, if Released
 	// is set, since the success that ended its quarantine.
 	Age      time.Duration `cbor:"4,keyasint,omitempty"`
 	Released bool          `cbor:"5,keyasint,omitempty"`
@@ -30,12 +31,26 @@
 	Run   Run           `cbor:"1,keyasint"`
 	Age   time.Duration `cbor:"2,keyasint"`
 	Parts []string      `cbor:"3,keyasint"` // in the order of their position in the prompt
+	// Requests are the fingerprints of the requests that broke off.
+	Requests []string `cbor:"4,keyasint,omitempty"`
 }
 
-// Success is the time since a request with a part ran.
+// causes returns the causes of all requests that the crash broke off.
+func (r CrashReport) causes() []Cause {
+	causes := make([]Cause, 0, len(r.Parts)+len(r.Requests))
+	for _, part := range r.Parts {
+		causes = append(causes, Cause{ID: part})
+	}
+	for _, fingerprint := range r.Requests {
+		causes = append(causes, Cause{ID: fingerprint, Kind: WholeRequest})
+	}
+	return causes
+}
+
+// Success is the time since a request with a cause ran.
 type Success struct {
-	Part string        `cbor:"1,keyasint"`
-	Age  time.Duration `cbor:"2,keyasint"`
+	Cause
+	Age time.Duration `cbor:"2,keyasint"`
 }
 
 // Evidence is what an instance reports to the leader.
@@ -52,68 +67,79 @@
 }
 
 // Evidence returns the crashes that this instance has recorded itself since a time, and
-// the successes of suspects and quarantined parts.
+// the successes of suspects and of causes that were quarantined lately.
 func (l *Ledger) Evidence(now, since bootclock.Time) Evidence {
 	var e Evidence
 	for run, c := range l.crashes {
 		if c.observed && !c.recorded.Before(since) {
-			parts := slices.SortedFunc(maps.Keys(c.parts), func(a, b string) int { return c.parts[a] - c.parts[b] })
-			e.Crashes = append(e.Crashes, CrashReport{Run: run, Age: now.Sub(c.at), Parts: parts})
+			e.Crashes = append(e.Crashes, c.report(now, run))
 		}
 	}
-	for part, at := range l.successes {
-		_, suspect := l.suspects[part]
-		_, released := l.released[part]
-		if suspect || released {
-			e.Successes = append(e.Successes, Success{Part: part, Age: now.Sub(at)})
+	asked := maps.Clone(l.suspects)
+	maps.Copy(asked, l.released)
+	for cause := range asked {
+		if at := l.successes.get(cause); at != 0 {
+			e.Successes = append(e.Successes, Success{Cause: cause, Age: now.Sub(at)})
 		}
 	}
 	return e
 }
 
+func (c *crash) report(now bootclock.Time, run Run) CrashReport {
+	r := CrashReport{Run: run, Age: now.Sub(c.at)}
+	for _, cause := range slices.SortedFunc(maps.Keys(c.causes), func(a, b Cause) int { return cmp.Compare(c.causes[a], c.causes[b]) }) {
+		if cause.Kind == WholeRequest {
+			r.Requests = append(r.Requests, cause.ID)
+		} else {
+			r.Parts = append(r.Parts, cause.ID)
+		}
+	}
+	return r
+}
+
 // Apply adds the evidence of another instance and reports whether there is something new
 // to judge.
 func (l *Ledger) Apply(now bootclock.Time, e Evidence) (changed bool) {
 	for _, c := range e.Crashes {
-		changed = l.addCrash(now.Add(-c.Age), c.Run, c.Parts) || changed
+		changed = l.addCrash(now.Add(-c.Age), c.Run, c.causes()) || changed
 	}
 	for _, s := range e.Successes {
 		at := now.Add(-s.Age)
-		l.successes[s.Part] = max(l.successes[s.Part], at)
-		changed = l.release(s.Part, at) || changed
+		l.successes.put(s.Cause, at)
+		changed = l.release(s.Cause, at) || changed
 	}
 	return l.Merge(now, e.Entries) || changed
 }
 
-// Entries returns the verdicts, the suspects and the parts released lately.
+// Entries returns the verdicts, the suspects and the causes released lately.
 func (l *Ledger) Entries(now bootclock.Time) []Entry {
 	var list []Entry
-	for part, v := range l.verdicts {
-		list = append(list, Entry{Part: part, Strikes: v.strikes, Remaining: max(v.until.Sub(now), 0), Age: now.Sub(v.at)})
+	for cause, v := range l.verdicts {
+		list = append(list, Entry{Cause: cause, Strikes: v.strikes, Remaining: max(v.until.Sub(now), 0), Age: now.Sub(v.at)})
 	}
-	for part := range l.suspects {
-		if _, quarantined := l.verdicts[part]; !quarantined {
-			list = append(list, Entry{Part: part})
+	for cause := range l.suspects {
+		if _, quarantined := l.verdicts[cause]; !quarantined {
+			list = append(list, Entry{Cause: cause})
 		}
 	}
-	for part, at := range l.released {
-		list = append(list, Entry{Part: part, Released: true, Age: now.Sub(at)})
+	for cause, at := range l.released {
+		list = append(list, Entry{Cause: cause, Released: true, Age: now.Sub(at)})
 	}
-	slices.SortFunc(list, func(a, b Entry) int { return strings.Compare(a.Part, b.Part) })
+	slices.SortFunc(list, func(a, b Entry) int { return a.compare(b.Cause) })
 	return list
 }
 
-// Verdicts returns the entries of quarantined parts.
+// Verdicts returns the entries of quarantined causes.
 func (l *Ledger) Verdicts(now bootclock.Time) []Entry {
 	return slices.DeleteFunc(l.Entries(now), func(e Entry) bool { return e.Strikes == 0 })
 }
 
-// Signature identifies the parts in the entries and the quarantines of each. It does not
+// Signature identifies the causes in the entries and the quarantines of each. It does not
 // change as time passes.
 func Signature(entries []Entry) string {
 	var b strings.Builder
 	for _, e := range entries {
-		fmt.Fprintf(&b, "%s %d %t,", e.Part, e.Strikes, e.Released)
+		fmt.Fprintf(&b, "%s %d %t,", e.Cause, e.Strikes, e.Released)
 	}
 	return b.String()
 }
@@ -121,17 +147,17 @@
 // Adopt takes over the entries of the leader. It reports whether that changed a verdict,
 // and whether the leader asks for a success that this instance knows.
 func (l *Ledger) Adopt(now bootclock.Time, entries []Entry) (changed, asked bool) {
-	suspects := map[string]bootclock.Time{}
+	suspects := map[Cause]bootclock.Time{}
 	for _, e := range entries {
 		if e.Strikes > 0 || e.Released {
 			continue
 		}
-		since, known := l.suspects[e.Part]
+		since, known := l.suspects[e.Cause]
 		if !known {
 			since = now
-			asked = asked || l.successes[e.Part] != 0
+			asked = asked || l.successes.get(e.Cause) != 0
 		}
-		suspects[e.Part] = since
+		suspects[e.Cause] = since
 	}
 	l.suspects = suspects
 	return l.Merge(now, entries), asked
@@ -144,16 +170,16 @@
 		at := now.Add(-e.Age)
 		switch {
 		case e.Released:
-			changed = l.release(e.Part, at) || changed
+			changed = l.release(e.Cause, at) || changed
 		case e.Strikes == 0:
-		case l.successes[e.Part].After(at) || l.released[e.Part].After(at):
+		case l.successes.get(e.Cause).After(at) || l.released[e.Cause].After(at):
 		default:
-			v, known := l.verdicts[e.Part]
+			v, known := l.verdicts[e.Cause]
 			until := now.Add(min(e.Remaining, term(e.Strikes)))
 			if known && (e.Strikes < v.strikes || e.Strikes == v.strikes && until <= v.until) || !known && len(l.verdicts) >= maxVerdicts {
 				continue
 			}
-			l.verdicts[e.Part] = verdict{strikes: e.Strikes, at: max(at, v.at), until: until}
+			l.verdicts[e.Cause] = verdict{strikes: e.Strikes, at: max(at, v.at), until: until}
 			changed = changed || !known || e.Strikes > v.strikes
 		}
 	}
--- a/decision/quarantine/simulation_test.go
+++ b/decision/quarantine/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,11 +20,15 @@
 	simDown    = 3 * time.Second        // of an upstream after a crash
 	simElect   = 2 * time.Second        // without a leader after its loss
 	simGrace   = 3 * time.Second        // after the fifth crash
-	simAllowed = 3                      // sends with a part after that
+	simAllowed = 3                      // sends with a cause after that
+	simPopular = 0.2                    // share of the requests that are asked often
 )
 
-// simulation is a fleet of instances that send requests to upstreams, some of which have
-// a part that crashes upstreams.
+// Crashes after which simGrace begins, by the kind of their cause.
+var simCrashes = map[quarantine.Kind]int{quarantine.PromptPart: 5, quarantine.WholeRequest: 3}
+
+// simulation is a fleet of instances that send requests to upstreams, some of which crash
+// upstreams.
 type simulation struct {
 	t         *testing.T
 	random    *rand.Rand
@@ -34,11 +39,13 @@
 	electAt   bootclock.Time
 	upstreams []simUpstream
 	events    map[bootclock.Time][]func()
-	// crashes and sends are those of requests with each part that crashes upstreams.
-	crashes map[string][]bootclock.Time
-	sends   map[string][]bootclock.Time
-	sound   int // sound requests that were refused
-	total   int // sound requests
+	// crashes and sends are those of requests with each cause of crashes.
+	crashes map[quarantine.Cause][]bootclock.Time
+	sends   map[quarantine.Cause][]bootclock.Time
+	// next numbers the requests that do not return.
+	next  int
+	sound int // sound requests that were refused
+	total int // sound requests
 }
 
 type simUpstream struct {
@@ -49,7 +56,7 @@
 
 type simRequest struct {
 	instance int
-	parts    []string
+	causes   []quarantine.Cause
 	began    bootclock.Time
 }
 
@@ -58,15 +65,16 @@
 	s.events[at] = append(s.events[at], f)
 }
 
-// send sends a request from a random instance, unless it has a quarantined part.
-func (s *simulation) send(parts []string, deadly string) {
+// send sends a request from a random instance, unless it has a quarantined cause. deadly
+// is the cause that crashes upstreams, nil for none.
+func (s *simulation) send(causes []quarantine.Cause, deadly *quarantine.Cause) {
 	i := s.random.IntN(len(s.instances))
-	if deadly == "" {
+	if deadly == nil {
 		s.total++
 	}
-	if part, wait := s.instances[i].Blocked(s.now, parts); part != "" {
-		if wait > 0 || s.leader < 0 || !s.instances[s.leader].TakeTrial(s.now, part).Granted {
-			if deadly == "" {
+	if cause, wait, blocked := s.instances[i].Blocked(s.now, causes); blocked {
+		if wait > 0 || s.leader < 0 || !s.instances[s.leader].TakeTrial(s.now, cause).Granted {
+			if deadly == nil {
 				s.sound++
 			}
 			return
@@ -77,18 +85,18 @@
 	if s.now.Before(u.downTil) {
 		return
 	}
-	r := &simRequest{instance: i, parts: parts}
+	r := &simRequest{instance: i, causes: causes}
 	u.running = append(u.running, r)
 	started := u.started
-	if deadly != "" {
-		s.sends[deadly] = append(s.sends[deadly], s.now)
+	if deadly != nil {
+		s.sends[*deadly] = append(s.sends[*deadly], s.now)
 	}
 	s.after(simBegin, func() {
 		if u.started != started || s.now.Before(u.downTil) {
 			return
 		}
-		if deadly != "" {
-			s.crashes[deadly] = append(s.crashes[deadly], s.now)
+		if deadly != nil {
+			s.crashes[*deadly] = append(s.crashes[*deadly], s.now)
 			s.crash(n)
 			return
 		}
@@ -103,7 +111,7 @@
 					break
 				}
 			}
-			if s.instances[i].RecordSuccess(parts, r.began) {
+			if s.instances[i].RecordSuccess(causes, r.began) {
 				s.report(i, s.now.Add(-time.Second))
 			}
 		})
@@ -115,7 +123,7 @@
 	u := &s.upstreams[n]
 	id := quarantine.Run{Upstream: fmt.Sprintf("engine-%d", n), Started: u.started}
 	for _, r := range u.running {
-		if s.instances[r.instance].RecordCrash(s.now, id, r.parts) {
+		if s.instances[r.instance].RecordCrash(s.now, id, r.causes) {
 			s.report(r.instance, s.now.Add(-time.Second))
 		}
 	}
@@ -144,7 +152,9 @@
 	if s.leader < 0 {
 		return
 	}
-	s.instances[s.leader].Judge(s.now)
+	if found := s.instances[s.leader].Judge(s.now); len(found) > 0 {
+		s.t.Logf("quarantined at %s: %v", s.now.Sub(start), found)
+	}
 	entries := s.instances[s.leader].Entries(s.now)
 	signature := quarantine.Signature(entries)
 	if signature == s.sent {
@@ -164,8 +174,9 @@
 	})
 }
 
-// run plays the load. The leader is lost at each of the given times.
-func (s *simulation) run(perSecond, deadlyShare float64, lost []time.Duration) {
+// run plays the load, with causes of the given kind that crash upstreams. The leader is
+// lost at each of the given times.
+func (s *simulation) run(perSecond, deadlyShare float64, kind quarantine.Kind, lost []time.Duration) {
 	for end := s.now.Add(simLength); s.now.Before(end); s.now = s.now.Add(simStep) {
 		elapsed := simLength - end.Sub(s.now)
 		for len(lost) > 0 && elapsed >= lost[0] {
@@ -186,17 +197,39 @@
 		}
 		delete(s.events, s.now)
 		for range s.poisson(perSecond * simStep.Seconds()) {
-			parts := []string{fmt.Sprintf("system-%d", s.random.IntN(20)), fmt.Sprintf("session-%d", int(s.random.ExpFloat64()*50))}
-			deadly := ""
 			if elapsed > 4*time.Second && s.random.Float64() < deadlyShare {
-				deadly = fmt.Sprintf("deadly-%d", s.random.IntN(2))
-				parts = append(parts, deadly)
+				s.sendDeadly(kind)
+			} else {
+				s.send(s.drawRequest(), nil)
 			}
-			s.send(parts, deadly)
 		}
 	}
 }
 
+// drawRequest returns the causes of a sound request. Some requests are asked often.
+func (s *simulation) drawRequest() []quarantine.Cause {
+	if s.random.Float64() < simPopular {
+		n := s.random.IntN(3)
+		return quarantine.Causes([]string{fmt.Sprintf("system-%d", n), fmt.Sprintf("session-%d", n)}, fmt.Sprintf("popular-%d", n))
+	}
+	s.next++
+	parts := []string{fmt.Sprintf("system-%d", s.random.IntN(20)), fmt.Sprintf("session-%d", int(s.random.ExpFloat64()*50))}
+	return quarantine.Causes(parts, fmt.Sprint(s.next))
+}
+
+// sendDeadly sends a request that crashes upstreams, whose parts but for the deadly one
+// sound requests share.
+func (s *simulation) sendDeadly(kind quarantine.Kind) {
+	cause := quarantine.Cause{Kind: kind, ID: fmt.Sprintf("deadly-%d", s.random.IntN(2))}
+	causes := s.drawRequest()
+	if kind == quarantine.WholeRequest {
+		causes = quarantine.Causes([]string{"system-0", "session-1"}, cause.ID)
+	} else {
+		causes = slices.Insert(causes, 2, cause)
+	}
+	s.send(causes, &cause)
+}
+
 // poisson returns the number of arrivals in a step.
 func (s *simulation) poisson(mean float64) int {
 	n := 0
@@ -207,10 +240,10 @@
 	}
 }
 
-// Guards against requests with parts that crash upstreams which still reach them after
-// the fifth crash, at all sizes and with lost leaders, and against sound requests that
-// are refused because they share an upstream or a part with them.
-func TestDeadlyPartsAreFoundAtAllSizes(t *testing.T) {
+// Guards against requests that still reach upstreams long after they, or parts of their
+// prompts, have crashed some, at all sizes and with lost leaders, and against sound
+// requests that are refused because they share an upstream or a part with them.
+func TestDeadlyCausesAreFoundAtAllSizes(t *testing.T) {
 	for _, c := range []struct {
 		instances, upstreams int
 		perSecond, share     float64
@@ -223,32 +256,40 @@
 		{295, 320, 300, 0.02, []time.Duration{4500 * time.Millisecond, 15 * time.Second}},
 		{860, 900, 500, 0.02, []time.Duration{5 * time.Second}},
 	} {
-		for seed := range uint64(3) {
-			t.Run(fmt.Sprintf("%d instances share %g lost %d seed %d", c.instances, c.share, len(c.lost), seed), func(t *testing.T) {
-				s := &simulation{
-					t: t, random: rand.New(rand.NewPCG(seed, 7)), now: start, upstreams: make([]simUpstream, c.upstreams),
-					events: map[bootclock.Time][]func(){}, crashes: map[string][]bootclock.Time{}, sends: map[string][]bootclock.Time{},
-				}
-				for range c.instances {
-					s.instances = append(s.instances, quarantine.NewLedger())
-				}
-				s.run(c.perSecond, c.share, c.lost)
-				for part, crashes := range s.crashes {
-					late := 0
-					for _, at := range s.sends[part] {
-						if len(crashes) >= 5 && at.After(crashes[4].Add(simGrace)) {
-							late++
-						}
+		for _, kind := range []quarantine.Kind{quarantine.PromptPart, quarantine.WholeRequest} {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprintf("%d instances kind %d share %g lost %d seed %d", c.instances, kind, c.share, len(c.lost), seed), func(t *testing.T) {
+					s := &simulation{
+						t: t, random: rand.New(rand.NewPCG(seed, 7)), now: start, upstreams: make([]simUpstream, c.upstreams),
+						events: map[bootclock.Time][]func(){}, crashes: map[quarantine.Cause][]bootclock.Time{}, sends: map[quarantine.Cause][]bootclock.Time{},
 					}
-					t.Logf("%s: %d sends, %d crashes, %d late sends", part, len(s.sends[part]), len(crashes), late)
-					if late > simAllowed {
-						t.Errorf("%s: %d sends later than %s after the fifth crash, allowed %d", part, late, simGrace, simAllowed)
+					for range c.instances {
+						s.instances = append(s.instances, quarantine.NewLedger())
 					}
-				}
-				if s.sound*100 > s.total {
-					t.Errorf("%d of %d sound requests refused, allowed 1 in 100", s.sound, s.total)
-				}
-			})
+					s.run(c.perSecond, c.share, kind, c.lost)
+					s.check()
+				})
+			}
+		}
+	}
+}
+
+// check checks that requests that crash upstreams stopped being sent in time and that the
+// others were not refused.
+func (s *simulation) check() {
+	for cause, crashes := range s.crashes {
+		late, number := 0, simCrashes[cause.Kind]
+		for _, at := range s.sends[cause] {
+			if len(crashes) >= number && at.After(crashes[number-1].Add(simGrace)) {
+				late++
+			}
 		}
+		s.t.Logf("%s: %d sends, %d crashes, %d late sends", cause, len(s.sends[cause]), len(crashes), late)
+		if late > simAllowed {
+			s.t.Errorf("%s: %d sends later than %s after crash %d, allowed %d", cause, late, simGrace, number, simAllowed)
+		}
+	}
+	if s.sound*100 > s.total {
+		s.t.Errorf("%d of %d sound requests refused, allowed 1 in 100", s.sound, s.total)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,23 +107,24 @@
 	PruneLimits(v *fleet.View)
 }
 
-// Quarantine keeps requests with prompt parts that crash upstreams from being sent. Its
-// methods are safe for concurrent use.
+// Quarantine keeps requests that crash upstreams from being sent. Its methods are safe
+// for concurrent use.
 type Quarantine interface {
-	// Blocked returns the first quarantined part of a request, or "", and the time until
-	// it may be tried again. That is 0 if a trial is due.
-	Blocked(now bootclock.Time, parts []string) (part string, wait time.Duration)
-	// TakeTrial asks for one request with a quarantined part to be sent. It fails if
+	// Blocked returns the quarantined cause of a request that has to wait longest, and
+	// the time until it may be tried again, 0 if a trial is due. blocked is false if
+	// there is none.
+	Blocked(now bootclock.Time, causes []quarantine.Cause) (cause quarantine.Cause, wait time.Duration, blocked bool)
+	// TakeTrial asks for one request with a quarantined cause to be sent. It fails if
 	// there is no leader.
-	TakeTrial(ctx context.Context, part string) (quarantine.Trial, error)
+	TakeTrial(ctx context.Context, cause quarantine.Cause) (quarantine.Trial, error)
 	// RecordCrash records that an upstream crashed while it had a request with the
-	// shared parts.
-	RecordCrash(upstream *fleet.Upstream, parts []string)
-	// RecordSuccess records that an upstream began to answer a request with the shared
-	// parts and went on.
-	RecordSuccess(parts []string, began bootclock.Time)
+	// causes.
+	RecordCrash(upstream *fleet.Upstream, causes []quarantine.Cause)
+	// RecordSuccess records that an upstream began to answer a request with the causes
+	// and went on.
+	RecordSuccess(causes []quarantine.Cause, began bootclock.Time)
 	// MayRepeat reports whether a request may be sent again after its upstream crashed.
-	MayRepeat(parts []string) bool
+	MayRepeat(causes []quarantine.Cause) bool
 }
 
 // Request is a request with the route, service and workspace that the desired
@@ -157,8 +158,12 @@
 	rateLimit float64
 	// adapterLogged is set once a failed load of the adapter has been logged.
 	adapterLogged bool
-	// trialOf is the quarantined part that the request may be sent with, empty for none.
-	trialOf string
+	// crashCauses holds the result of causes, nil before its first call.
+	crashCauses []quarantine.Cause
+	// trialOf is the quarantined cause that the request may be sent with, if trialTaken
+	// is set.
+	trialOf    quarantine.Cause
+	trialTaken bool
 	// grantedAt is when the workspace's tokens were granted, 0 if they were not.
 	grantedAt bootclock.Time
 }
@@ -179,6 +184,15 @@
 	return 0
 }
 
+// causes returns what the request may crash an upstream with. The body must have been
+// read.
+func (r *Request) causes() []quarantine.Cause {
+	if r.crashCauses == nil {
+		r.crashCauses = quarantine.Causes(r.SharedParts(), r.Fingerprint())
+	}
+	return r.crashCauses
+}
+
 // Next and Filter are the types of this package's filter chain.
 type (
 	Next   = chain.Next[*Request]
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -2,88 +2,86 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/hibiscusyard/hibiscusyard/decision/dispatch"
 	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/quarantine"
 	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
 const (
-	// provenAfter is how long after the first event of a stream its parts count as sound.
-	// An upstream that crashes on a part does so when it begins to write.
+	// crashDelay bounds the time from the start of an answer to the crash that it causes.
+	// An upstream that crashes on a request does so when it begins to answer it.
+	crashDelay = 250 * time.Millisecond
+	// provenAfter is how long after the first event of a stream it counts as a success.
 	provenAfter = time.Second
-	// minQuarantineRetry is the shortest Retry-After of a request with a quarantined
-	// part.
+	// minQuarantineRetry is the shortest Retry-After of a quarantined request.
 	minQuarantineRetry = time.Second
 )
 
-// checkParts refuses a request with a quarantined part, unless a trial of it is due.
-func (f *Route) checkParts(now bootclock.Time, r *Request) error {
-	if part, wait := f.blockedPart(now, r); part != "" && wait > 0 {
-		return r.refuseQuarantined(part, wait)
+// checkCauses refuses a request with a quarantined cause, unless a trial of it is due.
+func (f *Route) checkCauses(now bootclock.Time, r *Request) error {
+	if cause, wait, blocked := f.blockedCause(now, r); blocked && wait > 0 {
+		return r.refuseQuarantined(cause, wait)
 	}
 	return nil
 }
 
-// takeTrial takes the trial that a request with a quarantined part needs right before it
+// takeTrial takes the trial that a request with a quarantined cause needs right before it
 // is sent, so that no trial is lost to a request that is refused for another reason.
 func (f *Route) takeTrial(ctx context.Context, r *Request) error {
-	part, wait := f.blockedPart(bootclock.Now(), r)
-	if part == "" {
+	cause, wait, blocked := f.blockedCause(bootclock.Now(), r)
+	if !blocked {
 		return nil
 	}
 	if wait == 0 {
-		trial, err := f.Quarantine.TakeTrial(ctx, part)
+		trial, err := f.Quarantine.TakeTrial(ctx, cause)
 		if err == nil && (trial.Released || trial.Granted) {
-			r.trialOf = part
-			r.Log.WithFields(log.Fields{"part": part, "released": trial.Released}).Info("quarantined part tried")
-			// Another part of the request may be quarantined, too.
-			if part, wait = f.blockedPart(bootclock.Now(), r); part == "" {
+			r.trialOf, r.trialTaken = cause, true
+			r.Log.WithFields(log.Fields{"cause": cause.String(), "released": trial.Released}).Info("quarantined cause tried")
+			// Another cause of the request may be quarantined, too.
+			if cause, wait, blocked = f.blockedCause(bootclock.Now(), r); !blocked {
 				return nil
 			}
 		}
 		wait = max(wait, trial.Wait)
 	}
-	return r.refuseQuarantined(part, wait)
+	return r.refuseQuarantined(cause, wait)
 }
 
-// blockedPart returns the first quarantined part of a request for which it has no trial,
-// or "", and the time until the part may be tried again.
-func (f *Route) blockedPart(now bootclock.Time, r *Request) (string, time.Duration) {
-	parts := r.SharedParts()
-	if r.trialOf != "" && r.runs == 0 {
-		sound := parts[:0]
-		for _, part := range parts {
-			if part != r.trialOf {
-				sound = append(sound, part)
-			}
-		}
-		parts = sound
+// blockedCause returns the quarantined cause of a request for which it has no trial, and
+// the time until the cause may be tried again. blocked is false if there is none.
+func (f *Route) blockedCause(now bootclock.Time, r *Request) (cause quarantine.Cause, wait time.Duration, blocked bool) {
+	causes := r.causes()
+	if r.trialTaken && r.runs == 0 {
+		causes = slices.DeleteFunc(slices.Clone(causes), func(c quarantine.Cause) bool { return c == r.trialOf })
 	}
-	return f.Quarantine.Blocked(now, parts)
+	return f.Quarantine.Blocked(now, causes)
 }
 
-func (r *Request) refuseQuarantined(part string, wait time.Duration) error {
-	return r.Attempt.Refuse(verdict.Quarantined, "upstreams crash on part %s of the prompt", part).WithRetryAfter(max(wait, minQuarantineRetry))
+func (r *Request) refuseQuarantined(cause quarantine.Cause, wait time.Duration) error {
+	return r.Attempt.Refuse(verdict.Quarantined, "upstreams crash on %s", cause).WithRetryAfter(max(wait, minQuarantineRetry))
 }
 
-// recordParts records what one send showed about the shared parts of the prompt. began is
-// when the answer began, 0 if it did not; proven is set if the parts have been recorded
-// as sound.
-func (f *Route) recordParts(ctx context.Context, r *Request, u *fleet.Upstream, a *sendResult, began bootclock.Time, proven bool) {
+// recordCauses records what one send showed about what the request may crash upstreams
+// with. began is when the answer began, 0 if it did not; proven is set if the success of
+// the request has been recorded.
+func (f *Route) recordCauses(ctx context.Context, r *Request, u *fleet.Upstream, a *sendResult, began bootclock.Time, proven bool) {
 	if a.broken {
 		a.crashed = f.Forward.isDown(ctx, u)
 	}
-	parts := r.SharedParts()
 	switch {
-	case len(parts) == 0 || proven:
+	case proven:
 	case a.crashed:
-		f.Quarantine.RecordCrash(u, parts)
+		if began == 0 || a.ended.Sub(began) <= crashDelay {
+			f.Quarantine.RecordCrash(u, r.causes())
+		}
 	case a.outcome == dispatch.Served && a.framed && began != 0:
-		f.Quarantine.RecordSuccess(parts, began)
+		f.Quarantine.RecordSuccess(r.causes(), began)
 	}
 }
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -96,7 +96,7 @@
 		Tokens: r.PromptTokens + r.OutputTokens, Session: r.Session(),
 	}
 	f.Budget.Request(r.Arrived, r.Service)
-	if refusal := f.checkParts(r.Arrived, r); refusal != nil {
+	if refusal := f.checkCauses(r.Arrived, r); refusal != nil {
 		return refusal
 	}
 	var last error
@@ -209,7 +209,7 @@
 	if current == nil || !current.SameRun(u) || !view.Usable(current) {
 		return false
 	}
-	if f.checkParts(now, r) != nil {
+	if f.checkCauses(now, r) != nil {
 		return false
 	}
 	return r.Workspace == nil || f.State.Age(now) <= f.StaleAfter && (!r.Workspace.Limited() || r.hasTokens(now))
@@ -254,7 +254,7 @@
 	for {
 		changed := f.Placement.Changed()
 		now := bootclock.Now()
-		if refusal := f.checkParts(now, r); refusal != nil {
+		if refusal := f.checkCauses(now, r); refusal != nil {
 			return nil, refusal
 		}
 		view := f.State.View()
@@ -352,7 +352,7 @@
 	case res.notRun && res.outcome == dispatch.Refused:
 		return true // no upstream received anything
 	case res.notRun:
-	case res.crashed && !f.Quarantine.MayRepeat(r.SharedParts()):
+	case res.crashed && !f.Quarantine.MayRepeat(r.causes()):
 		return false
 	case !r.MayRepeat() || r.runs >= r.Route.Attempts:
 		return false
@@ -370,6 +370,7 @@
 	broken    bool // the upstream closed the connection before the answer was complete
 	crashed   bool // the upstream has ended
 	framed    bool // the end of a complete answer can't be mistaken for a closed connection
+	ended     bootclock.Time
 }
 
 // send sends the request to an upstream and relays the response.
@@ -382,7 +383,7 @@
 	f.mu.Unlock()
 	r.Upstream, r.sentAt, r.rateLimit, r.events = u.ID, bootclock.Now(), -1, 0
 	var began bootclock.Time // start of the answer
-	proven := false          // the answer has shown that the parts of the prompt are sound
+	proven := false          // the answer has shown that the request crashes no upstream
 	observe := observer{
 		onHead: func(head ResponseHead, success bool) { f.recordLimit(r, u, head, success) },
 		onFirst: func() {
@@ -395,7 +396,7 @@
 			}
 			if !proven && now.Sub(began) > provenAfter {
 				proven = true
-				f.Quarantine.RecordSuccess(r.SharedParts(), began)
+				f.Quarantine.RecordSuccess(r.causes(), began)
 			}
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -408,13 +409,14 @@
 		},
 	}
 	a := f.Forward.send(ctx, r, u, observe)
+	a.ended = bootclock.Now()
 	f.mu.Lock()
-	f.balancer.Finish(bootclock.Now(), ticket, a.outcome)
+	f.balancer.Finish(a.ended, ticket, a.outcome)
 	f.mu.Unlock()
 	if !a.notRun {
 		r.runs++
 	}
-	f.recordParts(ctx, r, u, &a, began, proven)
+	f.recordCauses(ctx, r, u, &a, began, proven)
 	if errors.Is(a.err, errAbsent) {
 		f.Placement.RecordAbsent(u.ID, r.Model, r.Adapter)
 	}
