Count the result of a trial after a message that was under way when it was granted

Callers saw: a second trial of a request that crashes upstreams 10 s after the first one failed, and one upstream more lost.

Cause: the time until the next trial is passed on as a remaining time, so that a message seems to extend a quarantine by its delay. Ledger.Merge took that for a newer verdict of the same number of strikes and forgot that a trial was running; its crash then counted as one on its way.

Change: the trial stays open until a quarantine with more strikes is known.

Measured: quarantine.TestLateEntriesKeepTheTrial failed before (next trial due in 10s, want 40s) and passes.

--- a/decision/quarantine/ledger_test.go
+++ b/decision/quarantine/ledger_test.go
@@ -159,6 +159,25 @@
 	}
 }
 
+// Guards against a trial whose result does not count: a message that was under way while
+// the leader granted the trial seems to extend the quarantine by its delay.
+func TestLateEntriesKeepTheTrial(t *testing.T) {
+	l := quarantine.NewLedger()
+	now := crashWith(l, 0, 0, 3, "deadly") + time.Second
+	l.Judge(at(now))
+	now += 15 * time.Second
+	if !l.TakeTrial(at(now), quarantine.Cause{ID: "deadly"}).Granted {
+		t.Fatal("no trial granted")
+	}
+	late := l.Entries(at(now))
+	l.Merge(at(now+60*time.Millisecond), late)
+	now += 200 * time.Millisecond
+	l.RecordCrash(at(now), run(3), parts("deadly"))
+	if _, wait, _ := l.Blocked(at(now), parts("deadly")); wait <= 10*time.Second {
+		t.Errorf("the next trial is due in %s, want the longer term after a failed one", wait)
+	}
+}
+
 // Guards against requests on their way when a quarantine begins: their crashes must not
 // count as failed trials.
 func TestCrashesAfterTheVerdictAreNoTrials(t *testing.T) {
--- a/decision/quarantine/message.go
+++ b/decision/quarantine/message.go
@@ -179,7 +179,9 @@
 			if known && (e.Strikes < v.strikes || e.Strikes == v.strikes && until <= v.until) || !known && len(l.verdicts) >= maxVerdicts {
 				continue
 			}
-			l.verdicts[e.Cause] = verdict{strikes: e.Strikes, at: max(at, v.at), until: until}
+			// Only a later quarantine shows that the result of the trial is known.
+			trial := v.trial && e.Strikes == v.strikes
+			l.verdicts[e.Cause] = verdict{strikes: e.Strikes, at: max(at, v.at), until: until, trial: trial}
 			changed = changed || !known || e.Strikes > v.strikes
 		}
 	}
