Don't take a refusal that names no request for this one's on a kept connection

Reported by other operators: a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran, or these ran twice. It can happen here, on both surfaces.

Cause: an answer with the ID of another request was passed over, one without any ID was taken for this request's. Engines of the product's own interface never say which request an answer belongs to.

On the own surface the connection is closed after an engine's rejection.

--- a/filter/forward.go
+++ b/filter/forward.go
@@ -81,6 +81,9 @@
 		return t.fail(errWrongRequest)
 	}
 	if t.rejectedByEngine(resp) {
+		// Engines do not say which request an answer belongs to, so that one that comes
+		// once more on a kept connection would be taken for that of the next request.
+		t.conns.closeAll()
 		return t.r.Attempt.Refuse(verdict.UpstreamOverloaded, "upstream %s takes no requests for the model now", t.upstream.Name)
 	}
 	if err := t.relay(resp); err != nil {
--- a/filter/forward_test.go
+++ b/filter/forward_test.go
@@ -329,3 +329,37 @@
 	}
 	check("repeat after a hang-up", "/s/slow", "hung-up", "body", 201, "receipt", 2)
 }
+
+// Guards against a second run of a chat whose engine wrote an earlier rejection once more
+// on a kept connection: engines do not say which request an answer belongs to.
+func TestEarlierRejectionOnAKeptConnection(t *testing.T) {
+	var mu sync.Mutex
+	rejected := map[string]bool{} // by connection
+	runs := 0
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		before := rejected[r.RemoteAddr]
+		rejected[r.RemoteAddr] = true
+		if before {
+			runs++
+		}
+		mu.Unlock()
+		respond(503, overloadedBody)(w, r)
+	}
+	first, second := newUpstream(t, handler), newUpstream(t, respond(200, completeBody))
+	e := newEntry(t, first.address(), second.address())
+	p := e.route.pool("engines")
+	for range 4 {
+		p.refresh(time.Now(), e.index)
+		p.picker.Report("b", 8, time.Now().Add(time.Hour))
+		e.call("POST", "", "body")
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(rejected) == 0 {
+		t.Fatal("no request reached the engine; the test shows nothing")
+	}
+	if runs > 0 {
+		t.Errorf("%d requests were sent on a connection on which one had been rejected, want none", runs)
+	}
+}
--- a/plumbing/connpool/pool.go
+++ b/plumbing/connpool/pool.go
@@ -88,7 +88,7 @@
 			break
 		}
 		if c.checkIdle() == nil {
-			c.wrote = false
+			c.wrote, c.reused = false, true
 			return c, nil
 		}
 		c.Close()
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -53,6 +53,7 @@
 	StalledStream              // a stalled stream: single bytes at intervals, but no event
 	UnframedResponse           // a whole response without length or chunks that ends with its connection
 	UnframedReset              // such a response that is reset in the middle, a stream after a whole event
+	RefusalFirst               // the response is preceded by an earlier refusal that names no request
 	UnframedCut                // such a response whose connection is closed in the middle, a stream inside an event
 )
 
@@ -353,6 +354,11 @@
 			"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Length: 5\r\n\r\nyours",
 			HeaderID, HeaderSignature, len(body), body, HeaderID, r.Header.Get(HeaderID), HeaderSignature))
 		return
+	case RefusalFirst:
+		sendRaw(w, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n"+
+			"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Length: 5\r\n\r\nyours",
+			HeaderNotExecuted, HeaderID, r.Header.Get(HeaderID), HeaderSignature))
+		return
 	case ClosedStream:
 		sendRaw(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Type: text/event-stream\r\n\r\n",
 			HeaderID, r.Header.Get(HeaderID), HeaderSignature))
