Show that an error which answers a resumption is no part of the stream

Reported by other operators: a stream had begun and broke off, the next worker answered with an error, and clients found its text in their stream, or the stream ended as complete.

It can't happen here: after a stream has begun only a signed stream of events for the same request goes on with it, and the writer takes no second answer. The own surface resumes no stream.

--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -215,7 +215,9 @@
 		}
 	}
 	// A request at a new upstream shows that the instance has read what was written before.
-	lookup := func() answer { return s.send(0, request{method: http.MethodGet, path: "/lookup/x", key: "committee-key"}) }
+	lookup := func() answer {
+		return s.send(0, request{method: http.MethodGet, path: "/lookup/x", key: "committee-key"})
+	}
 	follow := func(id string) {
 		u := s.start(&userplatform.Upstream{ID: id, Service: "rota", Zone: "north", Slots: 6, EventDuration: 5 * time.Millisecond})
 		s.eventually("the new upstream gets a request", func() bool {
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -46,6 +46,7 @@
 	Unsigned                   // a successful response without a signature
 	RefusedAtCapacity          // the upstream is full and reports that it did not run the request
 	ErrorResponse              // a signed response with status 500
+	ErrorEvents                // such a response that looks like a stream of events
 	EmptyStream                // a complete stream without events
 	ClosedStream               // a stream without framing or events that ends when its connection closes
 	EndlessHeader              // the response header continues until the caller disconnects
@@ -234,6 +235,13 @@
 	u.faults = append(u.faults, faults...)
 }
 
+// ClearFaults drops the faults of later requests.
+func (u *Upstream) ClearFaults() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.faults = nil
+}
+
 // SetPace sets the number of events in a stream and the duration of each.
 func (u *Upstream) SetPace(events int, work time.Duration) {
 	u.mu.Lock()
@@ -375,6 +383,12 @@
 	case UnframedResponse, UnframedReset, UnframedCut:
 		u.respondUnframed(w, r, fault)
 		return
+	case ErrorEvents:
+		w.Header().Set(HeaderSignature, "x")
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusInternalServerError)
+		io.WriteString(w, "id: 1000\ndata: internal error\n\n") //nolint:errcheck // the caller may have disconnected.
+		return
 	case ErrorResponse:
 		w.Header().Set(HeaderSignature, "x")
 		w.WriteHeader(http.StatusInternalServerError)
