Send nothing new to an upstream that says in an answer that it leaves

Callers saw: requests at an upstream until its end, although it had said in all its answers that it leaves (Server-Leaving: 1); its entry in the store may say ready all the while.

Cause: the header was not read.

Change: package upstreamlimit keeps the word per run, beside the limits; an instance acts on it at once (View.Usable, so that requests, repeats, resumptions, waiting requests and the planner follow) and tells the others through the leader, with the messages of the limits. Answers to orders and reports count, too. Running streams go on.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -265,7 +265,7 @@
 		delete(l.placements, id)
 	}
 	for _, r := range u.Limits {
-		l.applyLimitLocked(r.ID, r.Statement(now))
+		l.applyReportLocked(now, r)
 	}
 	if u.HasQuarantine {
 		l.applyEntries(now, u.Quarantine)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -94,6 +94,9 @@
 	Store                               ports.RowStore
 	Engines                             Engines
 	View                                func() *fleet.View
+	// SetLeaving is called when a run of an upstream has said in an answer that it
+	// leaves, and when that does not hold any longer.
+	SetLeaving func(upstream string, started int64, leaves bool)
 	// Size estimates the number of instances, including while there is no leader.
 	Size func() int
 	// Sources are the tables that the leader relays to the other instances.
@@ -371,4 +374,5 @@
 	c.lead(ctx)
 	c.rewriteRows(ctx)
 	c.judge(bootclock.Now())
+	c.client.endLeaving(bootclock.Now())
 }
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -51,7 +51,7 @@
 	switch leader {
 	case "":
 	case l.c.config.Instance:
-		l.c.limitChanged(id, s)
+		l.c.limitChanged(id, s.Limited)
 	default:
 		go l.c.send(leader, peer.KindUpstreamLimit, upstreamlimit.NewReport(bootclock.Now(), id, s))
 	}
@@ -76,6 +76,56 @@
 	return true
 }
 
+// applyReportLocked applies the report of another instance and reports whether it changed
+// anything. The caller holds mu.
+func (l *Client) applyReportLocked(now bootclock.Time, r upstreamlimit.Report) bool {
+	if !r.Leaving {
+		return l.applyLimitLocked(r.ID, r.Statement(now))
+	}
+	if !l.limits.RecordLeaving(r.ID, now.Add(-r.LeavingAge)) {
+		return false
+	}
+	// Without mu: the change of the view calls back.
+	go l.setLeaving(r.ID, "another instance")
+	return true
+}
+
+// RecordLeaving implements gateway.UpstreamLimits. The other instances are told through
+// the leader, so that one answer spares all of them.
+func (l *Client) RecordLeaving(u *fleet.Upstream) {
+	id, now := limitID(u), bootclock.Now()
+	l.mu.Lock()
+	changed := l.limits.RecordLeaving(id, now)
+	l.mu.Unlock()
+	if !changed {
+		return
+	}
+	l.setLeaving(id, "its answer")
+	switch leader := l.Leader(); leader {
+	case "":
+	case l.c.config.Instance:
+		l.c.limitChanged(id, true)
+	default:
+		go l.c.send(leader, peer.KindUpstreamLimit, upstreamlimit.NewLeavingReport(bootclock.Now(), id, now))
+	}
+}
+
+func (l *Client) setLeaving(id upstreamlimit.ID, source string) {
+	l.c.config.Log.WithFields(log.Fields{"upstream": id.Upstream, "started": id.Started, "source": source}).Info("upstream says that it leaves")
+	l.c.config.SetLeaving(id.Upstream, id.Started, true)
+}
+
+// endLeaving uses upstreams again that said long ago that they leave and still run.
+func (l *Client) endLeaving(now bootclock.Time) {
+	l.mu.Lock()
+	ended := l.limits.EndLeaving(now)
+	l.mu.Unlock()
+	for _, id := range ended {
+		l.c.config.Log.WithField("upstream", id.Upstream).Warn("upstream has not left although it said so; it is used again")
+		l.c.config.SetLeaving(id.Upstream, id.Started, false)
+	}
+}
+
 // TakeSend implements gateway.UpstreamLimits. It fails if there is no leader.
 func (l *Client) TakeSend(ctx context.Context, u *fleet.Upstream, maxWait time.Duration) (upstreamlimit.Grant, error) {
 	id := limitID(u)
@@ -129,18 +179,21 @@
 
 // recordLimit applies the report of another instance.
 func (c *Coordinator) recordLimit(report upstreamlimit.Report) {
-	s := report.Statement(bootclock.Now())
-	if c.client.applyLimit(report.ID, s) {
-		c.limitChanged(report.ID, s)
+	now := bootclock.Now()
+	c.client.mu.Lock()
+	changed := c.client.applyReportLocked(now, report)
+	c.client.mu.Unlock()
+	if changed {
+		c.limitChanged(report.ID, report.Leaving || report.Limited)
 	}
 }
 
-// limitChanged passes a changed limit on to all instances if this instance leads.
-func (c *Coordinator) limitChanged(id upstreamlimit.ID, s upstreamlimit.Statement) {
+// limitChanged passes what an upstream said on to all instances if this instance leads.
+func (c *Coordinator) limitChanged(id upstreamlimit.ID, limited bool) {
 	c.mu.Lock()
 	if c.leading {
 		c.unsentLimits[id] = struct{}{}
-		if !s.Limited {
+		if !limited {
 			c.sends.Remove(id)
 		}
 	}
@@ -151,14 +204,19 @@
 // limitReports returns the reports of the changed limits and of all limits. The caller
 // holds mu.
 func (c *Coordinator) limitReports(now bootclock.Time) (changed, all []upstreamlimit.Report) {
+	add := func(r upstreamlimit.Report) {
+		all = append(all, r)
+		if _, ok := c.unsentLimits[r.ID]; ok {
+			changed = append(changed, r)
+		}
+	}
 	c.client.mu.Lock()
 	defer c.client.mu.Unlock()
 	c.client.limits.All(func(id upstreamlimit.ID, s upstreamlimit.Statement) {
-		report := upstreamlimit.NewReport(now, id, s)
-		all = append(all, report)
-		if _, ok := c.unsentLimits[id]; ok {
-			changed = append(changed, report)
-		}
+		add(upstreamlimit.NewReport(now, id, s))
+	})
+	c.client.limits.AllLeaving(func(id upstreamlimit.ID, at bootclock.Time) {
+		add(upstreamlimit.NewLeavingReport(now, id, at))
 	})
 	return changed, all
 }
--- a/decision/fleet/registry_test.go
+++ b/decision/fleet/registry_test.go
@@ -37,3 +37,29 @@
 		t.Error("a new run is ignored")
 	}
 }
+
+// Guards against requests at a run that said in an answer that it leaves, whatever older
+// entries say, and against a next run that is taken for it.
+func TestRunThatSaidItLeavesIsNotUsable(t *testing.T) {
+	r := fleet.NewRegistry()
+	usable := func() bool { v := r.View(); return v.Usable(v.ByID["u"]) }
+	r.SetUpstream(upstream(1, 1, false))
+	r.SetSaidLeaving("u", 1, true)
+	r.SetUpstream(upstream(1, 2, false))
+	if usable() {
+		t.Error("usable after the word")
+	}
+	r.SetUpstream(upstream(2, 1, false))
+	if !usable() {
+		t.Error("the next run is not usable")
+	}
+	r.SetSaidLeaving("u", 2, true)
+	r.SetSaidLeaving("u", 1, false)
+	if usable() {
+		t.Error("the end of an older run's word ended that of the newer one")
+	}
+	r.SetSaidLeaving("u", 2, false)
+	if !usable() {
+		t.Error("not usable after the word has ended")
+	}
+}
--- a/decision/fleet/upstream.go
+++ b/decision/fleet/upstream.go
@@ -55,11 +55,14 @@
 	Evacuated map[string]bool
 	ByService map[string][]*Upstream
 	ByID      map[string]*Upstream
+	// SaidLeaving are the starts of the runs that said in an answer that they leave.
+	SaidLeaving map[string]int64
 }
 
 // Usable reports whether new requests may be sent to the upstream.
 func (v *View) Usable(u *Upstream) bool {
-	return !u.Leaving && !v.Evacuated[u.DataCentre]
+	started, said := v.SaidLeaving[u.ID]
+	return !u.Leaving && !(said && started == u.Started) && !v.Evacuated[u.DataCentre]
 }
 
 // Registry stores the newest state reported by the platform. It is not safe for
@@ -71,6 +74,8 @@
 	// removed holds the last entries of upstreams that are gone. A store that has come
 	// back from a copy may show them again.
 	removed map[string]*Upstream
+	// saidLeaving are the starts of the runs that said in an answer that they leave.
+	saidLeaving map[string]int64
 }
 
 // maxRemoved bounds the number of removed upstreams that a registry remembers.
@@ -78,7 +83,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{evacuated: map[string]bool{}, upstreams: map[string]*Upstream{}, removed: map[string]*Upstream{}}
+	return &Registry{evacuated: map[string]bool{}, upstreams: map[string]*Upstream{}, removed: map[string]*Upstream{}, saidLeaving: map[string]int64{}}
 }
 
 // SetConfig stores the configuration if its version is newer than the stored one,
@@ -117,6 +122,19 @@
 	return true
 }
 
+// SetSaidLeaving records that a run of an upstream said in an answer that it leaves, or
+// that this does not hold any longer. Entries of the same run, which may be older, take
+// nothing back.
+func (r *Registry) SetSaidLeaving(id string, started int64, leaves bool) {
+	before, known := r.saidLeaving[id]
+	switch {
+	case leaves && (!known || started >= before):
+		r.saidLeaving[id] = started
+	case !leaves && known && started == before:
+		delete(r.saidLeaving, id)
+	}
+}
+
 // olderThan reports whether an entry was written before another one of the same ID.
 func (u *Upstream) olderThan(o *Upstream) bool {
 	return u.Started < o.Started || u.Started == o.Started && u.Sequence < o.Sequence
@@ -140,7 +158,7 @@
 func (r *Registry) View() *View {
 	v := &View{
 		Config: r.config, Evacuated: maps.Clone(r.evacuated),
-		ByService: map[string][]*Upstream{}, ByID: maps.Clone(r.upstreams),
+		ByService: map[string][]*Upstream{}, ByID: maps.Clone(r.upstreams), SaidLeaving: maps.Clone(r.saidLeaving),
 	}
 	for _, u := range r.upstreams {
 		v.ByService[u.Service] = append(v.ByService[u.Service], u)
--- a/decision/upstreamlimit/table.go
+++ b/decision/upstreamlimit/table.go
@@ -1,6 +1,7 @@
-// Package upstreamlimit keeps the limits that upstreams name in their answers: the
-// requests a second that an upstream takes from all instances together. It does no
-// I/O and reads no clock: callers pass the time and the events they observe.
+// Package upstreamlimit keeps what upstreams say in their answers about the requests that
+// they take: the requests a second from all instances together, and none any more because
+// they leave. It does no I/O and reads no clock: callers pass the time and the events they
+// observe.
 package upstreamlimit
 
 import (
@@ -42,10 +43,11 @@
 	return s.Until.After(known.Until)
 }
 
-// Table holds the newest statement of each upstream that has named a limit. It is
-// not safe for concurrent use.
+// Table holds the newest statement of each upstream that has named a limit or said that
+// it leaves. It is not safe for concurrent use.
 type Table struct {
 	entries map[string]entry
+	leaving map[string]leaving
 }
 
 type entry struct {
@@ -54,7 +56,7 @@
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[string]entry{}} }
+func NewTable() *Table { return &Table{entries: map[string]entry{}, leaving: map[string]leaving{}} }
 
 // Record applies a statement and reports whether it changed the limit.
 func (t *Table) Record(id ID, s Statement) (changed bool) {
@@ -95,7 +97,7 @@
 	}
 }
 
-// Prune deletes the statements of upstreams that keep does not report as registered.
+// Prune deletes the limits of upstreams that keep does not report as registered.
 func (t *Table) Prune(keep func(upstream string) bool) {
 	for upstream := range t.entries {
 		if !keep(upstream) {
@@ -112,6 +114,10 @@
 	// SinceAge and UntilAge are the ages of Since and Until when the message is sent.
 	SinceAge time.Duration `cbor:"4,keyasint"`
 	UntilAge time.Duration `cbor:"5,keyasint"`
+	// Leaving is set if the report is only about the word that the run leaves, of
+	// LeavingAge.
+	Leaving    bool          `cbor:"6,keyasint,omitempty"`
+	LeavingAge time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // NewReport returns the report of a statement in a message that is sent now.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,16 +31,24 @@
 // ResponseHead holds the values that the gateway reads from the headers of an
 // upstream's response.
 type ResponseHead struct {
-	NotRun   bool // the upstream did not run the request
-	Signed   bool // the response has the upstream's signature header
-	Upstream string
-	ID       string
-	Load     int // requests running or waiting at the upstream, if HasLoad
-	HasLoad  bool
+	NotRun bool // the upstream did not run the request
+	// Misdirected is set if another upstream may have answered at the address.
+	Misdirected bool
+	Signed      bool // the response has the upstream's signature header
+	Upstream    string
+	ID          string
+	Load        int // requests running or waiting at the upstream, if HasLoad
+	HasLoad     bool
 	// RateLimit is the number of requests a second that the upstream takes from all
 	// instances together, if HasRateLimit.
 	RateLimit    float64
 	HasRateLimit bool
+	Leaving      bool // the upstream says that it leaves
+}
+
+// From reports whether an answer at the address of an upstream is that upstream's own.
+func (h ResponseHead) From(upstream string) bool {
+	return h.Upstream == upstream || h.Upstream == "" && !h.Misdirected
 }
 
 // Dialect reads and writes the headers of one kind of ingress.
@@ -101,6 +109,8 @@
 	dispatch.Limits
 	// RecordLimit records what an answer of an upstream said about its limit.
 	RecordLimit(upstream *fleet.Upstream, s upstreamlimit.Statement)
+	// RecordLeaving records that an answer of an upstream said that it leaves.
+	RecordLeaving(upstream *fleet.Upstream)
 	// TakeSend asks for one send to a limited upstream that waits at most maxWait.
 	TakeSend(ctx context.Context, upstream *fleet.Upstream, maxWait time.Duration) (upstreamlimit.Grant, error)
 	// PruneLimits forgets upstreams that are no longer registered.
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -385,7 +385,7 @@
 	var began bootclock.Time // start of the answer
 	proven := false          // the answer has shown that the request crashes no upstream
 	observe := observer{
-		onHead: func(head ResponseHead, success bool) { f.recordLimit(r, u, head, success) },
+		onHead: func(head ResponseHead, success bool) { f.recordHead(r, u, head, success) },
 		onFirst: func() {
 			now := bootclock.Now()
 			if r.firstAt == 0 {
@@ -439,13 +439,16 @@
 	return a
 }
 
-// recordLimit records what an answer says about the limit of its upstream. Answers of
-// other upstreams say nothing about it; the end of a limit is taken from a signed
-// success alone, because any process in between can answer with an error.
-func (f *Route) recordLimit(r *Request, u *fleet.Upstream, head ResponseHead, success bool) {
-	if head.Upstream != "" && head.Upstream != u.ID {
+// recordHead records what an answer says about the requests that its upstream takes.
+// Answers of other upstreams say nothing about it; the end of a limit is taken from a
+// signed success alone, because any process in between can answer with an error.
+func (f *Route) recordHead(r *Request, u *fleet.Upstream, head ResponseHead, success bool) {
+	if !head.From(u.ID) {
 		return
 	}
+	if head.Leaving {
+		f.Limits.RecordLeaving(u)
+	}
 	s := upstreamlimit.Statement{Limited: head.HasRateLimit, Rate: head.RateLimit, Since: r.sentAt, Until: bootclock.Now()}
 	if s.Limited {
 		r.rateLimit = s.Rate
--- a/node/node.go
+++ b/node/node.go
@@ -101,7 +101,7 @@
 	}
 	n.coord = coordinator.New(coordinator.Config{
 		Instance: s.Instance, Boot: uuid.NewString(), Address: s.PeerListen, DataCentre: s.DataCentre,
-		Store: store, Engines: &platform.Engines{Pool: n.pool}, View: n.state.View,
+		Store: store, Engines: &platform.Engines{Pool: n.pool, OnAnswer: n.recordAnswer}, View: n.state.View, SetLeaving: n.state.setLeaving,
 		Sources: []coordinator.Source{n.state.desired, n.state.entries},
 		Bounds: quota.CentralBounds{
 			Window: seconds(s.Bounds.QuotaWindowS), Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack,
@@ -132,6 +132,13 @@
 	return n
 }
 
+// recordAnswer records what an upstream says in the answer to an order or a call.
+func (n *Node) recordAnswer(upstream string, head gateway.ResponseHead) {
+	if u := n.state.View().ByID[upstream]; u != nil && head.From(upstream) && head.Leaving {
+		n.coord.Client().RecordLeaving(u)
+	}
+}
+
 func (n *Node) newHandler(client *coordinator.Client) *gateway.Handler {
 	dialect := platform.Dialect{}
 	stale := time.Duration(staleShare * float64(milliseconds(n.settings.Bounds.RevokeMS)))
--- a/node/state.go
+++ b/node/state.go
@@ -152,6 +152,15 @@
 	return old == nil || !old.Equivalent(u)
 }
 
+// setLeaving records that a run of an upstream said in an answer that it leaves, or that
+// this does not hold any longer.
+func (s *state) setLeaving(id string, started int64, leaves bool) {
+	s.mu.Lock()
+	s.registry.SetSaidLeaving(id, started, leaves)
+	s.mu.Unlock()
+	s.publish()
+}
+
 // expire removes an entry, or schedules its removal if a store outage has just
 // ended.
 func (s *state) expire(now bootclock.Time, id string) {
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -96,6 +96,7 @@
 	faults      []Fault // of the next requests, one each
 	arrivals    []Arrival
 	limits      []namedLimit // oldest first
+	leavingAt   time.Time    // zero unless all answers say that the upstream leaves
 	connections int          // opened since the start
 	warmUpEnd   time.Time
 	closed      bool
@@ -189,7 +190,7 @@
 // restart begins a new run of the upstream.
 func (u *Upstream) restart(listener net.Listener) error {
 	u.mu.Lock()
-	u.startedMS, u.sequence = time.Now().UnixMilli(), 0
+	u.startedMS, u.sequence, u.leavingAt = time.Now().UnixMilli(), 0, time.Time{}
 	u.warmUpEnd = time.Now().Add(u.WarmUpDuration)
 	u.listener = listener
 	u.mu.Unlock()
@@ -294,6 +295,7 @@
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderID, r.Header.Get(HeaderID))
 	w.Header().Set(HeaderInstance, u.ID)
+	u.addLeaving(w.Header())
 	if expected := r.Header.Get(HeaderExpectedInstance); expected != "" && expected != u.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
