Keep the pause that an upstream asks for when it turns a request away

Callers saw: 503 or a delay from an upstream that wants nothing for some seconds (503 with Retry-After), as each instance went on sending to it every 250 ms.

Cause: Retry-After of upstreams was not read.

Change: the balancer excludes such an upstream for the time, at most a minute for one answer, for this instance alone; then a ramp: one request, two more with each answer. Requests choose another upstream; if none is left they are refused at once with that time, each caller 20 ms after the one before. It is no failure of the upstream. The leader sends it no order and no call meanwhile. A 503 that may have run keeps its verdict. Values that are no positive number of seconds are ignored.

Measured: with the header unread 8 requests an instance came in a pause of 3 s, allowed 2, and callers of paused upstreams were told 0.5 s; with it at most 2 and the time that is left. node.TestPauseThatAnUpstreamAsksForIsKept and TestRequestIsRefusedAtOnceWhileAllUpstreamsPause failed before; all look-ups of the first one are served before and after.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -97,6 +97,8 @@
 	// SetLeaving is called when a run of an upstream has said in an answer that it
 	// leaves, and when that does not hold any longer.
 	SetLeaving func(upstream string, started int64, leaves bool)
+	// Paused reports whether an upstream wants nothing from this instance now.
+	Paused func(upstream string) bool
 	// Size estimates the number of instances, including while there is no leader.
 	Size func() int
 	// Sources are the tables that the leader relays to the other instances.
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/apex/log"
@@ -101,6 +102,9 @@
 func (c *Coordinator) requestReport(ctx context.Context, u *fleet.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	if c.config.Paused(u.ID) {
+		return
+	}
 	requestedAt := bootclock.Now()
 	report, err := c.config.Engines.Report(ctx, u.ID, u.Address)
 	if err != nil {
@@ -115,6 +119,9 @@
 	c.Notify()
 }
 
+// errPaused means that an order was not sent because its upstream wants a pause.
+var errPaused = errors.New("the upstream wants a pause")
+
 // sendOrder sends one order. It checks the lease again right before sending, since
 // the process may have been suspended after the decision.
 func (c *Coordinator) sendOrder(ctx context.Context, o residency.Order, token uint64) residency.Outcome {
@@ -124,7 +131,10 @@
 	allowed := c.lease.MayOrder(bootclock.Now()) && c.lease.Token() == token
 	c.mu.Unlock()
 	outcome, err := residency.NotSent, error(nil)
-	if allowed {
+	switch {
+	case allowed && c.config.Paused(o.Upstream):
+		err = errPaused
+	case allowed:
 		outcome, err = c.config.Engines.Order(ctx, o, c.config.Instance, token)
 	}
 	c.mu.Lock()
--- a/decision/dispatch/dispatch.go
+++ b/decision/dispatch/dispatch.go
@@ -77,12 +77,13 @@
 	Ejected int // ejected by the passive health check
 	Cold    int // limited to a rate of requests after a cold start
 	Limited int // the limit that the upstream names is used up
+	Paused  int // wants nothing from this instance for a time, or has just wanted that
 }
 
-// onlyLimited reports whether only limits exclude upstreams that this request has not
-// tried.
+// onlyLimited reports whether only limits and pauses exclude upstreams that this request
+// has not tried.
 func (e Exclusions) onlyLimited() bool {
-	return e.Limited > 0 && e.Full == 0 && e.Ejected == 0 && e.Cold == 0
+	return e.Limited+e.Paused > 0 && e.Full == 0 && e.Ejected == 0 && e.Cold == 0
 }
 
 // Choice is the result of Pick.
@@ -91,19 +92,27 @@
 	Reason   Reason
 	Eligible int
 	Excluded Exclusions
-	// limited is the limited upstream that may get a request first, at limitedUntil; nil
-	// if there is none.
+	// limited is the limited or paused upstream that may get a request first, at
+	// limitedUntil; nil if there is none.
 	limited      *load
 	limitedUntil bootclock.Time
 }
 
-// LimitedFor returns the time until an upstream may get a request within its limit. ok
-// is false if upstreams are excluded for other reasons, which may end earlier.
+// LimitedFor returns the time until an upstream may get a request within its limit and
+// after its pause. ok is false if upstreams are excluded for other reasons, which may end
+// earlier.
 func (c Choice) LimitedFor(now bootclock.Time) (d time.Duration, ok bool) {
 	if c.limited == nil || !c.Excluded.onlyLimited() {
 		return 0, false
 	}
-	return c.limitedUntil.Sub(now), true
+	return max(c.limitedUntil.Sub(now), 0), true
+}
+
+// offerLimited keeps the limited or paused upstream that may get a request first.
+func (c *Choice) offerLimited(l *load, until bootclock.Time) {
+	if c.limited == nil || until.Before(c.limitedUntil) {
+		c.limited, c.limitedUntil = l, until
+	}
 }
 
 // ServedModels returns the models, with their adapters, that an upstream serves now.
@@ -126,6 +135,7 @@
 	health     health
 	cold       coldGate
 	limit      limitGate
+	pause      pauseGate
 }
 
 // Balancer chooses upstreams for one instance. It is not safe for concurrent use.
@@ -199,9 +209,11 @@
 			continue
 		case b.deferred(now, l, u):
 			choice.Excluded.Limited++
-			if choice.limited == nil || l.limit.until.Before(choice.limitedUntil) {
-				choice.limited, choice.limitedUntil = l, l.limit.until
-			}
+			choice.offerLimited(l, max(l.limit.until, l.pause.until))
+			continue
+		case l.pause.blocks(now, l.running):
+			choice.Excluded.Paused++
+			choice.offerLimited(l, l.pause.until)
 			continue
 		}
 		cost := b.cost(now, l, u, service, d)
@@ -333,6 +345,7 @@
 		return
 	}
 	t.first = true
+	t.load.pause.recordAnswer(now)
 	t.load.removeUnanswered(t)
 	t.load.prefill -= t.demand.Prompt
 	t.load.health.recordLatency(now, now.Sub(t.started), t.expected())
@@ -436,7 +449,7 @@
 
 // String describes the exclusions for logs.
 func (e Exclusions) String() string {
-	return fmt.Sprintf("%d tried, %d full, %d ejected, %d cold, %d limited", e.Tried, e.Full, e.Ejected, e.Cold, e.Limited)
+	return fmt.Sprintf("%d tried, %d full, %d ejected, %d cold, %d limited, %d paused", e.Tried, e.Full, e.Ejected, e.Cold, e.Limited, e.Paused)
 }
 
 // String returns the outcome as it appears in logs.
--- a/decision/dispatch/limit.go
+++ b/decision/dispatch/limit.go
@@ -66,8 +66,11 @@
 }
 
 // RetryAfter returns the time after which the caller of a request that is refused
-// because of a limit can return, behind those refused before.
+// because of a limit or a pause can return, behind those refused before.
 func (b *Balancer) RetryAfter(now bootclock.Time, c Choice) time.Duration {
+	if c.limited.pause.allowed > 0 {
+		return c.limited.pause.retryAfter(now)
+	}
 	gate := &c.limited.limit
 	after := max(gate.retryAt, gate.until).Sub(now)
 	if after < maxRetryQueue {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -173,7 +173,7 @@
 		}
 	}
 	return sendResult{
-		err:     x.r.Attempt.Refuse(verdict.UpstreamOverloaded, "upstream %s has no room (status %d)", x.u.ID, resp.StatusCode).WithRetryAfter(defaultRetryAfter),
+		err:     x.r.Attempt.Refuse(verdict.UpstreamOverloaded, "upstream %s has no room (status %d)", x.u.ID, resp.StatusCode).WithRetryAfter(max(head.Pause, defaultRetryAfter)),
 		outcome: dispatch.Full, notRun: true, resumable: x.r.Writer.Begun(), reusable: clean,
 	}
 }
@@ -229,7 +229,11 @@
 	if !success && !head.Signed || notRunStatuses[resp.StatusCode] {
 		// The response is unsigned, or its status would guarantee to the caller
 		// that the request did not run although it did.
-		return x.failed(ctx, fmt.Errorf("%w: status %d", errInvalid, resp.StatusCode), false)
+		result := x.failed(ctx, fmt.Errorf("%w: status %d", errInvalid, resp.StatusCode), false)
+		if head.Pause > 0 {
+			result.outcome = dispatch.Full // it turned the request away and is no failing upstream
+		}
+		return result
 	}
 	if resp.StatusCode >= http.StatusInternalServerError && x.mayRetryElsewhere(resp.StatusCode) {
 		return sendResult{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,9 @@
 	RateLimit    float64
 	HasRateLimit bool
 	Leaving      bool // the upstream says that it leaves
+	// Pause is the time for which the upstream wants nothing from this instance, 0 if it
+	// turned no request away for a time.
+	Pause time.Duration
 }
 
 // From reports whether an answer at the address of an upstream is that upstream's own.
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -68,6 +68,7 @@
 	Quarantine Quarantine
 	Forward    *Forward
 	Budget     *Budget
+	Log        log.Interface
 	// StaleAfter has the same meaning as in Identify.
 	StaleAfter time.Duration
 
@@ -317,7 +318,7 @@
 		f.mu.Lock()
 		after := f.balancer.RetryAfter(now, c)
 		f.mu.Unlock()
-		return r.Attempt.Refuse(verdict.UpstreamOverloaded, "the limits of the upstreams are used up: %s", c.Excluded).WithRetryAfter(after)
+		return r.Attempt.Refuse(verdict.UpstreamOverloaded, "the upstreams take no more requests for now: %s", c.Excluded).WithRetryAfter(after)
 	case c.Reason == dispatch.AllExcluded && (retry || waited > time.Duration(busyWaitShare*float64(r.Route.LatencyObjective))):
 		return r.Attempt.Refuse(verdict.QueueFull, "no upstream has room: %s", c.Excluded).WithRetryAfter(defaultRetryAfter)
 	case c.Reason == dispatch.NotLoaded:
@@ -449,6 +450,9 @@
 	if head.Leaving {
 		f.Limits.RecordLeaving(u)
 	}
+	if head.Pause > 0 {
+		f.RecordPause(u, head.Pause)
+	}
 	s := upstreamlimit.Statement{Limited: head.HasRateLimit, Rate: head.RateLimit, Since: r.sentAt, Until: bootclock.Now()}
 	if s.Limited {
 		r.rateLimit = s.Rate
@@ -458,6 +462,25 @@
 	f.Limits.RecordLimit(u, s)
 }
 
+// RecordPause records that an upstream turned away a request or an order of this instance
+// and wants nothing from it for a time.
+func (f *Route) RecordPause(u *fleet.Upstream, length time.Duration) {
+	now := bootclock.Now()
+	f.mu.Lock()
+	until, changed := f.balancer.Pause(now, u, length)
+	f.mu.Unlock()
+	if changed {
+		f.Log.WithFields(log.Fields{"upstream": u.ID, "asked_ms": length.Milliseconds(), "pause_ms": until.Sub(now).Milliseconds()}).Info("upstream wants a pause")
+	}
+}
+
+// Paused reports whether an upstream wants nothing from this instance now.
+func (f *Route) Paused(upstream string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return bootclock.Now().Before(f.balancer.PausedUntil(upstream))
+}
+
 // pickService selects one of a route's services at random by weight.
 func pickService(targets []fleet.Target) string {
 	total := 0
--- a/node/node.go
+++ b/node/node.go
@@ -102,6 +102,7 @@
 	n.coord = coordinator.New(coordinator.Config{
 		Instance: s.Instance, Boot: uuid.NewString(), Address: s.PeerListen, DataCentre: s.DataCentre,
 		Store: store, Engines: &platform.Engines{Pool: n.pool, OnAnswer: n.recordAnswer}, View: n.state.View, SetLeaving: n.state.setLeaving,
+		Paused:  func(upstream string) bool { return n.route.Paused(upstream) },
 		Sources: []coordinator.Source{n.state.desired, n.state.entries},
 		Bounds: quota.CentralBounds{
 			Window: seconds(s.Bounds.QuotaWindowS), Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack,
@@ -134,15 +135,23 @@
 
 // recordAnswer records what an upstream says in the answer to an order or a call.
 func (n *Node) recordAnswer(upstream string, head gateway.ResponseHead) {
-	if u := n.state.View().ByID[upstream]; u != nil && head.From(upstream) && head.Leaving {
+	u := n.state.View().ByID[upstream]
+	if u == nil || !head.From(upstream) {
+		return
+	}
+	if head.Leaving {
 		n.coord.Client().RecordLeaving(u)
 	}
+	if head.Pause > 0 {
+		n.route.RecordPause(u, head.Pause)
+	}
 }
 
 func (n *Node) newHandler(client *coordinator.Client) *gateway.Handler {
 	dialect := platform.Dialect{}
 	stale := time.Duration(staleShare * float64(milliseconds(n.settings.Bounds.RevokeMS)))
 	n.route = gateway.NewRoute(n.settings.Instance, n.settings.DataCentre)
+	n.route.Log = n.log
 	n.route.State, n.route.Placement, n.route.Limiter, n.route.Limits, n.route.Quarantine, n.route.StaleAfter = n.state, client, client, client, client, stale
 	n.route.Forward = &gateway.Forward{Pool: n.pool, Dialect: dialect}
 	n.route.Budget = gateway.NewBudget(gateway.BudgetConfig{
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -67,6 +67,7 @@
 	Path                    string
 	Parts                   []string // shared parts of the prompt
 	Ran                     bool
+	Pause                   time.Duration // that the answer asked for
 	At                      time.Time
 }
 
@@ -96,6 +97,8 @@
 	faults      []Fault // of the next requests, one each
 	arrivals    []Arrival
 	limits      []namedLimit // oldest first
+	pauseEnd    time.Time
+	pauseValue  string
 	leavingAt   time.Time    // zero unless all answers say that the upstream leaves
 	connections int          // opened since the start
 	warmUpEnd   time.Time
@@ -318,15 +321,19 @@
 	}
 	refusal := 0
 	u.mu.Lock()
+	pauseValue, pause := u.pause()
+	if pauseValue != "" {
+		w.Header().Set(HeaderPause, pauseValue)
+	}
 	switch {
-	case fault == RefusedAtCapacity || u.running >= u.Slots:
+	case pauseValue != "" || fault == RefusedAtCapacity || u.running >= u.Slots:
 		refusal = http.StatusServiceUnavailable
 	case u.Engine != nil:
 		refusal = u.Engine.rejectionStatus(r.Header.Get(HeaderModel))
 	}
 	u.arrivals = append(u.arrivals, Arrival{
 		ID: r.Header.Get(HeaderID), Tenant: r.Header.Get(HeaderTenant), Resume: r.Header.Get(HeaderResume),
-		Key: r.Header.Get("Authorization"), Path: r.URL.Path, Parts: sharedParts(r.Header), Ran: refusal == 0, At: time.Now(),
+		Key: r.Header.Get("Authorization"), Path: r.URL.Path, Parts: sharedParts(r.Header), Ran: refusal == 0, Pause: pause, At: time.Now(),
 	})
 	if refusal == 0 {
 		u.running++
--- a/tools/explain/explain.go
+++ b/tools/explain/explain.go
@@ -29,7 +29,7 @@
 // stateMessages are the beginnings of messages about state changes of an
 // instance, which can explain a request without containing its ID.
 var stateMessages = []string{
-	"upstream registered", "upstream gone", "placement decision", "leadership taken", "leadership ended",
+	"upstream registered", "upstream gone", "upstream says that it leaves", "upstream wants a pause", "placement decision", "leadership taken", "leadership ended",
 	"leadership handed over", "store lost", "store regained", "desired state in force",
 	"data centre taken out or in", "instance started", "shutdown started", "log lines dropped",
 }
