--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -72,7 +72,7 @@
 	if len(u.Arrivals()) == before {
 		t.Fatal("the upstream got no request; the test shows nothing")
 	}
-	for _, violation := range u.LeavingViolations(leavingGrace, nil) {
+	for _, violation := range u.LeavingViolations(leavingGrace, nil, nil) {
 		t.Error(violation)
 	}
 	// A new run under the same ID is not bound by the word of the one before.
@@ -104,7 +104,7 @@
 	s.sendLookups(2 * time.Second)
 	s.busiestRota() // checks that one of them got requests
 	for _, u := range s.rotas {
-		for _, violation := range u.LeavingViolations(100*time.Millisecond, sameInstance) {
+		for _, violation := range u.LeavingViolations(100*time.Millisecond, sameInstance, nil) {
 			t.Error(violation)
 		}
 	}
--- a/standin/userplatform/leaving.go
+++ b/standin/userplatform/leaving.go
@@ -29,14 +29,15 @@
 
 // LeavingViolations describes the requests that reached the upstream later than grace
 // after the first one that it answered with the word that it leaves. same reports whether
-// two requests came through the same instance; nil takes all instances for one.
-func (u *Upstream) LeavingViolations(grace time.Duration, same func(a, b Arrival) bool) []string {
+// two requests came through the same instance; nil takes all instances for one. Requests
+// that excused, if it is set, excuses do not count.
+func (u *Upstream) LeavingViolations(grace time.Duration, same func(a, b Arrival) bool, excused func(Arrival) bool) []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var found []string
 	var told []Arrival // the first ones of their instances since the word
 	for _, a := range u.arrivals {
-		if u.leavingAt.IsZero() || a.At.Before(u.leavingAt) {
+		if u.leavingAt.IsZero() || a.At.Before(u.leavingAt) || excused != nil && excused(a) {
 			continue
 		}
 		first := true
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -99,8 +99,8 @@
 	limits      []namedLimit // oldest first
 	pauseEnd    time.Time
 	pauseValue  string
-	leavingAt   time.Time    // zero unless all answers say that the upstream leaves
-	connections int          // opened since the start
+	leavingAt   time.Time // zero unless all answers say that the upstream leaves
+	connections int       // opened since the start
 	warmUpEnd   time.Time
 	closed      bool
 
--- a/test/soak/clients_test.go
+++ b/test/soak/clients_test.go
@@ -33,7 +33,7 @@
 	key     string
 	sent    time.Time
 	unsafe  bool
-	crashes bool // the prompt has the part that crashes engines
+	crashes bool // the request crashes upstreams
 	status  int  // 0 if no complete answer arrived
 	problem string
 }
@@ -85,6 +85,9 @@
 	case kind == draftKinds:
 		path, method, o.unsafe = "/signup/1", http.MethodPost, true
 	}
+	if s.crashPath != "" && path == "/lookup/1" && random.IntN(10) == 0 {
+		path, o.crashes = s.crashPath, o.key == validKey
+	}
 	m := s.members[random.IntN(len(s.members))]
 	o.member = m
 	var body io.Reader
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -32,6 +32,10 @@
 	612, 616, 617, 619, 625, 627, 632, 634, 635, 639, 644, 649, // a stream continued after an endless answer that had been cut
 }
 
+// drainTime is the time after which an upstream that told an instance that it leaves must
+// get nothing new from it.
+const drainTime = 2 * time.Second
+
 // limitGrace is the time after which a named limit must be kept.
 const limitGrace = 3 * time.Second
 
@@ -54,11 +58,23 @@
 	seedWithCrashes      = 3001
 )
 
+// firstSeedWithWords is the first seed with which upstreams also say that they leave or
+// want a pause, and write refusals and errors at the wrong place, and a whole request
+// crashes upstreams. seedWithWords is one of them that is part of each test.
+const (
+	firstSeedWithWords = 4000
+	seedWithWords      = 4001
+)
+
 const (
 	// crashPart is the part of prompts that crashes engines, and crashDowntime how long
 	// they are down then.
 	crashPart     = "crashing"
 	crashDowntime = 300 * time.Millisecond
+	// crashPath is the path of the request that crashes plain upstreams.
+	crashPath = "/lookup/crashing"
+	// leavingTime is how long an upstream that says that it leaves still runs, at most.
+	leavingTime = 4 * time.Second
 	// maxCopyAge is the highest age of a copy from which the store comes back.
 	maxCopyAge = 8 * time.Second
 )
@@ -75,7 +91,7 @@
 // store that fails, loses answers, drops its history or comes back from a copy, upstreams
 // that crash, fail, stall or send endless answers, and prompts that crash them. No process may use more memory than an instance has.
 func TestSoak(t *testing.T) {
-	list := append([]uint64{seedWithLimits, seedWithCrashes}, regressions...)
+	list := append([]uint64{seedWithLimits, seedWithCrashes, seedWithWords}, regressions...)
 	for i := range *seeds {
 		list = append(list, *first+uint64(i))
 	}
@@ -101,6 +117,13 @@
 			u.CrashOnPart(crashPart, crashDowntime)
 		}
 	}
+	if seed >= firstSeedWithWords {
+		s.faultKinds = 21
+		s.crashPath = crashPath
+		for _, u := range s.allUpstreams() {
+			u.CrashOnRequest(validTenant, crashPath, crashDowntime)
+		}
+	}
 	var group sync.WaitGroup
 	for n := range clients {
 		r := rand.New(rand.NewPCG(seed, uint64(n+1)))
@@ -182,13 +205,8 @@
 	case 8:
 		s.store.DiscardHistory()
 	case 9:
-		u.Close()
-		s.store.Delete("servers", u.ID)
-		if u.Engine != nil {
-			s.addEngine()
-		} else {
-			s.addPlain()
-		}
+		s.retire(u.ID)
+		s.replace(u)
 	case 10:
 		u.Fail(userplatform.ResetAfter, userplatform.ResetBefore, userplatform.CutStream)
 	case 11:
@@ -211,10 +229,35 @@
 		writeAgain := s.store.Restore(time.Duration(random.Int64N(int64(maxCopyAge))))
 		writeAgain()
 		s.store.Gate().SetFaults(standin.Faults{})
+	case 18:
+		u.TurnAway(2 * pause)
+	case 19:
+		u.SayLeaving()
+		runs := time.Duration(random.Int64N(int64(leavingTime)))
+		s.leaving.Go(func() {
+			s.wait(runs)
+			if s.retire(u.ID) {
+				s.replace(u)
+			}
+		})
+	case 20:
+		u.Fail(userplatform.RefusalFirst, userplatform.CutStream, userplatform.ErrorEvents)
+	}
+}
+
+// replace ends an upstream for good and starts another one in its place.
+func (s *system) replace(u *userplatform.Upstream) {
+	u.Close()
+	s.store.Delete("servers", u.ID)
+	if u.Engine != nil {
+		s.addEngine()
+	} else {
+		s.addPlain()
 	}
 }
 
 func (s *system) restore() {
+	s.leaving.Wait()
 	s.store.Gate().SetFaults(standin.Faults{})
 	for _, u := range s.allUpstreams() {
 		u.StopNamingLimit()
@@ -271,6 +314,7 @@
 	}
 	s.checkLimits(outcomes)
 	s.checkCrashes(outcomes)
+	s.checkWords(outcomes)
 	served := 0
 	for _, o := range outcomes {
 		if o.status == http.StatusOK {
@@ -292,28 +336,52 @@
 	s.t.Logf("%d of %d requests served", served, len(outcomes))
 }
 
-// excusedArrivals returns a function that reports whether a request came through an
-// instance that was killed, frozen, restarted or cut off at that time.
-func excusedArrivals(outcomes []outcome) func(userplatform.Arrival) bool {
+// membersByRequest returns the instance that each request was sent to.
+func membersByRequest(outcomes []outcome) map[string]*member {
 	through := map[string]*member{}
 	for _, o := range outcomes {
 		through[o.id] = o.member
 	}
+	return through
+}
+
+// excusedArrivals returns a function that reports whether a request came through an
+// instance that was killed, frozen, restarted or cut off at that time.
+func excusedArrivals(outcomes []outcome) func(userplatform.Arrival) bool {
+	through := membersByRequest(outcomes)
 	return func(a userplatform.Arrival) bool {
 		m := through[a.ID]
 		return m != nil && slices.ContainsFunc(m.excused, func(p period) bool { return a.At.After(p.from) && a.At.Before(p.until) })
 	}
 }
 
-// checkCrashes checks that requests with the part that crashes engines stopped reaching
-// them, apart from excused ones.
+// checkCrashes checks that requests that crash upstreams stopped reaching them, apart from
+// excused ones.
 func (s *system) checkCrashes(outcomes []outcome) {
 	s.t.Helper()
-	for _, violation := range userplatform.PromptCrashViolations(s.allUpstreams(), crashPart, limitGrace, excusedArrivals(outcomes)) {
+	excused := excusedArrivals(outcomes)
+	for _, violation := range userplatform.PromptCrashViolations(s.allUpstreams(), crashPart, limitGrace, excused) {
+		s.t.Error(violation)
+	}
+	for _, violation := range userplatform.RequestCrashViolations(s.allUpstreams(), validTenant, crashPath, limitGrace, excused) {
 		s.t.Error(violation)
 	}
 }
 
+// checkWords checks that upstreams got nothing new from an instance after they had told it
+// that they leave, and kept the pauses that they asked it for.
+func (s *system) checkWords(outcomes []outcome) {
+	s.t.Helper()
+	through := membersByRequest(outcomes)
+	same := func(a, b userplatform.Arrival) bool { return through[a.ID] != nil && through[a.ID] == through[b.ID] }
+	excused := excusedArrivals(outcomes)
+	for _, u := range s.allUpstreams() {
+		for _, violation := range append(u.LeavingViolations(drainTime, same, excused), u.PauseViolations(same, excused)...) {
+			s.t.Error(violation)
+		}
+	}
+}
+
 // checkLimits checks that upstreams did not get more requests than the limits that they
 // named, apart from excused ones.
 func (s *system) checkLimits(outcomes []outcome) {
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -48,18 +48,22 @@
 type system struct {
 	faultKinds int    // number of kinds of faults that are drawn
 	crashPart  string // part of prompts that crashes engines, empty for none
+	crashPath  string // path of a request that crashes upstreams, empty for none
 	t          *testing.T
 	store      *userplatform.Store
 	members    []*member
 
+	leaving sync.WaitGroup // upstreams that will end
+
 	mu        sync.Mutex
 	upstreams []*userplatform.Upstream // includes those that have ended
+	retired   map[string]bool          // upstreams that have ended for good
 	next      int
 }
 
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, store: userplatform.NewStore()}
+	s := &system{t: t, store: userplatform.NewStore(), retired: map[string]bool{}}
 	server := httptest.NewServer(s.store.Gate())
 	t.Cleanup(server.Close)
 	if err := userplatform.Sample().Write(s.store); err != nil {
@@ -87,11 +91,23 @@
 	}
 	s.t.Cleanup(u.Close)
 	u.CrashOnPart(s.crashPart, crashDowntime)
+	u.CrashOnRequest(validTenant, s.crashPath, crashDowntime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.upstreams = append(s.upstreams, u)
 }
 
+// retire marks an upstream as ended for good, and reports whether it was not before.
+func (s *system) retire(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.retired[id] {
+		return false
+	}
+	s.retired[id] = true
+	return true
+}
+
 func (s *system) nextID(kind string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/tools/emulator/emulator_test.go
+++ b/tools/emulator/emulator_test.go
@@ -82,7 +82,8 @@
 	path := filepath.Join(folder, "short.json")
 	text := strings.NewReplacer(`"duration": "10s"`, `"duration": "2s", "faults": [{"at": "500ms", "kind": "upstream_reset", "target": "rota-1", "count": 3},
 		{"at": "700ms", "for": "300ms", "kind": "upstream_crash", "target": "rota-2"}, {"at": "1s", "kind": "instance_replaced"},
-		{"at": "1s", "for": "300ms", "kind": "store_outage"}, {"at": "100ms", "for": "1s", "kind": "upstream_limited", "target": "rota-1", "rate": 2}]`).Replace(string(sampleScenario))
+		{"at": "1s", "for": "300ms", "kind": "store_outage"}, {"at": "100ms", "for": "1s", "kind": "upstream_limited", "target": "rota-1", "rate": 2},
+		{"at": "1200ms", "for": "300ms", "kind": "upstream_turns_away", "target": "rota-1"}, {"at": "1600ms", "kind": "upstream_says_leaving", "target": "rota-1"}]`).Replace(string(sampleScenario))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/tools/emulator/fault.go
+++ b/tools/emulator/fault.go
@@ -63,6 +63,15 @@
 		w.store.RestoreDrill(f.For.Std(), f.Age.Std(), rewriteAfter)
 		return nil
 	}},
+	"upstream_turns_away": {needsTarget: true, needsDuration: true, apply: func(ctx context.Context, w *Deployment, f *Fault) error {
+		w.upstreams[f.Target].TurnAway(f.For.Std())
+		duration.Sleep(ctx, f.For.Std())
+		return nil
+	}},
+	"upstream_says_leaving": {needsTarget: true, apply: func(_ context.Context, w *Deployment, f *Fault) error {
+		w.upstreams[f.Target].SayLeaving()
+		return nil
+	}},
 	"part_crashes":       {needsDuration: true, apply: crashOnPart},
 	"upstream_slow_down": {needsTarget: true, needsDuration: true, apply: slowDown},
 }
