--- a/tools/faultmatrix/cells.go
+++ b/tools/faultmatrix/cells.go
@@ -27,6 +27,7 @@
 	drainFaults        Test = "e2e.TestDrainUnderFaults"
 	endedEarly         Test = "e2e.TestShutdownEndedEarly"
 	leavingUpstream    Test = "e2e.TestLeavingUpstreamGetsNoNewWork"
+	saidLeaving        Test = "node.TestUpstreamThatSaysItLeavesGetsNothingNew"
 )
 
 // Reasons why a cell can't occur.
@@ -60,7 +61,7 @@
 	{Fault: Freeze, Step: Forward, Tests: []Test{requestFaults}},
 	{Fault: Delay, Step: Forward, Tests: []Test{requestFaults}},
 	{Fault: ColdRestart, Step: Forward, Tests: []Test{requestFaults}},
-	{Fault: LaggingList, Step: Forward, Tests: []Test{leavingUpstream}},
+	{Fault: LaggingList, Step: Forward, Tests: []Test{leavingUpstream, saidLeaving}},
 	{Fault: Duplicate, Step: Forward, Impossible: "TCP delivers each byte of a request once"},
 	{Fault: TableDown, Step: Forward, Tests: []Test{tableOutage}},
 	{Fault: Race, Step: Forward, Impossible: noRace},
@@ -165,7 +166,7 @@
 	{Text: "A caller receives the whole answer to its own request, also when answers are late or crossed", Tests: []Test{upstreamFaults, "e2e.TestServiceCallArrivesExactlyOnce", requestFaults, streamKills}},
 	{Text: "A refusal that says not run is true", Tests: []Test{serviceVerdicts, runsAtMostOnce, upstreamFaults, requestFaults, claimFaults}},
 	{Text: "A request that must not be repeated runs at most once", Tests: []Test{runsAtMostOnce, keyedOverProcesses, "e2e.TestServiceCallArrivesExactlyOnce", "filter.TestTransportNeverRepeats", "filter.TestClaims", claimFaults, requestFaults}},
-	{Text: "A leaving upstream gets no new work after a few seconds", Tests: []Test{"balance.TestEligibility", leavingUpstream}},
+	{Text: "A leaving upstream gets no new work after a few seconds", Tests: []Test{"balance.TestEligibility", leavingUpstream, saidLeaving}},
 	{Text: "A graceful shutdown cuts no request", Tests: []Test{"e2e.TestRollingReplacementCutsNoRequest", drainFaults}},
 	{Text: "An accepted configuration is in force everywhere within seconds and never reverts", Tests: []Test{editEverywhere, freshnessProof, "e2e.TestEditIsInForceAtOtherInstance", editFaults}},
 }
