Judge evidence of crashes only when there is something to judge

Cause: whole requests make the evidence larger (each request that a crash breaks off is a cause of its own), and it was judged every 100 ms for the minute in which it counts, also when nothing was new.

Change: with new evidence at most every 20 ms, every 50 ms while suspects settle, otherwise once a second.

Tests of crashes in node pass.

--- a/decision/quarantine/judge.go
+++ b/decision/quarantine/judge.go
@@ -29,10 +29,11 @@
 	settleTime     = 150 * time.Millisecond
 	// maxSuspects bounds the causes that the instances are asked for at once.
 	maxSuspects = 128
-	// judgeInterval is the time between two judgements without new evidence, which let
-	// settleTime pass and old evidence end. With new evidence it is minJudgeInterval: one
-	// crash is reported by many instances.
-	judgeInterval    = 100 * time.Millisecond
+	// judgeInterval is the time between two judgements without new evidence, which let old
+	// evidence end; while a suspect's settleTime passes it is settleInterval. With new
+	// evidence it is minJudgeInterval: one crash is reported by many instances.
+	judgeInterval    = time.Second
+	settleInterval   = 50 * time.Millisecond
 	minJudgeInterval = 20 * time.Millisecond
 )
 
@@ -66,8 +67,11 @@
 // Judge quarantines the causes that explain the crashes, and returns them.
 func (l *Ledger) Judge(now bootclock.Time) []Cause {
 	interval := judgeInterval
-	if l.changed {
+	switch {
+	case l.changed:
 		interval = minJudgeInterval
+	case now.Sub(l.suspectedAt) < settleTime+settleInterval:
+		interval = settleInterval
 	}
 	if now.Sub(l.judgedAt) < interval {
 		return nil
@@ -102,7 +106,7 @@
 		}
 		since, known := l.suspects[s.cause]
 		if !known {
-			since = now
+			since, l.suspectedAt = now, now
 		}
 		suspects[s.cause] = since
 	}
--- a/decision/quarantine/ledger.go
+++ b/decision/quarantine/ledger.go
@@ -70,6 +70,8 @@
 	// changed is set if there is evidence that has not been judged.
 	changed  bool
 	judgedAt bootclock.Time
+	// suspectedAt is when the last cause became a suspect.
+	suspectedAt bootclock.Time
 }
 
 // NewLedger returns a ledger without evidence.
--- a/decision/quarantine/message.go
+++ b/decision/quarantine/message.go
@@ -154,7 +154,7 @@
 		}
 		since, known := l.suspects[e.Cause]
 		if !known {
-			since = now
+			since, l.suspectedAt = now, now
 			asked = asked || l.successes.get(e.Cause) != 0
 		}
 		suspects[e.Cause] = since
