--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -66,7 +66,7 @@
 	Uptime time.Duration `cbor:"5,keyasint"`
 	// Resigned is set if the sender is shutting down.
 	Resigned bool `cbor:"6,keyasint,omitempty"`
-	// Evidence is what requests showed about parts of prompts.
+	// Evidence is what requests showed about causes of crashes.
 	Evidence *quarantine.Evidence `cbor:"7,keyasint,omitempty"`
 }
 
