Don't take any refusal that names no request for this one's

Callers saw: 503 for a request that an upstream ran.

Change: a refusal counts as this request's only with its ID; upstreams of the users' platform echo it.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -114,10 +114,11 @@
 	}
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	x.observe.onHead(head, success)
-	if head.NotRun && head.ID != x.r.ID && x.conn.Reused() {
-		// It may be an earlier refusal once more, while the upstream runs this request.
+	if head.NotRun && head.ID != x.r.ID {
+		// Upstreams echo the ID. Without it the refusal may be that of another request,
+		// while the upstream runs this one.
 		x.conn.MarkBroken()
-		return x.failed(ctx, fmt.Errorf("%w: refusal that names no request, on a kept connection", errInvalid), false)
+		return x.failed(ctx, fmt.Errorf("%w: refusal that names no request", errInvalid), false)
 	}
 	if head.NotRun {
 		return x.declined(resp, head)
--- a/node/answers_test.go
+++ b/node/answers_test.go
@@ -10,25 +10,29 @@
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
 
-// Guards against an earlier refusal that a faulty upstream writes once more on a kept
-// connection: the request runs, so that it must neither be called not run nor be sent to
-// another upstream.
-func TestEarlierRefusalOnAKeptConnection(t *testing.T) {
-	s := newTestSystem(t, 1)
-	var group sync.WaitGroup
-	for range 8 { // leaves kept connections to both upstreams
-		group.Go(func() { s.send(0, request{path: "/signup/1", key: "committee-key"}) })
-	}
-	group.Wait()
-	for _, u := range s.rotas {
-		u.Fail(userplatform.RefusalFirst)
-	}
-	a := s.send(0, request{id: "refused before", path: "/signup/1", key: "committee-key"})
-	if ran, arrived := countRuns("refused before", s.rotas...); ran != 1 || arrived != 1 {
-		t.Errorf("arrived %d times and ran %d times, want 1 and 1", arrived, ran)
-	}
-	if a.status != http.StatusBadGateway {
-		t.Errorf("got status %d, want 502: the request has run", a.status)
+// Guards against a refusal that names no request, which a faulty upstream writes before
+// its answer, on a kept connection or a new one: the request runs, so that it must neither
+// be called not run nor be sent to another upstream.
+func TestRefusalOfNoRequest(t *testing.T) {
+	for name, before := range map[string]int{"new connection": 0, "kept connection": 8} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSystem(t, 1)
+			var group sync.WaitGroup
+			for range before { // leaves kept connections to both upstreams
+				group.Go(func() { s.send(0, request{path: "/signup/1", key: "committee-key"}) })
+			}
+			group.Wait()
+			for _, u := range s.rotas {
+				u.Fail(userplatform.RefusalFirst)
+			}
+			a := s.send(0, request{id: "refused before", path: "/signup/1", key: "committee-key"})
+			if ran, arrived := countRuns("refused before", s.rotas...); ran != 1 || arrived != 1 {
+				t.Errorf("arrived %d times and ran %d times, want 1 and 1", arrived, ran)
+			}
+			if a.status != http.StatusBadGateway {
+				t.Errorf("got status %d, want 502: the request has run", a.status)
+			}
+		})
 	}
 }
 
--- a/plumbing/connpool/conn.go
+++ b/plumbing/connpool/conn.go
@@ -92,13 +92,8 @@
 	keepAliveTimeout time.Duration // idle timeout announced by the other side, 0 if unknown
 	broken           bool
 	wrote            bool
-	reused           bool
 }
 
-// Reused reports whether the connection had been in the pool before the current request,
-// so that a late response to an earlier one can arrive on it.
-func (c *Conn) Reused() bool { return c.reused }
-
 // Wrote reports whether any byte of the current request may have been sent.
 func (c *Conn) Wrote() bool { return c.wrote }
 
--- a/plumbing/connpool/pool.go
+++ b/plumbing/connpool/pool.go
@@ -88,7 +88,7 @@
 			break
 		}
 		if c.checkIdle() == nil {
-			c.wrote, c.reused = false, true
+			c.wrote = false
 			return c, nil
 		}
 		c.Close()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -30,6 +30,7 @@
 	203, 208, // a log line written after the log writer was closed caused a panic at exit
 	301,                                                        // an error answer instead of the rest of a stream ended the stream as complete
 	612, 616, 617, 619, 625, 627, 632, 634, 635, 639, 644, 649, // a stream continued after an endless answer that had been cut
+	4035, // a refusal that names no request, on a new connection, was taken for this request's
 }
 
 // drainTime is the time after which an upstream that told an instance that it leaves must
