--- a/review/harness/pause.go
+++ b/review/harness/pause.go
@@ -75,19 +75,17 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 	// Many users come at once, and a moment later the worker wants a pause.
-	var start time.Time
-	for range 90 {
+	for k := range 90 {
+		if trouble && k == 30 {
+			mu.Lock()
+			until = time.Now().Add(pauseLength)
+			mu.Unlock()
+			s.note("the worker turns requests away for %s", pauseLength)
+		}
 		send(s.instances[n%2], n)
 		n++
 		time.Sleep(10 * time.Millisecond)
 	}
-	if trouble {
-		mu.Lock()
-		start = time.Now()
-		until = start.Add(pauseLength)
-		mu.Unlock()
-		s.note("the worker turns requests away for %s", pauseLength)
-	}
 	time.Sleep(pauseLength + time.Second)
 	group.Wait()
 	ran := 0
