--- a/review/harness/refused.go
+++ b/review/harness/refused.go
@@ -19,10 +19,12 @@
 	// spoilEvery is the number of runs at the worker in trouble of which one has an answer
 	// without end.
 	spoilEvery = 20
+	// longBody is the length of a failure that ends.
+	longBody = 7 * 50_000
 )
 
 // endless503 lets one of two workers run some unsafe requests and answer them with a 503
-// that does not say that the request was not run, and whose body has no end.
+// that does not say that the request was not run, and whose body has no end or a late one.
 func endless503(s *system, trouble bool) ([]string, error) {
 	var mu sync.Mutex
 	runs := 0
@@ -37,10 +39,10 @@
 			mu.Lock()
 			ran[id] = w.id
 			sheet[name] = append(sheet[name], id)
-			spoil := false
+			spoil, nth := false, 0
 			if w.id == "app-1" {
 				runs++
-				spoil = trouble && runs%spoilEvery == 0
+				spoil, nth = trouble && runs%spoilEvery == 0, runs/spoilEvery
 			}
 			if spoil {
 				spoilt[id] = struct{}{}
@@ -50,6 +52,13 @@
 				fmt.Fprintf(rw, "signed up: %s", name)
 				return
 			}
+			if nth%2 == 0 {
+				s.note("worker %s has run %s and answers with 503 and a body of %d bytes", w.id, id, longBody)
+				rw.Header().Del(userplatform.HeaderSignature)
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				io.WriteString(rw, strings.Repeat("failed\n", longBody/7)) //nolint:errcheck // the caller may have left.
+				return
+			}
 			s.note("worker %s has run %s and answers with 503 and bytes without end", w.id, id)
 			writeWithoutEnd(rw, id)
 		}
@@ -94,7 +103,11 @@
 				}
 				promise := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
 				if promise && hasRun {
-					broken = append(broken, fmt.Sprintf("REFUSED: %s is answered %d (%q) and has run at %s", id, status, header, at))
+					how := "to the end of its body"
+					if err != nil {
+						how = "and its body breaks off"
+					}
+					broken = append(broken, fmt.Sprintf("REFUSED: %s is answered %d (ID %q, %s) and has run at %s", id, status, header, how, at))
 				}
 				mu.Unlock()
 				if !promise {
@@ -106,7 +119,7 @@
 		time.Sleep(120 * time.Millisecond)
 	}
 	group.Wait()
-	s.result("%d of %d sign-ups got a success; %d answers of app-1 had no end", served, signUps, len(spoilt))
+	s.result("%d of %d sign-ups got a success; %d answers of app-1 were such failures", served, signUps, len(spoilt))
 	for name, ids := range sheet {
 		if len(ids) > 1 {
 			s.result("%s is recorded %d times: %s", name, len(ids), strings.Join(ids, ", "))
