Review case 2: an order of the former leader arrives after a cut and is carried out

Cause: the wait for the answer to an order ends with a close and not a reset of its channel, so that the order stays under way.

--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -25,6 +25,14 @@
 	ran    bool
 }
 
+// orderCall is an order that reached a worker.
+type orderCall struct {
+	at            time.Time
+	holder, model string
+	token         uint64
+	status        int
+}
+
 // worker is a stand-in of a worker that follows the users' pages: a plain service, or a
 // model worker if loadTime is set.
 type worker struct {
@@ -33,6 +41,8 @@
 	slots       int
 	coldTime    time.Duration // for which it is cold after a start
 	loadTime    time.Duration // of one model
+	disk        []string      // models that it keeps on its disk
+	through     string        // address in its entry, if that is not its own
 	// serve answers a request that the worker accepts to run. The headers that all
 	// answers have are set.
 	serve func(w http.ResponseWriter, r *http.Request)
@@ -46,7 +56,8 @@
 	entries   int64
 	coldUntil time.Time
 	models    []string
-	orders    int64
+	orders    int64 // accepted ones
+	calls     []orderCall
 	busy      bool
 	arrivals  []arrival
 }
@@ -102,6 +113,12 @@
 	if w.loadTime > 0 {
 		entry["models"] = w.modelList()
 	}
+	if w.disk != nil {
+		entry["atHand"] = map[string]any{"inMemory": []string{}, "onDisk": w.disk}
+	}
+	if w.through != "" {
+		entry["address"] = w.through
+	}
 	w.mu.Unlock()
 	return w.s.store.Put("servers", w.id, entry)
 }
@@ -202,6 +219,7 @@
 		born := w.born
 		time.AfterFunc(w.loadTime, func() { w.finish(born, o.Operation, o.Model) })
 	}
+	w.calls = append(w.calls, orderCall{time.Now(), o.Holder, o.Model, o.FencingToken, status})
 	w.s.note("worker %s gets the order %s %s of %s (generation %d): %d", w.id, o.Operation, o.Model, o.Holder, o.FencingToken, status)
 	rw.WriteHeader(status)
 }
