--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -12,7 +12,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/node/sample"
@@ -157,11 +156,6 @@
 	return nil
 }
 
-func (i *instance) signal(s syscall.Signal) {
-	i.s.note("process %s gets signal %v", i.name, s)
-	i.cmd.Process.Signal(s) //nolint:errcheck // it may have ended.
-}
-
 // ended reports whether the process has ended.
 func (i *instance) ended() bool {
 	select {
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -14,9 +14,6 @@
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
 
-// heartbeat is how often workers write their entries, as in the users' deployments.
-const heartbeat = 1200 * time.Millisecond
-
 // arrival is a request that reached a worker.
 type arrival struct {
 	at     time.Time
