Judge an upstream's answer by its head, before any of its body is read

Cause: the status and the signature of failures were checked after the body, and a body too long for the buffer took a path without the check. Any status passed on it, unsigned failures too, and failures of requests that may be repeated were not repeated. A slow body without end held the caller to its deadline.

Change: verdict.Answer.Judge decides by the head alone, without I/O, and is asked once for each answer. The end of a body that is not passed on is not awaited.

Packages node, gateway, verdict, filter and platform pass.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -27,6 +27,8 @@
 	writeSlack = time.Second
 	// crashCheckTimeout bounds the check whether an upstream has crashed.
 	crashCheckTimeout = 300 * time.Millisecond
+	// drainTimeout bounds the time to read the body of an answer that is not passed on.
+	drainTimeout = 50 * time.Millisecond
 	// eventStream is the media type of streams.
 	eventStream = "text/event-stream"
 )
@@ -107,41 +109,44 @@
 	if err != nil {
 		return x.failed(ctx, err, false)
 	}
-	defer resp.Body.Close()
+	// The body is not closed: that would read on to its end. The connection is closed
+	// unless the body has been read.
 	head := x.Dialect.ReadResponse(resp.StatusCode, resp.Header)
 	if head.HasLoad {
 		x.observe.onLoad(head.Load)
 	}
-	success := resp.StatusCode >= 200 && resp.StatusCode < 300
-	x.observe.onHead(head, success)
-	if head.NotRun && head.ID != x.r.ID {
-		// Upstreams echo the ID. Without it the refusal may be that of another request,
-		// while the upstream runs this one.
-		x.conn.MarkBroken()
-		return x.failed(ctx, fmt.Errorf("%w: refusal that names no request", errInvalid), false)
+	answer := verdict.Answer{
+		Status: resp.StatusCode, Own: head.ID == x.r.ID, Signed: head.Signed, NotRun: head.NotRun,
+		Encoded: resp.Header.Get("Content-Encoding") != "", Events: strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream),
 	}
-	if head.NotRun {
+	x.observe.onHead(head, answer.Success())
+	use, problem := answer.Judge(verdict.Expected{Events: x.r.Route.Kind == fleet.Streaming, Begun: x.r.Writer.Begun()})
+	switch use {
+	case verdict.Decline:
 		return x.declined(resp, head)
-	}
-	if x.r.Writer.Begun() && !(success && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)) {
-		// The caller already has part of a stream: only its remainder may follow.
-		x.conn.MarkBroken()
-		return x.streamFailed(ctx, fmt.Errorf("%w: status %d in place of the rest of a stream", errInvalid, resp.StatusCode))
-	}
-	switch {
-	case success && (!head.Signed || head.ID != x.r.ID || resp.Header.Get("Content-Encoding") != ""):
-		x.conn.MarkBroken()
-		return x.failed(ctx, errInvalid, false)
-	case success && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream):
+	case verdict.PassEvents:
 		return x.relayStream(ctx, resp)
-	case success && x.r.Route.Kind == fleet.Streaming:
-		x.conn.MarkBroken()
-		return x.failed(ctx, fmt.Errorf("%w: no stream of events", errInvalid), false)
+	case verdict.PassBody:
+		return x.relayBody(ctx, resp)
 	default:
-		return x.relayBuffered(ctx, resp, head, success)
+		return x.discarded(ctx, head, problem)
 	}
 }
 
+// discarded returns the result of an answer of which nothing may reach the caller.
+func (x *exchange) discarded(ctx context.Context, head ResponseHead, problem string) sendResult {
+	x.conn.MarkBroken()
+	cause := fmt.Errorf("%w: %s", errInvalid, problem)
+	if x.r.Writer.Begun() {
+		return x.streamFailed(ctx, cause)
+	}
+	result := x.failed(ctx, cause, false)
+	if head.Pause > 0 && result.outcome == dispatch.Failed {
+		result.outcome = dispatch.Full // it turned the request away and is no failing upstream
+	}
+	return result
+}
+
 // request returns the request to send to the upstream.
 func (x *exchange) request(left time.Duration) *connpool.Request {
 	header := http.Header{}
@@ -164,8 +169,7 @@
 // according to its response.
 func (x *exchange) declined(resp *http.Response, head ResponseHead) sendResult {
 	x.r.Attempt.MarkNotRun()
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered))
-	clean := err == nil && n < maxBuffered
+	clean := x.drain(resp)
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		cause := fmt.Errorf("%w: response from %q", errAbsent, head.Upstream)
 		return sendResult{
@@ -179,6 +183,17 @@
 	}
 }
 
+// drain reads the body of an answer that is not passed on, and reports whether the
+// connection can be used again. The head has told the result, so that the caller does not
+// wait for a body that is long or late.
+func (x *exchange) drain(resp *http.Response) bool {
+	if err := x.conn.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered))
+	return err == nil && n < maxBuffered
+}
+
 func (x *exchange) callerGone(outcome dispatch.Outcome, notRun bool) sendResult {
 	return sendResult{err: x.r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection"), outcome: outcome, notRun: notRun}
 }
@@ -215,37 +230,35 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// relayBuffered relays a response that is not a stream. The response is buffered
-// until it is complete.
-func (x *exchange) relayBuffered(ctx context.Context, resp *http.Response, head ResponseHead, success bool) sendResult {
+// relayBody relays a response that is not a stream. A failure that may be replaced by a
+// retry is not relayed. Others are buffered until they are complete, unless they are too
+// long for that.
+func (x *exchange) relayBody(ctx context.Context, resp *http.Response) sendResult {
+	if resp.StatusCode >= http.StatusInternalServerError && x.mayRetryElsewhere(resp.StatusCode) {
+		x.observe.onFirst()
+		return sendResult{
+			err:     x.r.Attempt.Refuse(verdict.UpstreamFailed, "upstream %s answered %d", x.u.ID, resp.StatusCode),
+			outcome: dispatch.Failed, reusable: x.drain(resp),
+		}
+	}
 	var buffered bytes.Buffer
 	n, err := io.Copy(&buffered, io.LimitReader(resp.Body, maxBuffered))
 	if err != nil {
 		return x.failed(ctx, err, false)
 	}
+	x.observe.onFirst()
 	if n == maxBuffered {
 		return x.relayLarge(ctx, resp, &buffered)
 	}
-	x.observe.onFirst()
-	if !success && !head.Signed || notRunStatuses[resp.StatusCode] {
-		// The response is unsigned, or its status would guarantee to the caller
-		// that the request did not run although it did.
-		result := x.failed(ctx, fmt.Errorf("%w: status %d", errInvalid, resp.StatusCode), false)
-		if head.Pause > 0 {
-			result.outcome = dispatch.Full // it turned the request away and is no failing upstream
-		}
-		return result
-	}
-	if resp.StatusCode >= http.StatusInternalServerError && x.mayRetryElsewhere(resp.StatusCode) {
-		return sendResult{
-			err:     x.r.Attempt.Refuse(verdict.UpstreamFailed, "upstream %s answered %d", x.u.ID, resp.StatusCode),
-			outcome: dispatch.Failed,
-		}
-	}
 	x.writeHead(resp)
 	if err := x.r.Writer.WriteAll(resp.StatusCode, buffered.Bytes()); err != nil {
 		return x.callerGone(dispatch.Neutral, false)
 	}
+	return relayed(resp)
+}
+
+// relayed returns the result of a response that was relayed completely.
+func relayed(resp *http.Response) sendResult {
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return sendResult{outcome: dispatch.Failed}
 	}
@@ -261,7 +274,6 @@
 
 // relayLarge relays a response that is too large to be buffered.
 func (x *exchange) relayLarge(ctx context.Context, resp *http.Response, buffered *bytes.Buffer) sendResult {
-	x.observe.onFirst()
 	x.writeHead(resp)
 	if resp.ContentLength >= 0 {
 		x.r.Writer.Header().Set("Content-Length", fmt.Sprint(resp.ContentLength))
@@ -280,7 +292,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			x.r.Writer.MarkComplete()
-			return sendResult{outcome: dispatch.Served, framed: !unframed(resp)}
+			return relayed(resp)
 		}
 		if err != nil {
 			return x.truncated(ctx, err)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -71,17 +71,10 @@
 	return r, nil
 }
 
-// notRunStatuses holds the statuses that guarantee to a caller that its request
-// has not run and will not run.
-var notRunStatuses = map[int]bool{
-	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
-	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
-}
-
 // Refuse implements request.Surface.
 func (h *Handler) Refuse(w *request.Writer, refusal *verdict.Refusal) error {
 	status := refusal.Status()
-	if notRunStatuses[status] && refusal.Verdict() != verdict.NotRun {
+	if verdict.PromisesNotRun(status) && refusal.Verdict() != verdict.NotRun {
 		status = http.StatusBadGateway
 	}
 	body, err := json.Marshal(verdict.Describe(refusal))
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -94,7 +94,8 @@
 	running     int
 	sequence    int64
 	state       string
-	faults      []Fault // of the next requests, one each
+	faults      []Fault     // of the next requests, one each
+	rawAnswers  []RawAnswer // to the next requests that run, one each
 	arrivals    []Arrival
 	limits      []namedLimit // oldest first
 	pauseEnd    time.Time
@@ -243,7 +244,7 @@
 func (u *Upstream) ClearFaults() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.faults = nil
+	u.faults, u.rawAnswers = nil, nil
 }
 
 // SetPace sets the number of events in a stream and the duration of each.
@@ -361,6 +362,13 @@
 	if _, work := u.currentPace(); !duration.Sleep(r.Context(), work) {
 		return
 	}
+	if a, ok := u.nextRawAnswer(); ok && a.Endless != "" {
+		writeEndlessly(w, a.Text, a.Endless, a.Pause)
+		return
+	} else if ok {
+		sendRaw(w, a.Text)
+		return
+	}
 	switch fault {
 	case ResetAfter:
 		sendRaw(w, "")
@@ -458,41 +466,3 @@
 // resetDelay is the time between the last bytes of a response and the reset of its
 // connection.
 const resetDelay = 20 * time.Millisecond
-
-// writeEndlessly writes start and then repeats piece until the caller
-// disconnects. It sleeps for pause between writes.
-func writeEndlessly(w http.ResponseWriter, start, piece string, pause time.Duration) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	if pause == 0 {
-		piece = strings.Repeat(piece, endlessWriteBytes/len(piece))
-	}
-	_, err = io.WriteString(conn, start)
-	for err == nil {
-		_, err = io.WriteString(conn, piece)
-		time.Sleep(pause)
-	}
-}
-
-// endlessWriteBytes is the approximate size of one write of an endless response.
-const endlessWriteBytes = 32 << 10
-
-// sendRaw writes raw bytes and closes the connection. If raw is empty, it resets
-// the connection instead.
-func sendRaw(w http.ResponseWriter, raw string) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	if raw == "" {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			tcp.SetLinger(0) //nolint:errcheck // resets the connection if possible.
-		}
-		return
-	}
-	io.WriteString(conn, raw) //nolint:errcheck // the caller may have disconnected.
-}
