Let a deadly part replace the quarantined parts of sessions

Cause: of causes with the same crashes the more specific one is quarantined, here the session's part, which is a guess until the crashes differ. From then on it explained these crashes for good, so that the evidence against the part that all of them share began at nothing with each session. Any group of three requests with something more specific in common hides a part so: sessions in sessions, one request repeated by its caller, and a part that was sound before.

Ruled out: lost evidence (the simulation loses no report and shows the same) and late verdicts (the log has a verdict on a session after each three crashes, none on the part).

Change: a part that was present at the crashes of quarantined causes, and at more than they, replaces them; their quarantine ends at once at all instances. The leader also judges at its first step after suspects have settled; it missed that time if it had no step in 50 ms.

--- a/decision/quarantine/judge.go
+++ b/decision/quarantine/judge.go
@@ -18,6 +18,10 @@
 	// provenSpan apart, since many upstreams can crash at once for other reasons.
 	provenCrashes = 4
 	provenSpan    = 2 * time.Second
+	// A cause that has been successful and replaces quarantined ones needs more of both: it
+	// was shared by the requests that they explain, whether it crashes upstreams or not.
+	replacingCrashes = 5
+	replacingSpan    = 4 * time.Second
 	// coincidence is the time within which crashes count as one against a part: a rack or
 	// a data centre fails at once, and the first requests with a part come in bursts. One
 	// request that has never been successful is at several of its upstreams at once only
@@ -48,18 +52,24 @@
 	succeeded bool
 	// in holds the indices of the crashes, in the order of their time.
 	in []int
+	// replaces holds the quarantined causes whose crashes this cause explains better.
+	replaces []Cause
 }
 
 // compare orders evidence, the strongest first. Causes that have never been successful go
 // first: many requests share the others, so that they are present at most crashes. Of
 // causes with the same crashes the more specific one goes first, since fewer sound
-// requests share it.
+// requests share it. That choice has been wrong where quarantined causes are replaced, so
+// that of those without a success the less specific one goes first there: to keep it from
+// upstreams covers the other as well.
 func (s support) compare(o support) int {
 	switch {
 	case s.succeeded != o.succeeded && s.succeeded:
 		return 1
 	case s.succeeded != o.succeeded:
 		return -1
+	case !s.succeeded && s.crashes == o.crashes && len(s.replaces) > 0 && len(o.replaces) > 0:
+		return cmp.Compare(s.specificity, o.specificity)
 	}
 	return cmp.Or(cmp.Compare(o.crashes, s.crashes), cmp.Compare(o.specificity, s.specificity))
 }
@@ -70,8 +80,8 @@
 	switch {
 	case l.changed:
 		interval = minJudgeInterval
-	case now.Sub(l.suspectedAt) < settleTime+settleInterval:
-		interval = settleInterval
+	case l.judgedAt.Sub(l.suspectedAt) < settleTime:
+		interval = settleInterval // the evidence has not been judged since suspects settled
 	}
 	if now.Sub(l.judgedAt) < interval {
 		return nil
@@ -87,13 +97,30 @@
 			return found
 		}
 		for _, s := range guilty {
-			l.verdicts[s.cause] = verdict{strikes: 1, at: s.last, until: max(s.last, now).Add(term(1))}
-			delete(l.released, s.cause)
+			l.quarantine(now, s)
 			found = append(found, s.cause)
 		}
 	}
 }
 
+// quarantine begins the quarantine of a cause and ends that of the causes which it
+// replaces.
+func (l *Ledger) quarantine(now bootclock.Time, s support) {
+	at := s.last
+	if _, known := l.released[s.cause]; known {
+		at = now // other instances ignore a verdict that is older than the release
+	}
+	l.verdicts[s.cause] = verdict{strikes: 1, at: at, until: max(s.last, now).Add(term(1))}
+	delete(l.released, s.cause)
+	for _, cause := range s.replaces {
+		// No sound request shares a whole request, and a failed trial is evidence of its own.
+		if cause.Kind == PromptPart && l.verdicts[cause].strikes == 1 {
+			delete(l.verdicts, cause)
+			l.released[cause] = now
+		}
+	}
+}
+
 // suspect updates the causes for whose successes the instances are asked.
 func (l *Ledger) suspect(now bootclock.Time, all []support) {
 	suspects := map[Cause]bootclock.Time{}
@@ -137,45 +164,108 @@
 	if len(l.verdicts) >= maxVerdicts || !suspect || now.Sub(since) < settleTime {
 		return false
 	}
-	if !s.succeeded {
+	switch span := s.last.Sub(s.first); {
+	case !s.succeeded:
 		return s.crashes >= minCrashes
+	case len(s.replaces) > 0:
+		return s.crashes >= replacingCrashes && span >= replacingSpan
+	default:
+		return s.crashes >= provenCrashes && span >= provenSpan
 	}
-	return s.crashes >= provenCrashes && s.last.Sub(s.first) >= provenSpan
 }
 
-// supports returns the evidence against each cause, the strongest first. Crashes that a
-// quarantined cause explains are no evidence against others, nor are those before a
-// cause's last success.
+// supports returns the evidence against each cause, the strongest first. Crashes before a
+// cause's last success are no evidence against it, nor are those that a quarantined cause
+// explains, unless this one replaces it.
 func (l *Ledger) supports(now bootclock.Time) []support {
 	crashes := slices.SortedFunc(maps.Values(l.crashes), func(a, b *crash) int { return int(a.at.Sub(b.at)) })
-	all := map[Cause]support{}
+	all := map[Cause]*support{}
 	for i, c := range crashes {
-		if l.explained(c) {
-			continue
-		}
 		for cause, specificity := range c.causes {
 			if !c.at.After(l.successes.get(cause)) {
 				continue
 			}
 			s := all[cause]
-			if s.crashes == 0 {
-				s.cause, s.first, s.succeeded = cause, c.at, l.succeeded(now, cause)
-			}
-			if s.crashes == 0 || cause.Kind == WholeRequest || c.at.Sub(s.last) > coincidence {
-				s.crashes++
-				s.last = c.at
+			if s == nil {
+				s = &support{cause: cause, succeeded: l.succeeded(now, cause)}
+				all[cause] = s
 			}
 			s.specificity = max(s.specificity, specificity)
 			s.in = append(s.in, i)
-			all[cause] = s
 		}
 	}
-	return slices.SortedFunc(maps.Values(all), func(a, b support) int { return cmp.Or(a.compare(b), a.cause.compare(b.cause)) })
+	for cause, s := range all {
+		if cause.Kind == PromptPart { // nothing is more specific than a whole request
+			s.replaces = l.replaced(s, crashes, all)
+		}
+	}
+	var list []support
+	for cause, s := range all {
+		if _, quarantined := l.verdicts[cause]; quarantined {
+			continue
+		}
+		s.in = slices.DeleteFunc(s.in, func(i int) bool { return l.explained(crashes[i], s.replaces) })
+		if len(s.in) > 0 {
+			s.count(crashes)
+			list = append(list, *s)
+		}
+	}
+	slices.SortFunc(list, func(a, b support) int { return cmp.Or(a.compare(b), a.cause.compare(b.cause)) })
+	return list
+}
+
+// count counts the crashes of the evidence.
+func (s *support) count(crashes []*crash) {
+	s.first = crashes[s.in[0]].at
+	for _, i := range s.in {
+		if at := crashes[i].at; s.crashes == 0 || s.cause.Kind == WholeRequest || at.Sub(s.last) > coincidence {
+			s.crashes++
+			s.last = at
+		}
+	}
+}
+
+// replaced returns the quarantined causes that a cause replaces: it was present at enough
+// of their crashes to be quarantined for them, and at more crashes than they. Requests
+// with a part that crashes upstreams can come in groups with another part each; the part
+// of a group is quarantined first, being more specific, and would otherwise explain the
+// crashes of its group for good. A crash that no quarantined cause explains shows that
+// the causes in quarantine are not all there is; for a cause that has been successful, and
+// so was shared by sound requests, a second group does.
+func (l *Ledger) replaced(s *support, crashes []*crash, all map[Cause]*support) []Cause {
+	shared, unexplained := map[Cause]int{}, false
+	for _, i := range s.in {
+		explained := false
+		for cause := range crashes[i].causes {
+			if _, ok := l.verdicts[cause]; ok {
+				shared[cause]++
+				explained = true
+			}
+		}
+		unexplained = unexplained || !explained
+	}
+	var replaced []Cause
+	for cause, n := range shared {
+		v := all[cause]
+		if v == nil || len(s.in) <= len(v.in) {
+			continue
+		}
+		// An instance that restarts forgets the crashes that it alone has observed.
+		if n >= minCrashes || n == len(v.in) && l.verdicts[cause].strikes == 1 {
+			replaced = append(replaced, cause)
+		}
+	}
+	if !unexplained && !(s.succeeded && len(replaced) > 1) {
+		return nil
+	}
+	return replaced
 }
 
-func (l *Ledger) explained(c *crash) bool {
+// explained reports whether a quarantined cause other than the given ones was present at a
+// crash.
+func (l *Ledger) explained(c *crash, except []Cause) bool {
 	for cause := range c.causes {
-		if _, ok := l.verdicts[cause]; ok {
+		if _, ok := l.verdicts[cause]; ok && !slices.Contains(except, cause) {
 			return true
 		}
 	}
--- a/decision/quarantine/simulation_test.go
+++ b/decision/quarantine/simulation_test.go
@@ -46,6 +46,10 @@
 	next  int
 	sound int // sound requests that were refused
 	total int // sound requests
+	// restarts holds the time of the last restart of an instance. With inTouch set, sends of
+	// an instance within simGrace after it do not count.
+	restarts map[int]bootclock.Time
+	inTouch  bool
 }
 
 type simUpstream struct {
@@ -88,7 +92,7 @@
 	r := &simRequest{instance: i, causes: causes}
 	u.running = append(u.running, r)
 	started := u.started
-	if deadly != nil {
+	if restarted, ok := s.restarts[i]; deadly != nil && !(s.inTouch && ok && s.now.Sub(restarted) < simGrace) {
 		s.sends[*deadly] = append(s.sends[*deadly], s.now)
 	}
 	s.after(simBegin, func() {
@@ -177,12 +181,26 @@
 // run plays the load, with causes of the given kind that crash upstreams. The leader is
 // lost at each of the given times.
 func (s *simulation) run(perSecond, deadlyShare float64, kind quarantine.Kind, lost []time.Duration) {
-	for end := s.now.Add(simLength); s.now.Before(end); s.now = s.now.Add(simStep) {
-		elapsed := simLength - end.Sub(s.now)
+	s.play(simLength, 0, lost, func(elapsed time.Duration) {
+		for range s.poisson(perSecond * simStep.Seconds()) {
+			if elapsed > simQuiet && s.random.Float64() < deadlyShare {
+				s.sendDeadly(kind)
+			} else {
+				s.send(s.drawRequest(), nil)
+			}
+		}
+	})
+}
+
+// play calls send in each step and sends sound requests at the given rate beside it.
+func (s *simulation) play(length time.Duration, soundPerSecond float64, lost []time.Duration, send func(elapsed time.Duration)) {
+	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(simStep) {
+		elapsed := length - end.Sub(s.now)
 		for len(lost) > 0 && elapsed >= lost[0] {
 			lost = lost[1:]
 			if s.leader >= 0 {
 				s.instances[s.leader] = quarantine.NewLedger() // its process has been restarted
+				s.restarts[s.leader] = s.now
 			}
 			s.leader, s.electAt = -1, s.now.Add(simElect)
 		}
@@ -196,13 +214,12 @@
 			f()
 		}
 		delete(s.events, s.now)
-		for range s.poisson(perSecond * simStep.Seconds()) {
-			if elapsed > 4*time.Second && s.random.Float64() < deadlyShare {
-				s.sendDeadly(kind)
-			} else {
+		if soundPerSecond > 0 {
+			for range s.poisson(soundPerSecond * simStep.Seconds()) {
 				s.send(s.drawRequest(), nil)
 			}
 		}
+		send(elapsed)
 	}
 }
 
@@ -259,13 +276,7 @@
 		for _, kind := range []quarantine.Kind{quarantine.PromptPart, quarantine.WholeRequest} {
 			for seed := range uint64(3) {
 				t.Run(fmt.Sprintf("%d instances kind %d share %g lost %d seed %d", c.instances, kind, c.share, len(c.lost), seed), func(t *testing.T) {
-					s := &simulation{
-						t: t, random: rand.New(rand.NewPCG(seed, 7)), now: start, upstreams: make([]simUpstream, c.upstreams),
-						events: map[bootclock.Time][]func(){}, crashes: map[quarantine.Cause][]bootclock.Time{}, sends: map[quarantine.Cause][]bootclock.Time{},
-					}
-					for range c.instances {
-						s.instances = append(s.instances, quarantine.NewLedger())
-					}
+					s := newSimulation(t, c.instances, c.upstreams, rand.New(rand.NewPCG(seed, 7)))
 					s.run(c.perSecond, c.share, kind, c.lost)
 					s.check()
 				})
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -155,6 +155,31 @@
 	}
 }
 
+// Guards against a part that crashes upstreams and is hidden by the parts of sessions: four
+// requests with it come in one session, then four in the next one, and a sound request goes
+// on with each session.
+func TestPromptPartBehindSessionsIsKeptFromUpstreams(t *testing.T) {
+	s := newCrashSystem(t, "crashing")
+	const perSession = 4
+	sent, goesOn := 0, -1
+	answers := s.sendDrawn(crashLoad+2*time.Second, func(i int, random *rand.Rand) (request, bool) {
+		r, parts := draftRequest("letters"), fmt.Sprintf("instructions-%d:30,session-%d:30", i%4, random.IntN(10))
+		crashing := i > 40 && i%20 == 0
+		switch {
+		case crashing:
+			parts = fmt.Sprintf("crashing:30,group-%d:30", sent/perSession)
+			if sent++; sent%perSession == 0 {
+				goesOn = i + 10
+			}
+		case i == goesOn:
+			parts = fmt.Sprintf("instructions-0:30,group-%d:30", sent/perSession-1)
+		}
+		r.prefix = fmt.Sprintf("first:50,%s,own-%d:20", parts, i)
+		return r, crashing
+	})
+	s.checkCrashes(answers, -1)
+}
+
 // Guards against one request that crashes one upstream after the other, with all kinds of
 // routes, while other requests share its caller, its path or all parts of its prompt, and
 // against a request that is asked often and refused because it stands beside crashes.
