Send nothing late in a planned stop, and answer what outlasts it

Cause: what may still be sent was decided when the head of a request arrived, by a fixed time, and connections were closed under requests whose answer had not begun.

Change: new requests are refused after 2.8 s or 0.35 of the grace period, whichever is less; the choice of the upstream refuses requests that have not been sent after half of it; at its end requests are cancelled and get 503 if they have not run, 502 otherwise, unless a stream has begun.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -74,7 +74,7 @@
 	cancel()
 	if err != nil {
 		if ctx.Err() != nil {
-			return x.callerGone(dispatch.Neutral, true)
+			return x.canceled(ctx, true)
 		}
 		refusal := r.Attempt.Refuse(verdict.UpstreamFailed, "upstream %s can't be reached", u.ID).WithCause(err)
 		if r.Attempt.Verdict() == verdict.NotRun {
@@ -194,14 +194,20 @@
 	return err == nil && n < maxBuffered
 }
 
-func (x *exchange) callerGone(outcome dispatch.Outcome, notRun bool) sendResult {
-	return sendResult{err: x.r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection"), outcome: outcome, notRun: notRun}
+// canceled returns the result of a send that was given up because ctx is done.
+func (x *exchange) canceled(ctx context.Context, notRun bool) sendResult {
+	return sendResult{err: x.r.canceled(ctx), outcome: dispatch.Neutral, notRun: notRun}
+}
+
+// callerGone returns the result of a send whose answer the caller does not take.
+func (x *exchange) callerGone() sendResult {
+	return sendResult{err: x.r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection"), outcome: dispatch.Neutral}
 }
 
 // failed returns the result of a send without a complete response.
 func (x *exchange) failed(ctx context.Context, cause error, notRun bool) sendResult {
 	if ctx.Err() != nil {
-		return x.callerGone(dispatch.Neutral, notRun)
+		return x.canceled(ctx, notRun)
 	}
 	if x.r.TimeLeft(bootclock.Now()) <= 0 {
 		return sendResult{err: x.r.Attempt.Refuse(verdict.DeadlineExceeded, "no complete answer in time").WithCause(cause), outcome: dispatch.Neutral}
@@ -252,7 +258,7 @@
 	}
 	x.writeHead(resp)
 	if err := x.r.Writer.WriteAll(resp.StatusCode, buffered.Bytes()); err != nil {
-		return x.callerGone(dispatch.Neutral, false)
+		return x.callerGone()
 	}
 	return relayed(resp)
 }
@@ -280,14 +286,14 @@
 	}
 	x.r.Writer.WriteHeader(resp.StatusCode)
 	if err := x.r.Writer.Send(buffered.Bytes(), true); err != nil {
-		return x.callerGone(dispatch.Neutral, false)
+		return x.callerGone()
 	}
 	chunk := make([]byte, 32<<10)
 	for {
 		n, err := resp.Body.Read(chunk)
 		if n > 0 {
 			if err := x.r.Writer.Send(chunk[:n], true); err != nil {
-				return x.callerGone(dispatch.Neutral, false)
+				return x.callerGone()
 			}
 		}
 		if errors.Is(err, io.EOF) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -148,8 +149,8 @@
 	// FirstEventDeadline is when the caller abandons a stream that has not
 	// delivered an event. For routes of other kinds it equals Deadline.
 	FirstEventDeadline bootclock.Time
-	// Quit is closed when the instance refuses the requests that still wait for
-	// an upstream.
+	// Quit is closed when the instance refuses the requests that no upstream has
+	// received.
 	Quit <-chan struct{}
 
 	View      *fleet.View
@@ -206,6 +207,29 @@
 	return r.crashCauses
 }
 
+// mustQuit reports whether the instance refuses requests that no upstream has received.
+func (r *Request) mustQuit() bool {
+	select {
+	case <-r.Quit:
+		return true
+	default:
+		return false
+	}
+}
+
+// canceled returns the refusal of a request whose context is done: its caller has left, or
+// this instance ends.
+func (r *Request) canceled(ctx context.Context) *verdict.Refusal {
+	if !errors.Is(context.Cause(ctx), errEnded) {
+		return r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection")
+	}
+	refusal := r.Attempt.Refuse(verdict.Draining, "this instance ended before the answer")
+	if refusal.Verdict() == verdict.NotRun {
+		refusal.RetryAfter = drainingRetryAfter
+	}
+	return refusal
+}
+
 // Next and Filter are the types of this package's filter chain.
 type (
 	Next   = chain.Next[*Request]
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -28,11 +30,15 @@
 	active   atomic.Int64
 	quitOnce sync.Once
 	quit     chan struct{}
+	// ended is cancelled when the requests in flight are ended.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // NewHandler returns a handler for callers that use the given dialect.
 func NewHandler(dialect Dialect, chain Next, logger log.Interface, set *metrics.Set) *Handler {
 	h := &Handler{dialect: dialect, quit: make(chan struct{})}
+	h.ended, h.end = context.WithCancel(context.Background())
 	h.server = &request.Server[*Request]{Surface: h, Chain: chain, Log: logger, Metrics: set}
 	return h
 }
@@ -43,9 +49,15 @@
 // Close makes the handler refuse all further requests.
 func (h *Handler) Close() { h.closing.Store(true) }
 
-// RefuseWaiting refuses the requests that are still waiting for an upstream.
+// RefuseWaiting refuses the requests that no upstream has received, now and later.
 func (h *Handler) RefuseWaiting() { h.quitOnce.Do(func() { close(h.quit) }) }
 
+// EndRequests ends the requests in flight. Those whose answer has not begun are refused.
+func (h *Handler) EndRequests() { h.end() }
+
+// errEnded is the cause of the cancellation of requests by EndRequests.
+var errEnded = errors.New("this instance ends")
+
 // Active returns the number of requests in flight.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
@@ -53,7 +65,10 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	h.server.ServeHTTP(w, hr)
+	ctx, cancel := context.WithCancelCause(hr.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(h.ended, func() { cancel(errEnded) })()
+	h.server.ServeHTTP(w, hr.WithContext(ctx))
 }
 
 // Open implements request.Surface.
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -174,7 +174,7 @@
 	}
 	grant, err := f.Limits.TakeSend(ctx, u, r.maxSendWait(bootclock.Now()))
 	if ctx.Err() != nil {
-		return false, r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection")
+		return false, r.canceled(ctx)
 	}
 	now := bootclock.Now()
 	if err != nil {
@@ -258,6 +258,9 @@
 		if refusal := f.checkCauses(now, r); refusal != nil {
 			return nil, refusal
 		}
+		if r.mustQuit() {
+			return nil, r.Attempt.Refuse(verdict.Draining, "this instance is about to end").WithRetryAfter(drainingRetryAfter)
+		}
 		view := f.State.View()
 		f.mu.Lock()
 		f.balancer.Members, f.balancer.Limits = f.State.Members(), f.Limits
@@ -283,10 +286,8 @@
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return nil, r.Attempt.Refuse(verdict.CallerGone, "the caller closed the connection")
+			return nil, r.canceled(ctx)
 		case <-r.Quit:
-			timer.Stop()
-			return nil, r.Attempt.Refuse(verdict.Draining, "this instance is about to end").WithRetryAfter(drainingRetryAfter)
 		case <-changed:
 		case <-timer.C:
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -126,7 +126,7 @@
 	x.observe.onFirst()
 	x.r.recordEvent(bootclock.Now())
 	if err := x.r.Writer.Send(whole, true); err != nil {
-		return x.callerGone(dispatch.Neutral, false), false
+		return x.callerGone(), false
 	}
 	x.r.LastEventID = events.LastID
 	return sendResult{}, true
--- a/node/node.go
+++ b/node/node.go
@@ -46,13 +46,15 @@
 	// sweepInterval is the time between removals of old idle connections and of the
 	// history of removed upstreams.
 	sweepInterval = 2 * time.Second
-	// closeAfter is the time from the start of a shutdown after which new requests
-	// are refused: the platform detects lost readiness within two seconds, and an
-	// answer to a later request might not complete in the grace period.
+	// closeAfter is the longest time from the start of a shutdown after which new requests
+	// are refused: the platform detects lost readiness within two seconds. It is at most
+	// closeShare of the grace period, since an answer to a later request might not complete
+	// in the rest.
 	closeAfter = 2800 * time.Millisecond
-	// refusalReserve is the time before exitReserve begins from which waiting
-	// requests are refused.
-	refusalReserve = 400 * time.Millisecond
+	closeShare = 0.35
+	// waitShare is the share of the grace period after which requests that have not been
+	// sent to an upstream are refused, so that their callers can go elsewhere.
+	waitShare = 0.5
 	// exitReserve is the part of the grace period reserved for closing connections.
 	exitReserve = 500 * time.Millisecond
 	// pollInterval is the time between checks for the first desired state during
@@ -309,25 +311,27 @@
 	n.draining.Store(true)
 	n.handler.Drain()
 	n.coord.Resign()
-	limit := seconds(n.settings.Bounds.GraceS) - exitReserve
+	grace := n.settings.Bounds.GraceS
+	limit, closeAt := seconds(grace)-exitReserve, min(closeAfter, seconds(closeShare*grace))
 	closed := false
 	for {
 		elapsed := bootclock.Since(started)
-		if elapsed >= limit || (elapsed >= closeAfter && n.handler.Active() == 0) {
+		if elapsed >= limit || (elapsed >= closeAt && n.handler.Active() == 0) {
 			break
 		}
-		if elapsed >= closeAfter && !closed {
+		if elapsed >= closeAt && !closed {
 			closed = true
 			n.handler.Close()
 			for _, server := range n.allServers() {
 				server.SetKeepAlivesEnabled(false) // closes idle connections
 			}
 		}
-		if elapsed >= limit-refusalReserve {
+		if elapsed >= seconds(waitShare*grace) {
 			n.handler.RefuseWaiting()
 		}
 		time.Sleep(pollInterval)
 	}
+	n.handler.EndRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), exitReserve/3)
 	defer cancel()
 	for _, server := range slices.Backward(n.allServers()) {
--- a/standin/userplatform/engine.go
+++ b/standin/userplatform/engine.go
@@ -57,6 +57,13 @@
 	e.lostResponses = n
 }
 
+// SetLoadTime sets the duration of the loads of models that begin from now on.
+func (e *Engine) SetLoadTime(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.LoadTime = d
+}
+
 // Holders returns the holder field of each order, in the order of arrival.
 func (e *Engine) Holders() []string {
 	e.mu.Lock()
@@ -189,7 +196,7 @@
 	}
 	e.sequence++
 	e.busy = true
-	go e.completeOrder(o)
+	go e.completeOrder(o, e.LoadTime)
 	return http.StatusAccepted, loseResponse
 }
 
@@ -201,9 +208,9 @@
 	return n
 }
 
-func (e *Engine) completeOrder(o order) {
+func (e *Engine) completeOrder(o order, loadTime time.Duration) {
 	if o.Operation == "load" {
-		<-time.After(e.LoadTime)
+		<-time.After(loadTime)
 	}
 	e.mu.Lock()
 	if o.Operation == "load" {
