--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/node"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
 
@@ -59,6 +60,30 @@
 	}
 }
 
+// Guards the memory of the leader against engines that answer its calls with a body without
+// end: it asks all of them at once after it has taken the lead.
+func TestEndlessAnswersToTheLeaderAreNotKept(t *testing.T) {
+	s := newTestSystem(t, 2)
+	for i := len(s.engines); i < 24; i++ {
+		s.engines = append(s.engines, s.start(&userplatform.Upstream{
+			ID: fmt.Sprintf("engine-%d", i+1), Service: "engine", Zone: "north", Slots: 16, Events: 8, EventDuration: 2 * time.Millisecond,
+			Engine: &userplatform.Engine{ModelCapacity: 2, AdapterSlots: 4, LoadTime: 50 * time.Millisecond, Models: map[string][]string{"notices": nil}},
+		}))
+	}
+	for _, u := range s.engines[1:] {
+		u.Engine.AnswerCallsEndlessly()
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	s.nodes[0].Shutdown()
+	s.eventually("requests are served", func() bool { return s.send(1, draftRequest("notices")).status == http.StatusOK })
+	duration.Sleep(t.Context(), 3*time.Second) // several calls to each engine
+	runtime.ReadMemStats(&after)
+	if grown := after.Sys - min(before.Sys, after.Sys); grown > 184<<20 {
+		t.Errorf("the process grew by %d MiB, want at most 184, the memory of a weak instance", grown>>20)
+	}
+}
+
 // Guards against stalled streams that never end: bytes that form no event are no
 // progress, so the stream must end by the caller's deadline. A valid stream of the
 // same slow pace must not be cut.
--- a/plumbing/connpool/conn.go
+++ b/plumbing/connpool/conn.go
@@ -80,6 +80,8 @@
 	// request sent with Call has no ID, so a response that has this header
 	// belongs to another request.
 	IDHeader string
+	// MaxBody bounds the body of the response to Call in bytes. Default 16 MiB.
+	MaxBody int64
 }
 
 // Conn is one connection. It serves one request at a time.
--- a/plumbing/connpool/pool.go
+++ b/plumbing/connpool/pool.go
@@ -193,7 +193,7 @@
 	Body   []byte
 }
 
-// maxCallBody bounds the response body of a call in bytes.
+// maxCallBody is the default of Request.MaxBody.
 const maxCallBody = 16 << 20
 
 // Call sends one request and reads the whole response. Sent reports whether the
@@ -220,7 +220,11 @@
 		c.Close()
 		return nil, true, err
 	}
-	c.LimitRead(maxCallBody)
+	if r.MaxBody > 0 {
+		c.LimitRead(r.MaxBody)
+	} else {
+		c.LimitRead(maxCallBody)
+	}
 	body, err := io.ReadAll(head.Body)
 	if err != nil {
 		c.Close()
--- a/standin/userplatform/engine.go
+++ b/standin/userplatform/engine.go
@@ -38,6 +38,7 @@
 	holders       []string
 	overcommitted bool
 	lostResponses int // number of next orders whose response is lost
+	endlessCalls  bool
 	batch         batchState
 }
 
@@ -57,6 +58,14 @@
 	e.lostResponses = n
 }
 
+// AnswerCallsEndlessly makes the engine answer reports and orders with a body that
+// continues until the caller disconnects.
+func (e *Engine) AnswerCallsEndlessly() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endlessCalls = true
+}
+
 // SetLoadTime sets the duration of the loads of models that begin from now on.
 func (e *Engine) SetLoadTime(d time.Duration) {
 	e.mu.Lock()
@@ -127,6 +136,13 @@
 }
 
 func (e *Engine) handleControl(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	endless := e.endlessCalls
+	e.mu.Unlock()
+	if endless {
+		writeEndlessly(w, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n", "[", 0)
+		return
+	}
 	if r.URL.Path == "/report" {
 		e.mu.Lock()
 		defer e.mu.Unlock()
