Answer a request for the server as a whole through the filter chain

Change: the callers' server passes it to the handler, which knows no such route. node.TestRequestForTheServerIsNoSuccess got 200 before, 404 since.

--- a/node/node.go
+++ b/node/node.go
@@ -269,7 +269,7 @@
 	limits := n.state.View().Config.Limits
 	server := &http.Server{
 		Handler: n.handler, MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout: limits.IdleTimeout, ConnState: trackIdle,
+		IdleTimeout: limits.IdleTimeout, ConnState: trackIdle, DisableGeneralOptionsHandler: true,
 	}
 	n.addServer(server)
 	idleTimeout := func() time.Duration { return n.state.View().Config.Limits.IdleTimeout }
--- a/node/promise_test.go
+++ b/node/promise_test.go
@@ -1,7 +1,9 @@
 package node_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -102,3 +104,23 @@
 		})
 	}
 }
+
+// Guards against a success without an upstream's signature: net/http answers a request for
+// the server as a whole by itself.
+func TestRequestForTheServerIsNoSuccess(t *testing.T) {
+	s := newTestSystem(t, 1)
+	conn, err := net.Dial("tcp", s.callerAddresses[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "OPTIONS * HTTP/1.1\r\nHost: rota.example\r\n%s: options\r\nAuthorization: Token committee-key\r\n\r\n", userplatform.HeaderID)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusNotFound {
+		t.Errorf("got status %d, want 404", response.StatusCode)
+	}
+}
