Report the positions of the parts of a prompt with a crash

Cause: an instance reported the parts of all requests that a crash broke off in one list, and the leader took a part's index in it for its position in the prompt. Parts at one position came in random order, so that a first part seemed as specific as a later one, and the crashes could not tell them apart.

Change: the report names the positions; without them (earlier versions) the index counts as before.

--- a/decision/quarantine/ledger.go
+++ b/decision/quarantine/ledger.go
@@ -86,13 +86,18 @@
 // the causes. It is for the instance that sent the request. It reports whether that is
 // new evidence.
 func (l *Ledger) RecordCrash(now bootclock.Time, run Run, causes []Cause) bool {
-	added := l.addCrash(now, run, causes)
+	specificities := make(map[Cause]int, len(causes))
+	for position, cause := range causes {
+		specificities[cause] = cause.specificity(position)
+	}
+	added := l.addCrash(now, run, specificities)
 	c := l.crashes[run]
 	c.observed, c.recorded = true, now
 	return added
 }
 
-func (l *Ledger) addCrash(at bootclock.Time, run Run, causes []Cause) (added bool) {
+// addCrash adds the causes of requests that broke off in a crash, with their specificity.
+func (l *Ledger) addCrash(at bootclock.Time, run Run, causes map[Cause]int) (added bool) {
 	c := l.crashes[run]
 	if c == nil {
 		l.makeRoom()
@@ -100,8 +105,7 @@
 		l.crashes[run] = c
 	}
 	c.at = min(c.at, at)
-	for position, cause := range causes {
-		specificity := cause.specificity(position)
+	for cause, specificity := range causes {
 		if before, known := c.causes[cause]; known {
 			c.causes[cause] = max(before, specificity)
 			continue
--- a/decision/quarantine/ledger_test.go
+++ b/decision/quarantine/ledger_test.go
@@ -242,6 +242,30 @@
 	}
 }
 
+// Guards against a first part of prompts that seems as specific as the later ones once a
+// crash that broke off several requests has been reported: it was quarantined with them.
+func TestPositionsOfPartsOutlastAReport(t *testing.T) {
+	leader := quarantine.NewLedger()
+	for n := range 4 {
+		now := time.Duration(n) * time.Second
+		first, second := quarantine.NewLedger(), quarantine.NewLedger()
+		first.RecordCrash(at(now), run(n), parts("system", "deadly"))
+		second.RecordCrash(at(now), run(n), parts(fmt.Sprint("another-", n)))
+		second.RecordCrash(at(now), run(n), parts("system"))
+		leader.Apply(at(now), first.Evidence(at(now), 0))
+		leader.Apply(at(now), second.Evidence(at(now), 0))
+	}
+	for now := 4 * time.Second; now < 6*time.Second; now += 50 * time.Millisecond {
+		leader.Judge(at(now))
+	}
+	if got := blocked(leader, 6*time.Second, "deadly"); got == "" {
+		t.Error("the deadly part is not quarantined")
+	}
+	if got := blocked(leader, 6*time.Second, "system", "sound"); got != "" {
+		t.Errorf("the less specific part %s is quarantined", got)
+	}
+}
+
 // Guards against a repeat of a request that may be the cause of the crash.
 func TestOnlyRequestsWithSoundPartsAreRepeated(t *testing.T) {
 	l := quarantine.NewLedger()
--- a/decision/quarantine/message.go
+++ b/decision/quarantine/message.go
@@ -33,16 +33,24 @@
 	Parts []string      `cbor:"3,keyasint"` // in the order of their position in the prompt
 	// Requests are the fingerprints of the requests that broke off.
 	Requests []string `cbor:"4,keyasint,omitempty"`
+	// Positions are the positions of the parts in their prompts, which differ from those in
+	// Parts if several requests broke off. Earlier versions do not send them.
+	Positions []int `cbor:"5,keyasint,omitempty"`
 }
 
-// causes returns the causes of all requests that the crash broke off.
-func (r CrashReport) causes() []Cause {
-	causes := make([]Cause, 0, len(r.Parts)+len(r.Requests))
-	for _, part := range r.Parts {
-		causes = append(causes, Cause{ID: part})
+// causes returns the causes of all requests that the crash broke off, with their
+// specificity.
+func (r CrashReport) causes() map[Cause]int {
+	causes := make(map[Cause]int, len(r.Parts)+len(r.Requests))
+	for i, part := range r.Parts {
+		position := i
+		if i < len(r.Positions) {
+			position = r.Positions[i]
+		}
+		causes[Cause{ID: part}] = position
 	}
 	for _, fingerprint := range r.Requests {
-		causes = append(causes, Cause{ID: fingerprint, Kind: WholeRequest})
+		causes[Cause{ID: fingerprint, Kind: WholeRequest}] = wholeRequest
 	}
 	return causes
 }
@@ -87,11 +95,13 @@
 
 func (c *crash) report(now bootclock.Time, run Run) CrashReport {
 	r := CrashReport{Run: run, Age: now.Sub(c.at)}
-	for _, cause := range slices.SortedFunc(maps.Keys(c.causes), func(a, b Cause) int { return cmp.Compare(c.causes[a], c.causes[b]) }) {
+	inOrder := func(a, b Cause) int { return cmp.Or(cmp.Compare(c.causes[a], c.causes[b]), a.compare(b)) }
+	for _, cause := range slices.SortedFunc(maps.Keys(c.causes), inOrder) {
 		if cause.Kind == WholeRequest {
 			r.Requests = append(r.Requests, cause.ID)
 		} else {
 			r.Parts = append(r.Parts, cause.ID)
+			r.Positions = append(r.Positions, c.causes[cause])
 		}
 	}
 	return r
