Judge parts that ran lately once all reports of a crash can have come

Cause: several instances report one crash, each with the parts of its own requests. The leader judged at the first report, when the part that crashes upstreams was not yet among those of the last crash, so that a template, present at all four, had more evidence than it.

Change: a part that was successful lately is quarantined no earlier than 150 ms after its last crash, the time in which instances answer questions for successes, and the leader judges each 50 ms until new evidence is as old.

Evidence: quarantine.TestProvenPartAwaitsTheReportsOfAll failed before and passes.

--- a/decision/quarantine/judge.go
+++ b/decision/quarantine/judge.go
@@ -18,10 +18,11 @@
 	// provenSpan apart, since many upstreams can crash at once for other reasons.
 	provenCrashes = 4
 	provenSpan    = 2 * time.Second
-	// A cause that has been successful and replaces quarantined ones needs more of both: it
-	// was shared by the requests that they explain, whether it crashes upstreams or not.
-	replacingCrashes = 5
-	replacingSpan    = 4 * time.Second
+	// A cause that has been successful, but was present at crashes that others may explain,
+	// needs more of both: requests with the others share it, whether it crashes upstreams or
+	// not.
+	contestedCrashes = 5
+	contestedSpan    = 4 * time.Second
 	// coincidence is the time within which crashes count as one against a part: a rack or
 	// a data centre fails at once, and the first requests with a part come in bursts. One
 	// request that has never been successful is at several of its upstreams at once only
@@ -80,13 +81,16 @@
 	switch {
 	case l.changed:
 		interval = minJudgeInterval
-	case l.judgedAt.Sub(l.suspectedAt) < settleTime:
-		interval = settleInterval // the evidence has not been judged since suspects settled
+	case l.judgedAt.Sub(max(l.suspectedAt, l.changedAt)) < settleTime:
+		interval = settleInterval // the evidence has not been judged since it settled
 	}
 	if now.Sub(l.judgedAt) < interval {
 		return nil
 	}
-	l.changed, l.judgedAt = false, now
+	if l.changed {
+		l.changed, l.changedAt = false, now
+	}
+	l.judgedAt = now
 	l.prune(now)
 	var found []Cause
 	for {
@@ -167,8 +171,10 @@
 	switch span := s.last.Sub(s.first); {
 	case !s.succeeded:
 		return s.crashes >= minCrashes
+	case now.Sub(s.last) < settleTime:
+		return false // others that had requests at the crashed upstream have yet to report
 	case len(s.replaces) > 0:
-		return s.crashes >= replacingCrashes && span >= replacingSpan
+		return s.crashes >= contestedCrashes && span >= contestedSpan
 	default:
 		return s.crashes >= provenCrashes && span >= provenSpan
 	}
--- a/decision/quarantine/ledger.go
+++ b/decision/quarantine/ledger.go
@@ -70,6 +70,8 @@
 	// changed is set if there is evidence that has not been judged.
 	changed  bool
 	judgedAt bootclock.Time
+	// changedAt is when evidence that had not been judged was judged first.
+	changedAt bootclock.Time
 	// suspectedAt is when the last cause became a suspect.
 	suspectedAt bootclock.Time
 }
--- a/decision/quarantine/ledger_test.go
+++ b/decision/quarantine/ledger_test.go
@@ -242,6 +242,32 @@
 	}
 }
 
+// Guards against a sound part that is quarantined because the report of another instance,
+// which had the deadly part at the same crash, is still under way.
+func TestProvenPartAwaitsTheReportsOfAll(t *testing.T) {
+	l := quarantine.NewLedger()
+	l.RecordSuccess(parts("system"), at(-time.Second))
+	l.RecordSuccess(parts("deadly"), at(-time.Second))
+	now := crashWith(l, 0, 0, 3, "system", "deadly") + time.Second
+	l.RecordCrash(at(now), run(3), parts("system", "session"))
+	l.Judge(at(now))
+	for range 2 {
+		now += 50 * time.Millisecond
+		l.Judge(at(now))
+	}
+	l.RecordCrash(at(now), run(3), parts("system", "deadly"))
+	for range 4 {
+		now += 50 * time.Millisecond
+		l.Judge(at(now))
+	}
+	if got := blocked(l, now, "system", "sound"); got != "" {
+		t.Errorf("%s is quarantined", got)
+	}
+	if got := blocked(l, now, "deadly"); got == "" {
+		t.Error("the deadly part is not quarantined")
+	}
+}
+
 // Guards against a first part of prompts that seems as specific as the later ones once a
 // crash that broke off several requests has been reported: it was quarantined with them.
 func TestPositionsOfPartsOutlastAReport(t *testing.T) {
