Ask for more evidence against parts whose crashes others may explain

Cause: two requests that crash upstreams shared the session's part and had crashed two upstreams each; the part, successful before, had four crashes and was quarantined before either request had its third.

Evidence: quarantine.TestPartOfTwoDeadlyRequestsIsNotQuarantined failed before and passes.

--- a/decision/quarantine/judge.go
+++ b/decision/quarantine/judge.go
@@ -55,6 +55,9 @@
 	in []int
 	// replaces holds the quarantined causes whose crashes this cause explains better.
 	replaces []Cause
+	// contested is set if other causes, which have never been successful, were present at
+	// all of these crashes, each at more than one.
+	contested bool
 }
 
 // compare orders evidence, the strongest first. Causes that have never been successful go
@@ -173,7 +176,7 @@
 		return s.crashes >= minCrashes
 	case now.Sub(s.last) < settleTime:
 		return false // others that had requests at the crashed upstream have yet to report
-	case len(s.replaces) > 0:
+	case s.contested || len(s.replaces) > 0:
 		return s.crashes >= contestedCrashes && span >= contestedSpan
 	default:
 		return s.crashes >= provenCrashes && span >= provenSpan
@@ -216,10 +219,26 @@
 			list = append(list, *s)
 		}
 	}
+	contest(list)
 	slices.SortFunc(list, func(a, b support) int { return cmp.Or(a.compare(b), a.cause.compare(b.cause)) })
 	return list
 }
 
+// contest finds the contested causes among those that have been successful.
+func contest(list []support) {
+	explained := map[int]bool{}
+	for _, s := range list {
+		if !s.succeeded && s.crashes >= suspectCrashes {
+			for _, i := range s.in {
+				explained[i] = true
+			}
+		}
+	}
+	for k := range list {
+		list[k].contested = !slices.ContainsFunc(list[k].in, func(i int) bool { return !explained[i] })
+	}
+}
+
 // count counts the crashes of the evidence.
 func (s *support) count(crashes []*crash) {
 	s.first = crashes[s.in[0]].at
--- a/decision/quarantine/ledger_test.go
+++ b/decision/quarantine/ledger_test.go
@@ -95,6 +95,30 @@
 	}
 }
 
+// Guards against a sound part that is quarantined because two requests that crash upstreams
+// share it, before either of them has crashed a third one.
+func TestPartOfTwoDeadlyRequestsIsNotQuarantined(t *testing.T) {
+	l := quarantine.NewLedger()
+	l.RecordSuccess(parts("system", "session"), at(-time.Second))
+	now := time.Duration(0)
+	send := func(n int, request string) {
+		l.RecordCrash(at(now), run(n), quarantine.Causes([]string{"system", "session"}, request))
+		for range 16 {
+			l.Judge(at(now))
+			now += 50 * time.Millisecond
+		}
+	}
+	for n, request := range []string{"one", "two", "two", "one", "one"} {
+		send(n, request)
+	}
+	if got := blocked(l, now, "system", "session"); got != "" {
+		t.Errorf("%s is quarantined", got)
+	}
+	if cause, _, _ := l.Blocked(at(now), quarantine.Causes(nil, "one")); cause.ID != "one" {
+		t.Error("the request with three crashes is not quarantined")
+	}
+}
+
 // Guards against sound parts that are quarantined for crashes which another part of the
 // same requests, or of others at the same upstream, explains.
 func TestExplainedCrashesAreNoEvidence(t *testing.T) {
