Drop the planner's host of an upstream whose service has no engine

Cause: Observe passed over such an upstream but kept its host, with the engine of the version before; the new model was planned for that host and looked up in the old engine.

Change: the host is dropped where those of removed upstreams are.

--- a/decision/residency/planner.go
+++ b/decision/residency/planner.go
@@ -53,14 +53,15 @@
 		return
 	}
 	for id, h := range p.hosts {
-		if v.ByID[id] == nil {
+		// A host without an engine would plan with the models of an older version.
+		if u := v.ByID[id]; u == nil || engineOf(v, u) == nil {
 			delete(p.hosts, id)
 			p.markChanged(h)
 		}
 	}
 	for id, u := range v.ByID {
-		service := v.Config.Services[u.Service]
-		if service == nil || service.Engine == nil {
+		engine := engineOf(v, u)
+		if engine == nil {
 			continue
 		}
 		h := p.hosts[id]
@@ -68,11 +69,11 @@
 			if h != nil {
 				p.markChanged(h)
 			}
-			p.hosts[id] = newHost(u, service.Engine)
+			p.hosts[id] = newHost(u, engine)
 			p.markChanged(p.hosts[id])
 			continue
 		}
-		h.engine = service.Engine
+		h.engine = engine
 		if h.entry != u {
 			h.observe(now, u)
 			p.markChanged(h)
@@ -82,6 +83,15 @@
 	}
 }
 
+// engineOf returns the engine of an upstream's service, nil if the desired state has none.
+func engineOf(v *fleet.View, u *fleet.Upstream) *fleet.Engine {
+	service := v.Config.Services[u.Service]
+	if service == nil {
+		return nil
+	}
+	return service.Engine
+}
+
 // RecordDemand records an instance's demand report, which replaces the previous one.
 func (p *Planner) RecordDemand(now bootclock.Time, instance string, demands []ModelDemand) {
 	for _, n := range demands {
