Go on with broken streams late in a planned stop

Cause: the check that keeps late requests from upstreams covered the rest of streams that had begun.

Change: it leaves out requests of which the caller has a part.

Evidence: node.TestStreamGoesOnLateInAStop ended after event 4 of 8 without the change and passes with it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,8 +149,8 @@
 	// FirstEventDeadline is when the caller abandons a stream that has not
 	// delivered an event. For routes of other kinds it equals Deadline.
 	FirstEventDeadline bootclock.Time
-	// Quit is closed when the instance refuses the requests that no upstream has
-	// received.
+	// Quit is closed when the instance sends no more requests to upstreams, except the rest
+	// of streams that callers have a part of.
 	Quit <-chan struct{}
 
 	View      *fleet.View
@@ -207,7 +207,7 @@
 	return r.crashCauses
 }
 
-// mustQuit reports whether the instance refuses requests that no upstream has received.
+// mustQuit reports whether Quit is closed.
 func (r *Request) mustQuit() bool {
 	select {
 	case <-r.Quit:
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -49,7 +49,8 @@
 // Close makes the handler refuse all further requests.
 func (h *Handler) Close() { h.closing.Store(true) }
 
-// RefuseWaiting refuses the requests that no upstream has received, now and later.
+// RefuseWaiting refuses the requests that wait for an upstream, now and later, unless the
+// caller has a part of a stream.
 func (h *Handler) RefuseWaiting() { h.quitOnce.Do(func() { close(h.quit) }) }
 
 // EndRequests ends the requests in flight. Those whose answer has not begun are refused.
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -258,7 +258,7 @@
 		if refusal := f.checkCauses(now, r); refusal != nil {
 			return nil, refusal
 		}
-		if r.mustQuit() {
+		if r.mustQuit() && !r.Writer.Begun() {
 			return nil, r.Attempt.Refuse(verdict.Draining, "this instance is about to end").WithRetryAfter(drainingRetryAfter)
 		}
 		view := f.State.View()
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -152,3 +152,25 @@
 		t.Errorf("got %d, %v; want 502: the request may have run", a.status, a.err)
 	}
 }
+
+// Guards against a stream that is broken off late in a planned stop and not gone on with,
+// although there is time for the rest.
+func TestStreamGoesOnLateInAStop(t *testing.T) {
+	const (
+		grace = 8 * time.Second
+		run   = 3600 * time.Millisecond // breaks off in the middle
+		sent  = 2300 * time.Millisecond // after the start of the stop
+	)
+	s := newConfiguredSystem(t, func(settings *node.Settings) { settings.Bounds.GraceS = grace.Seconds() }, 2)
+	for _, u := range s.engines {
+		u.SetPace(8, run/8)
+		u.Fail(userplatform.CutStream)
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(s.nodes[0].Shutdown)
+	duration.Sleep(t.Context(), sent)
+	r := draftRequest("notices")
+	r.deadline = longTimeout
+	wantStream(t, s.send(0, r))
+}
