Lock the pool where a test changes its picker between calls

The fault is the test's: it changes the picker of a running pool without the pool's lock. The check is unchanged. Not reproduced here; the trace names both accesses.

--- a/filter/forward_test.go
+++ b/filter/forward_test.go
@@ -351,7 +351,9 @@
 	p := e.route.pool("engines")
 	for range 4 {
 		p.refresh(time.Now(), e.index)
+		p.mu.Lock() // the call before may not have been finished
 		p.picker.Report("b", 8, time.Now().Add(time.Hour))
+		p.mu.Unlock()
 		e.call("POST", "", "body")
 	}
 	mu.Lock()
