Start a test's instance on other ports if one has been taken

Traced: a test gets free ports from the system and closes them before the instance listens on them; another process took one in between. The start is tried on other ports, at most three times and for this error alone. No check is changed.

--- a/node/testsystem_test.go
+++ b/node/testsystem_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -86,21 +88,33 @@
 	return u
 }
 
+// maxStarts bounds the tries to start an instance on ports that the system has given.
+const maxStarts = 3
+
 func (s *testSystem) addNode() *node.Node {
 	s.t.Helper()
-	settings, err := sample.Settings(fmt.Sprintf("entry-%d", len(s.nodes)+1), s.address)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	settings.Bounds.LeaseMS, settings.Bounds.QuotaSlack = 300, 1000 // short, as tests wait for new leaders and empty buckets
-	s.configure(&settings)
 	var handler log.Handler = discard.New()
 	if testing.Verbose() {
 		handler = apexjson.New(s.t.Output())
 	}
-	n := node.New(settings, &log.Logger{Handler: handler, Level: log.InfoLevel})
-	if err := n.Start(); err != nil {
-		s.t.Fatal(err)
+	var n *node.Node
+	var settings node.Settings
+	for try := 1; ; try++ {
+		var err error
+		settings, err = sample.Settings(fmt.Sprintf("entry-%d", len(s.nodes)+1), s.address)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		settings.Bounds.LeaseMS, settings.Bounds.QuotaSlack = 300, 1000 // short, as tests wait for new leaders and empty buckets
+		s.configure(&settings)
+		n = node.New(settings, &log.Logger{Handler: handler, Level: log.InfoLevel})
+		if err = n.Start(); err == nil {
+			break
+		}
+		// Another process may take one of the ports before the instance listens.
+		if !errors.Is(err, syscall.EADDRINUSE) || try == maxStarts {
+			s.t.Fatal(err)
+		}
 	}
 	s.nodes = append(s.nodes, n)
 	s.callerAddresses = append(s.callerAddresses, settings.CallerListen)
