Unload a model that no instance was told of without a notice

When the entry that shows a completed load and the choice of that model to make way fall into one step, the placement of the engine stays as it was. The coordinator has nothing to send, RecordNotification is not called, and the host, which takes no order while a model makes way, waits for the notice for good.

Change: the planner keeps the placement that Changes last returned. A model that is not part of it needs no notice and is unloaded after the usual time.

--- a/decision/residency/host.go
+++ b/decision/residency/host.go
@@ -77,6 +77,9 @@
 	// report may still list these models.
 	unloadedModels map[string]bootclock.Time
 	contribution   contribution // as counted in the planner's totals
+	// announced are the models of the placement that Changes last returned, nil before the
+	// first one.
+	announced map[string][]string
 	// finished is a load from the weight store that completed since the last
 	// call of markChanged, nil if none did.
 	finished *finishedLoad
--- a/decision/residency/planner.go
+++ b/decision/residency/planner.go
@@ -231,7 +231,9 @@
 func (p *Planner) Changes() (changed []Placement, gone []string) {
 	for _, id := range slices.Sorted(maps.Keys(p.changed)) {
 		if h := p.hosts[id]; h != nil {
-			changed = append(changed, h.placement())
+			placement := h.placement()
+			h.announced = placement.Models
+			changed = append(changed, placement)
 		} else {
 			gone = append(gone, id)
 		}
@@ -339,6 +341,11 @@
 		for _, name := range c.victims {
 			r := c.host.models[name]
 			r.retiring, r.notifiedAt = true, 0
+			if _, known := c.host.announced[name]; !known && c.host.announced != nil {
+				// The placement stays as the instances know it, so that no notice is
+				// sent, and none is needed.
+				r.notifiedAt = now
+			}
 		}
 		p.markChanged(c.host)
 		return orders
