Let the leader admit requests to contended engines

Cause: each instance sends what it has to the one or two engines that hold a model, and the engines queue it: up to 99 requests at an engine with 32 slots, most of whose callers left before the first event.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -142,6 +142,8 @@
 	// unsentLimits the changed limits that have not been sent to all instances yet.
 	sends        *upstreamlimit.Buckets
 	unsentLimits map[upstreamlimit.ID]struct{}
+	// places admits requests to contended upstreams while this instance leads.
+	places *places
 	// quarantineChanged is set if the verdicts or the evidence about causes of crashes have
 	// changed since they were last judged.
 	quarantineChanged bool
@@ -242,6 +244,7 @@
 	hub.Handle(peer.KindPlacements, c.client.handlePlacements)
 	hub.Handle(peer.KindUpstreamLimit, c.handleUpstreamLimit)
 	hub.Handle(peer.KindTakeSend, handleCall(c.takeSend))
+	hub.Handle(peer.KindTakePlace, c.handleTakePlace)
 	hub.Handle(peer.KindTakeTrial, handleCall(c.takeTrial))
 	hub.Handle(peer.KindOrigins, c.handleOrigins)
 	hub.Handle(peer.KindFindOrigin, handleCall(c.findOrigin))
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -93,6 +93,9 @@
 		if n.running[upstream]--; n.running[upstream] == 0 {
 			delete(n.running, upstream)
 		}
+		if _, contended := l.contended[upstream]; contended {
+			l.reportSoon() // another request may have the place
+		}
 	}
 }
 
@@ -118,12 +121,12 @@
 }
 
 func (l *Client) report(ctx context.Context) error {
-	demands, evidence, leader, due := l.collectReport()
+	demands, evidence, paces, leader, due := l.collectReport()
 	if !due || leader == "" {
 		return nil
 	}
 	if leader == l.c.config.Instance {
-		l.c.recordDemand(leader, demands)
+		l.c.recordDemand(leader, demands, paces)
 		if evidence != nil {
 			l.c.evidenceChanged()
 		}
@@ -131,13 +134,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	return l.c.hub.Notify(ctx, leader, peer.KindDemandReport, instanceReport{Demands: demands, Sent: bootclock.Now(), Versions: l.versions(), Weak: l.c.config.Weak, Uptime: bootclock.Since(l.c.started), Resigned: l.c.hasResigned(), Evidence: evidence})
+	return l.c.hub.Notify(ctx, leader, peer.KindDemandReport, instanceReport{Demands: demands, Sent: bootclock.Now(), Versions: l.versions(), Weak: l.c.config.Weak, Uptime: bootclock.Since(l.c.started), Resigned: l.c.hasResigned(), Evidence: evidence, Paces: paces})
 }
 
 // collectReport returns the demand since the last report, the evidence against causes
 // of crashes, the leader, and whether a report is due. After a report with demand, one report without demand is sent to
 // clear it.
-func (l *Client) collectReport() ([]residency.ModelDemand, *quarantine.Evidence, string, bool) {
+func (l *Client) collectReport() ([]residency.ModelDemand, *quarantine.Evidence, map[string]float64, string, bool) {
 	now := bootclock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -170,5 +173,9 @@
 	if due {
 		l.reportedAt = now
 	}
-	return list, evidence, l.leader, due
+	var paces map[string]float64
+	if due {
+		paces = l.takePaces()
+	}
+	return list, evidence, paces, l.leader, due
 }
--- a/coordinator/handlers.go
+++ b/coordinator/handlers.go
@@ -64,20 +64,22 @@
 		c.reports[from.Instance] = report
 	}
 	c.mu.Unlock()
-	c.recordDemand(from.Instance, report.Demands)
+	c.recordDemand(from.Instance, report.Demands, report.Paces)
 	c.recordEvidence(report.Evidence)
 	return nil, nil
 }
 
 // recordDemand passes the demand of an instance to the planner if this instance leads.
-func (c *Coordinator) recordDemand(from string, demands []residency.ModelDemand) {
+func (c *Coordinator) recordDemand(from string, demands []residency.ModelDemand, paces map[string]float64) {
 	urgent := false
 	for _, n := range demands {
 		urgent = urgent || n.Waiting > 0
 	}
 	c.mu.Lock()
 	if c.planner != nil {
-		c.planner.RecordDemand(bootclock.Now(), from, demands)
+		now := bootclock.Now()
+		c.planner.RecordDemand(now, from, demands)
+		c.recordOccupancy(now, from, demands, paces)
 		if urgent {
 			c.waiters[from] = struct{}{}
 		}
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -23,6 +23,8 @@
 		return
 	}
 	c.leading, c.planner, c.observedView = false, nil, nil
+	c.places.end()
+	c.places = nil
 	c.client.clearLeader()
 	c.config.Log.WithFields(log.Fields{"reason": reason, "token": c.lease.Token()}).Info("leadership ended")
 }
@@ -42,6 +44,7 @@
 	if v := c.config.View(); v != c.observedView && v.Config != nil {
 		c.observedView = v
 		c.planner.Observe(now, v)
+		c.places.observe(v)
 		c.buckets.central.SetLimits(now, limits(v.Config))
 	}
 	var uncertain []*fleet.Upstream
@@ -77,6 +80,7 @@
 	reserves := c.buckets.begin()
 	c.observedView, c.reports, c.sentPeers = nil, map[string]instanceReport{}, nil
 	c.placements, c.unsent, c.waiters = map[string]residency.Placement{}, map[string]struct{}{}, map[string]struct{}{}
+	c.places = newPlaces()
 	c.sends, c.unsentLimits = upstreamlimit.NewBuckets(), map[upstreamlimit.ID]struct{}{}
 	c.relayProgress = map[string]*relayProgress{}
 	c.startOrigins(now)
--- /dev/null
+++ b/coordinator/places.go
@@ -0,0 +1,254 @@
+package coordinator
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hibiscusyard/hibiscusyard/decision/admission"
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
+	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
+)
+
+// placeRequest asks the leader for a place for one request at one of several contended
+// upstreams.
+type placeRequest struct {
+	Upstreams []string      `cbor:"1,keyasint"`
+	Priority  int           `cbor:"2,keyasint"`
+	Prompt    int64         `cbor:"3,keyasint"`
+	Tokens    int64         `cbor:"4,keyasint"`
+	OnTime    time.Duration `cbor:"5,keyasint"` // until the latest start that meets the objective
+	Latest    time.Duration `cbor:"6,keyasint"` // until the latest start that is of use
+}
+
+// placeResponse names the upstream at which the request has a place, or refuses it.
+type placeResponse struct {
+	Upstream   string        `cbor:"1,keyasint,omitempty"`
+	RetryAfter time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
+// placeStep is the longest time between two decisions about waiting claims.
+const placeStep = 10 * time.Millisecond
+
+// places is the leader's side of the admission to contended upstreams. Coordinator.mu
+// guards it.
+type places struct {
+	ledger  *admission.Ledger
+	waiters map[admission.ID]chan admission.Decision
+	// services are those whose upstreams say how long work takes on their machines, which
+	// they share with others. Only these are admitted to by the leader.
+	services map[string]struct{}
+	// sent are the contended upstreams that all instances have been told of.
+	sent        map[string]int
+	stepPending bool
+}
+
+func newPlaces() *places {
+	return &places{
+		ledger: admission.NewLedger(), waiters: map[admission.ID]chan admission.Decision{},
+		services: map[string]struct{}{}, sent: map[string]int{},
+	}
+}
+
+// observe sets the upstreams of the services that the leader admits requests to.
+func (p *places) observe(v *fleet.View) {
+	capacities := map[string]admission.Capacity{}
+	for service := range p.services {
+		s := v.Config.Services[service]
+		if s == nil || s.Engine == nil {
+			continue
+		}
+		for _, u := range v.ByService[service] {
+			if v.Usable(u) {
+				capacities[u.ID] = admission.Capacity{Slots: s.Engine.Slots, KVTokens: s.Engine.KVTokens}
+			}
+		}
+	}
+	p.ledger.Observe(capacities)
+}
+
+// end refuses to decide about the waiting claims: their instances ask the next leader.
+func (p *places) end() {
+	for id, ch := range p.waiters {
+		delete(p.waiters, id)
+		close(ch)
+	}
+}
+
+// recordOccupancy records what an instance runs at each upstream and how long work takes
+// there. The caller holds mu.
+func (c *Coordinator) recordOccupancy(now bootclock.Time, from string, demands []residency.ModelDemand, paces map[string]float64) {
+	if c.places == nil {
+		return
+	}
+	for id, pace := range paces {
+		if u := c.observedUpstream(id); u != nil {
+			if _, known := c.places.services[u.Service]; !known {
+				c.places.services[u.Service] = struct{}{}
+				c.places.observe(c.observedView)
+				c.config.Log.WithField("service", u.Service).Info("requests to contended upstreams of the service are admitted by the leader")
+			}
+			c.places.ledger.RecordPace(now, id, pace)
+		}
+	}
+	if len(c.places.services) == 0 {
+		return
+	}
+	running := map[string]int{}
+	for _, d := range demands {
+		for id, n := range d.Running {
+			running[id] += n
+		}
+	}
+	c.places.ledger.RecordReport(now, from, running)
+	c.stepPlaces(now)
+}
+
+func (c *Coordinator) observedUpstream(id string) *fleet.Upstream {
+	if c.observedView == nil {
+		return nil
+	}
+	return c.observedView.ByID[id]
+}
+
+// stepPlaces decides about the waiting claims. The caller holds mu.
+func (c *Coordinator) stepPlaces(now bootclock.Time) {
+	for _, d := range c.places.ledger.Step(now) {
+		if ch := c.places.waiters[d.ID]; ch != nil {
+			delete(c.places.waiters, d.ID)
+			ch <- d.Decision
+		}
+	}
+	if c.places.ledger.Waiting() == 0 || c.places.stepPending {
+		return
+	}
+	places := c.places
+	places.stepPending = true
+	time.AfterFunc(placeStep, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		places.stepPending = false
+		if c.places == places {
+			c.stepPlaces(bootclock.Now())
+		}
+	})
+}
+
+// contendedUpdate returns the contended upstreams with their running requests, and whether
+// the instances have to be told. The caller holds mu.
+func (c *Coordinator) contendedUpdate(now bootclock.Time) (map[string]int, bool) {
+	if len(c.places.services) == 0 {
+		return nil, false
+	}
+	list := c.places.ledger.Contended(now)
+	same := len(list) == len(c.places.sent)
+	for id := range list {
+		_, was := c.places.sent[id]
+		same = same && was
+	}
+	return list, !same
+}
+
+func (c *Coordinator) handleTakePlace(ctx context.Context, from peer.Identity, body []byte) (any, error) {
+	var req placeRequest
+	if err := cbor.Unmarshal(body, &req); err != nil {
+		return nil, err
+	}
+	return c.takePlace(ctx, from.Instance, req)
+}
+
+// takePlace waits until an upstream has room for a request, or refuses it.
+func (c *Coordinator) takePlace(ctx context.Context, from string, req placeRequest) (placeResponse, error) {
+	now := bootclock.Now()
+	c.mu.Lock()
+	if !c.leading || c.observedView == nil || !c.lease.Held(now) {
+		c.mu.Unlock()
+		return placeResponse{}, errNotLeading
+	}
+	places := c.places
+	id, d, decided := places.ledger.Ask(now, admission.Claim{
+		Instance: from, Upstreams: req.Upstreams, Priority: req.Priority, Prompt: req.Prompt, Tokens: req.Tokens,
+		OnTime: now.Add(req.OnTime), Latest: now.Add(req.Latest),
+	})
+	if decided {
+		c.mu.Unlock()
+		return c.placeDecided(d, 0), nil
+	}
+	ch := make(chan admission.Decision, 1)
+	places.waiters[id] = ch
+	c.stepPlaces(now)
+	c.mu.Unlock()
+	select {
+	case d, ok := <-ch:
+		if !ok {
+			return placeResponse{}, errNotLeading
+		}
+		return c.placeDecided(d, bootclock.Since(now)), nil
+	case <-ctx.Done():
+		c.mu.Lock()
+		places.ledger.Cancel(id)
+		delete(places.waiters, id)
+		c.mu.Unlock()
+		return placeResponse{}, ctx.Err()
+	}
+}
+
+func (c *Coordinator) placeDecided(d admission.Decision, waited time.Duration) placeResponse {
+	outcome := "granted"
+	if d.Upstream == "" {
+		outcome = "refused"
+	}
+	c.config.Metrics.GetOrCreateCounter(`hibiscusyard_places_total{outcome="` + outcome + `"}`).Inc()
+	c.config.Metrics.GetOrCreateHistogram(`hibiscusyard_place_wait_seconds{outcome="` + outcome + `"}`).Update(waited.Seconds())
+	return placeResponse{Upstream: d.Upstream, RetryAfter: d.RetryAfter}
+}
+
+// Occupied returns the number of requests that all instances run at a contended upstream,
+// as last told by the leader.
+func (l *Client) Occupied(upstream string) (running int, contended bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leader == "" {
+		return 0, false
+	}
+	running, contended = l.contended[upstream]
+	return running, contended
+}
+
+// TakePlace implements gateway.Places.
+func (l *Client) TakePlace(ctx context.Context, upstreams []string, priority int, prompt, tokens int64, onTime, latest time.Duration) (upstream string, retryAfter time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, max(latest, 0)+peerCallTimeout)
+	defer cancel()
+	request := placeRequest{Upstreams: upstreams, Priority: priority, Prompt: prompt, Tokens: tokens, OnTime: onTime, Latest: latest}
+	response, err := callLeader(ctx, l, peer.KindTakePlace, request, func(ctx context.Context, req placeRequest) (placeResponse, error) {
+		return l.c.takePlace(ctx, l.c.config.Instance, req)
+	})
+	return response.Upstream, response.RetryAfter, err
+}
+
+// RecordPace implements gateway.Places.
+func (l *Client) RecordPace(upstream string, pace float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paces[upstream] = pace
+}
+
+// takePaces returns the paces recorded since the last call. The caller holds mu.
+func (l *Client) takePaces() map[string]float64 {
+	if len(l.paces) == 0 {
+		return nil
+	}
+	paces := maps.Clone(l.paces)
+	clear(l.paces)
+	return paces
+}
+
+// logContended logs a change of the contended upstreams.
+func (c *Coordinator) logContended(list map[string]int) {
+	c.config.Log.WithFields(log.Fields{"upstreams": len(list), "waiting": c.places.ledger.Waiting()}).Info("contended upstreams")
+}
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -68,6 +68,9 @@
 	Resigned bool `cbor:"6,keyasint,omitempty"`
 	// Evidence is what requests showed about causes of crashes.
 	Evidence *quarantine.Evidence `cbor:"7,keyasint,omitempty"`
+	// Paces say how long work takes at upstreams that share their machines, 100 being usual:
+	// those named in answers since the last report.
+	Paces map[string]float64 `cbor:"20,keyasint,omitempty"`
 }
 
 // heartbeat is the message that the leader sends to an instance regularly, and also
--- a/coordinator/updates.go
+++ b/coordinator/updates.go
@@ -44,6 +44,10 @@
 	// HasVersions is set.
 	Versions    []origin.Seen `cbor:"13,keyasint,omitempty"`
 	HasVersions bool          `cbor:"14,keyasint,omitempty"`
+	// Contended are the contended upstreams with the requests that run there, all of them if
+	// HasContended is set.
+	Contended    map[string]int `cbor:"15,keyasint,omitempty"`
+	HasContended bool           `cbor:"16,keyasint,omitempty"`
 }
 
 // readyEstimate is the estimated time until a model that requests wait for is served.
@@ -121,7 +125,8 @@
 		return nil, nil
 	}
 	peers := c.newPeers(connected)
-	if len(c.unsent) == 0 && len(c.unsentLimits) == 0 && peers == nil && !c.client.anyUnsynced(connected) {
+	contended, contendedChanged := c.contendedUpdate(now)
+	if len(c.unsent) == 0 && len(c.unsentLimits) == 0 && peers == nil && !contendedChanged && !c.client.anyUnsynced(connected) {
 		return nil, nil
 	}
 	c.lastPush = now
@@ -139,7 +144,12 @@
 	changedLimits, allLimits := c.limitReports(now)
 	clear(c.unsentLimits)
 	changed.Limits = changedLimits
+	if contended != nil {
+		changed.Contended, changed.HasContended = contended, true
+		c.places.sent = contended
+	}
 	full = &update{Token: c.lease.Token(), OrdersIn: ordersIn, Peers: c.sentPeers, Full: true, Limits: allLimits, Quarantine: c.client.entries(now), HasQuarantine: true, Crashes: c.client.observedCrashes(now, 0)}
+	full.Contended, full.HasContended = contended, contended != nil
 	full.Versions, full.HasVersions = c.client.admittedVersions(now), true
 	for _, id := range slices.Sorted(maps.Keys(c.placements)) {
 		full.Changed = append(full.Changed, c.placements[id])
@@ -225,7 +235,7 @@
 		message := changed
 		if c.client.markSynced(id.Instance, id.Incarnation) {
 			body, message = &fullBody, full
-		} else if len(changed.Changed) == 0 && len(changed.Removed) == 0 && len(changed.Limits) == 0 && changed.Peers == nil {
+		} else if len(changed.Changed) == 0 && len(changed.Removed) == 0 && len(changed.Limits) == 0 && changed.Peers == nil && !changed.HasContended {
 			continue
 		}
 		if *body == nil {
@@ -278,6 +288,9 @@
 	c.mu.Lock()
 	delete(c.relayProgress, id.Instance)
 	delete(c.reports, id.Instance)
+	if !up && c.places != nil {
+		c.places.ledger.Forget(bootclock.Now(), id.Instance)
+	}
 	if !up {
 		c.origins.lostAt = bootclock.Now()
 	}
--- a/coordinator/updates_test.go
+++ b/coordinator/updates_test.go
@@ -37,8 +37,8 @@
 	c.client = newClient(c)
 	c.planner.Observe(now, registry.View())
 	c.collectUpdates(now)
-	c.recordDemand("waiting", []residency.ModelDemand{{Service: service, Model: "m1", Arrived: 1, Waiting: 1}})
-	c.recordDemand("idle", []residency.ModelDemand{{Service: service, Model: "m0", Arrived: 1}})
+	c.recordDemand("waiting", []residency.ModelDemand{{Service: service, Model: "m1", Arrived: 1, Waiting: 1}}, nil)
+	c.recordDemand("idle", []residency.ModelDemand{{Service: service, Model: "m0", Arrived: 1}}, nil)
 	urgent := c.collectUpdates(now)
 	if u := urgent["waiting"]; len(urgent) != 1 || u == nil || len(u.Ready) != 1 || u.Ready[0].Model != "m1" || u.Ready[0].In < time.Second {
 		t.Fatalf("got updates %+v, want one for the waiting instance with the estimate for m1", urgent)
--- a/decision/dispatch/dispatch.go
+++ b/decision/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -33,6 +34,8 @@
 	// overcommitMS is the cost of an engine whose KV cache would be filled beyond
 	// memoryShare or whose slots are all occupied.
 	overcommitMS = 2000.0
+	// placeCostMS is the cost of an upstream at which a place is granted, below all others.
+	placeCostMS = -1e9
 	// fullBackoff is how long an upstream that rejected a request as full is
 	// avoided.
 	fullBackoff = 250 * time.Millisecond
@@ -45,15 +48,18 @@
 
 // Demand describes a request that needs an upstream.
 type Demand struct {
-	Service   string
-	Model     string // empty for plain services
-	Adapter   string
-	Prompt    int64 // tokens
-	Tokens    int64 // prompt and longest output
-	Session   string
-	Software  fleet.VersionConstraint
-	NotYet    []string // software versions at which a stream that has not begun may not begin yet
-	Tried     []string // upstreams tried before; not chosen again unless they are in Retryable
+	Service  string
+	Model    string // empty for plain services
+	Adapter  string
+	Prompt   int64 // tokens
+	Tokens   int64 // prompt and longest output
+	Session  string
+	Software fleet.VersionConstraint
+	NotYet   []string // software versions at which a stream that has not begun may not begin yet
+	Tried    []string // upstreams tried before; not chosen again unless they are in Retryable
+	// Place is an upstream at which the leader has granted a place. It is chosen if it can
+	// run the request.
+	Place     string
 	Retryable []string // those of Tried that may be chosen again if no other upstream can run the request
 }
 
@@ -96,6 +102,8 @@
 	Reason   Reason
 	Eligible int
 	Excluded Exclusions
+	// Candidates are the upstreams that can run the request, if the chosen one is contended.
+	Candidates []string
 	// limited is the limited or paused upstream that may get a request first, at
 	// limitedUntil; nil if there is none.
 	limited      *load
@@ -125,6 +133,11 @@
 	Models(upstream *fleet.Upstream) map[string][]string
 }
 
+// Occupancy tells the requests that all instances together run at contended upstreams.
+type Occupancy interface {
+	Occupied(upstream string) (running int, contended bool)
+}
+
 // load is this instance's state of one upstream.
 type load struct {
 	service    string
@@ -135,6 +148,8 @@
 	unanswered []*Ticket // requests without a first event, oldest first
 	reported   int       // requests of other instances according to the last answer
 	reportedAt bootclock.Time
+	pace       float64 // how long work takes according to the last answer that says so, 100 being usual
+	paceAt     bootclock.Time
 	fullUntil  bootclock.Time
 	health     health
 	cold       coldGate
@@ -150,6 +165,8 @@
 	Members int
 	// Limits is nil if no upstream names a limit.
 	Limits Limits
+	// Occupancy is nil if no upstream is contended.
+	Occupancy Occupancy
 
 	loads map[string]*load
 }
@@ -237,6 +254,12 @@
 			continue
 		}
 		choice.Eligible++
+		if b.Occupancy != nil {
+			choice.Candidates = append(choice.Candidates, u.ID)
+		}
+		if d.Place == u.ID {
+			cost = placeCostMS
+		}
 		if choice.Upstream == nil || cost < best {
 			choice.Upstream, best = u, cost
 		}
@@ -270,6 +293,11 @@
 	if now.Sub(l.reportedAt) < reportMaxAge {
 		others = l.reported
 	}
+	if b.Occupancy != nil {
+		if running, contended := b.Occupancy.Occupied(u.ID); contended {
+			others = max(running-l.running, others)
+		}
+	}
 	busy := float64(l.running + others)
 	var cost float64
 	if s.Engine == nil {
@@ -283,7 +311,7 @@
 			cost += overcommitMS
 		}
 	}
-	cost *= max(l.health.slowness(now), l.pendingSlowness(now))
+	cost *= max(l.health.slowness(now), l.pendingSlowness(now)) * l.paceFactor(now)
 	if u.DataCentre != b.DataCentre {
 		cost += crossCentreMS
 	}
@@ -375,6 +403,25 @@
 	t.load.reportedAt = now
 }
 
+// paceHalfLife is the time in which what an upstream says about its pace loses half of its
+// worth. The pace changes many times a second.
+const paceHalfLife = 250 * time.Millisecond
+
+// RecordPace records how long work takes at the upstream, 100 being usual.
+func (t *Ticket) RecordPace(now bootclock.Time, pace float64) {
+	t.load.pace, t.load.paceAt = pace, now
+}
+
+// paceFactor returns the factor by which work at the upstream takes longer than usual, drawn
+// towards 1 with the age of what the upstream has said.
+func (l *load) paceFactor(now bootclock.Time) float64 {
+	if l.paceAt == 0 {
+		return 1
+	}
+	worth := math.Exp2(-float64(now.Sub(l.paceAt)) / float64(paceHalfLife))
+	return 1 + (l.pace/100-1)*worth
+}
+
 // Outcome is the result of a request at an upstream.
 type Outcome uint8
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -52,9 +52,9 @@
 // observer receives the events of a response that the balancer records.
 type observer struct {
 	onHead  func(head ResponseHead, success bool)
-	onEvent func()             // first event that the caller gets in this answer, before it does
-	onFirst func()             // first event or complete response
-	onLoad  func(requests int) // load reported in the headers
+	onEvent func()                           // first event that the caller gets in this answer, before it does
+	onFirst func()                           // first event or complete response
+	onLoad  func(requests int, pace float64) // load reported in the headers
 }
 
 // exchange is one send of a request and the relay of its response.
@@ -114,7 +114,7 @@
 	// unless the body has been read.
 	head := x.Dialect.ReadResponse(resp.StatusCode, resp.Header)
 	if head.HasLoad {
-		x.observe.onLoad(head.Load)
+		x.observe.onLoad(head.Load, head.Pace)
 	}
 	answer := verdict.Answer{
 		Status: resp.StatusCode, Own: x.r.ID != "" && head.ID == x.r.ID, Signed: head.Signed, NotRun: head.NotRun,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,8 @@
 	ID          string
 	Load        int // requests running or waiting at the upstream, if HasLoad
 	HasLoad     bool
+	// Pace is how long work takes at the upstream now, 100 being usual; 0 if it does not say.
+	Pace float64
 	// RateLimit is the number of requests a second that the upstream takes from all
 	// instances together, if HasRateLimit.
 	RateLimit    float64
@@ -123,6 +125,18 @@
 	PruneLimits(v *fleet.View)
 }
 
+// Places admits requests to contended upstreams over all instances. Its methods are safe for
+// concurrent use.
+type Places interface {
+	dispatch.Occupancy
+	// TakePlace asks for a place at one of several upstreams. It waits at most until the
+	// latest useful start, and returns no upstream but the time to return if the request is
+	// refused. It fails if there is no leader.
+	TakePlace(ctx context.Context, upstreams []string, priority int, prompt, tokens int64, onTime, latest time.Duration) (upstream string, retryAfter time.Duration, err error)
+	// RecordPace records how long work takes at an upstream, as it says in an answer.
+	RecordPace(upstream string, pace float64)
+}
+
 // Quarantine keeps requests that crash upstreams from being sent. Its methods are safe
 // for concurrent use.
 type Quarantine interface {
@@ -199,6 +213,9 @@
 	// is set.
 	trialOf    quarantine.Cause
 	trialTaken bool
+	// place is the contended upstream at which the request has a place since placeAt.
+	place   string
+	placeAt bootclock.Time
 	// grantedAt is when the workspace's tokens were granted, 0 if they were not.
 	grantedAt bootclock.Time
 }
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -65,6 +65,7 @@
 	// Quarantine is asked before each send of a request.
 	Quarantine Quarantine
 	Origins    Origins
+	Places     Places
 	Forward    *Forward
 	Budget     *Budget
 	Log        log.Interface
@@ -141,6 +142,11 @@
 		if err != nil {
 			return nil, err
 		}
+		if again, refusal := f.takePlace(ctx, r, u); refusal != nil {
+			return nil, refusal
+		} else if again {
+			continue
+		}
 		now := bootclock.Now()
 		if r.Workspace != nil && f.State.Age(now) > f.StaleAfter {
 			return nil, r.Attempt.Refuse(verdict.ConfigurationStale, "this instance can't prove that keys are current").WithRetryAfter(defaultRetryAfter)
@@ -270,7 +276,11 @@
 			d.NotYet = f.Origins.VersionsNotYet(r.Service)
 		}
 		f.mu.Lock()
-		f.balancer.Members, f.balancer.Limits = f.State.Members(), f.Limits
+		f.balancer.Members, f.balancer.Limits, f.balancer.Occupancy = f.State.Members(), f.Limits, f.Places
+		d.Place = ""
+		if r.hasPlace(now) {
+			d.Place = r.place
+		}
 		choice := f.balancer.Pick(now, view, f.Placement, d)
 		f.mu.Unlock()
 		r.choice = choice
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -59,10 +59,16 @@
 			defer f.mu.Unlock()
 			ticket.RecordFirstEvent(now)
 		},
-		onLoad: func(requests int) {
+		onLoad: func(requests int, pace float64) {
+			if pace > 0 && r.Model != "" {
+				f.Places.RecordPace(u.ID, pace)
+			}
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			ticket.RecordLoad(bootclock.Now(), requests)
+			if pace > 0 {
+				ticket.RecordPace(bootclock.Now(), pace)
+			}
 		},
 	}
 	a := f.Forward.send(ctx, r, u, observe)
--- a/node/node.go
+++ b/node/node.go
@@ -156,7 +156,7 @@
 	stale := time.Duration(staleShare * float64(milliseconds(n.settings.Bounds.RevokeMS)))
 	n.route = gateway.NewRoute(n.settings.Instance, n.settings.DataCentre)
 	n.route.Log = n.log
-	n.route.State, n.route.Placement, n.route.Limiter, n.route.Limits, n.route.Quarantine, n.route.Origins, n.route.StaleAfter = n.state, client, client, client, client, client, stale
+	n.route.State, n.route.Placement, n.route.Limiter, n.route.Limits, n.route.Quarantine, n.route.Origins, n.route.Places, n.route.StaleAfter = n.state, client, client, client, client, client, client, stale
 	n.route.Forward = &gateway.Forward{Pool: n.pool, Dialect: dialect}
 	n.route.Budget = gateway.NewBudget(gateway.BudgetConfig{
 		Ratio: n.settings.Bounds.BudgetRatio, Slack: n.settings.Bounds.BudgetSlack,
--- a/plumbing/peer/message.go
+++ b/plumbing/peer/message.go
@@ -37,6 +37,7 @@
 	KindTakeTrial
 	KindOrigins
 	KindFindOrigin
+	KindTakePlace
 )
 
 // envelope frames every message after the handshake. Replies repeat the ID of
