Ask for a place for every request to an engine

Cause: bursts reach an engine before the instances know that it is contended. Change: places are asked for in services whose upstreams name their pace, whatever the load.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -78,9 +77,9 @@
 	quarantine     *quarantine.Ledger
 	evidenceAt     bootclock.Time // when the evidence against causes of crashes last changed
 	leaderSince    bootclock.Time // when the current leader became known
-	// contended holds the contended upstreams with the requests that all instances run there,
-	// and paces what upstreams have said since the last report.
-	contended  map[string]int
+	// admitted are the services whose requests the leader admits, and paces what upstreams
+	// have said since the last report.
+	admitted   []string
 	paces      map[string]float64
 	origins    *origin.Ledger
 	originsDue chan struct{}
@@ -98,7 +97,7 @@
 		absent: map[absence]bootclock.Time{}, demands: map[modelKey]*modelDemand{}, changed: make(chan struct{}),
 		urgent: make(chan struct{}, 1), synced: map[string]string{}, relayStatuses: map[string]relayStatus{},
 		limits: upstreamlimit.NewTable(), quarantine: quarantine.NewLedger(),
-		contended: map[string]int{}, paces: map[string]float64{},
+		paces:   map[string]float64{},
 		origins: origin.NewLedger(), originsDue: make(chan struct{}, 1),
 	}
 }
@@ -232,7 +231,7 @@
 	}
 	now := bootclock.Now()
 	if l.leader != from || token != l.token || l.lastContact == 0 {
-		clear(l.contended)
+		l.admitted = nil
 		l.leaderSince = now
 		l.reportOriginsSoon()
 	}
@@ -267,11 +266,8 @@
 	if !l.recordContact(from, u.Token) {
 		return
 	}
-	if u.HasContended {
-		l.contended = maps.Clone(u.Contended)
-		if l.contended == nil {
-			l.contended = map[string]int{}
-		}
+	if u.HasAdmitted {
+		l.admitted = u.Admitted
 	}
 	if len(u.Peers) > 0 {
 		l.peers = u.Peers
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/decision/quarantine"
@@ -93,7 +94,7 @@
 		if n.running[upstream]--; n.running[upstream] == 0 {
 			delete(n.running, upstream)
 		}
-		if _, contended := l.contended[upstream]; contended {
+		if slices.Contains(l.admitted, service) {
 			l.reportSoon() // another request may have the place
 		}
 	}
--- a/coordinator/places.go
+++ b/coordinator/places.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hibiscusyard/hibiscusyard/decision/admission"
@@ -15,8 +15,8 @@
 	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
 
-// placeRequest asks the leader for a place for one request at one of several contended
-// upstreams.
+// placeRequest asks the leader for a place for one request at one of several
+// engines.
 type placeRequest struct {
 	Upstreams []string      `cbor:"1,keyasint"`
 	Priority  int           `cbor:"2,keyasint"`
@@ -35,7 +35,7 @@
 // placeStep is the longest time between two decisions about waiting claims.
 const placeStep = 10 * time.Millisecond
 
-// places is the leader's side of the admission to contended upstreams. Coordinator.mu
+// places is the leader's side of the admission to engines. Coordinator.mu
 // guards it.
 type places struct {
 	ledger  *admission.Ledger
@@ -43,15 +43,15 @@
 	// services are those whose upstreams say how long work takes on their machines, which
 	// they share with others. Only these are admitted to by the leader.
 	services map[string]struct{}
-	// sent are the contended upstreams that all instances have been told of.
-	sent        map[string]int
+	// sent are the services that all instances have been told of.
+	sent        []string
 	stepPending bool
 }
 
 func newPlaces() *places {
 	return &places{
 		ledger: admission.NewLedger(), waiters: map[admission.ID]chan admission.Decision{},
-		services: map[string]struct{}{}, sent: map[string]int{},
+		services: map[string]struct{}{},
 	}
 }
 
@@ -91,7 +91,7 @@
 			if _, known := c.places.services[u.Service]; !known {
 				c.places.services[u.Service] = struct{}{}
 				c.places.observe(c.observedView)
-				c.config.Log.WithField("service", u.Service).Info("requests to contended upstreams of the service are admitted by the leader")
+				c.config.Log.WithField("service", u.Service).Info("requests to the service are admitted by the leader")
 			}
 			c.places.ledger.RecordPace(now, id, pace)
 		}
@@ -139,19 +139,11 @@
 	})
 }
 
-// contendedUpdate returns the contended upstreams with their running requests, and whether
-// the instances have to be told. The caller holds mu.
-func (c *Coordinator) contendedUpdate(now bootclock.Time) (map[string]int, bool) {
-	if len(c.places.services) == 0 {
-		return nil, false
-	}
-	list := c.places.ledger.Contended(now)
-	same := len(list) == len(c.places.sent)
-	for id := range list {
-		_, was := c.places.sent[id]
-		same = same && was
-	}
-	return list, !same
+// admittedServices returns the services whose requests the leader admits, and whether the
+// instances have to be told. The caller holds mu.
+func (c *Coordinator) admittedServices() ([]string, bool) {
+	list := slices.Sorted(maps.Keys(c.places.services))
+	return list, !slices.Equal(list, c.places.sent)
 }
 
 func (c *Coordinator) handleTakePlace(ctx context.Context, from peer.Identity, body []byte) (any, error) {
@@ -208,16 +200,11 @@
 	return placeResponse{Upstream: d.Upstream, RetryAfter: d.RetryAfter}
 }
 
-// Occupied returns the number of requests that all instances run at a contended upstream,
-// as last told by the leader.
-func (l *Client) Occupied(upstream string) (running int, contended bool) {
+// Admitted implements gateway.Places.
+func (l *Client) Admitted(service string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.leader == "" {
-		return 0, false
-	}
-	running, contended = l.contended[upstream]
-	return running, contended
+	return l.leader != "" && slices.Contains(l.admitted, service)
 }
 
 // TakePlace implements gateway.Places.
@@ -247,8 +234,3 @@
 	clear(l.paces)
 	return paces
 }
-
-// logContended logs a change of the contended upstreams.
-func (c *Coordinator) logContended(list map[string]int) {
-	c.config.Log.WithFields(log.Fields{"upstreams": len(list), "waiting": c.places.ledger.Waiting()}).Info("contended upstreams")
-}
--- a/decision/admission/admission.go
+++ b/decision/admission/admission.go
@@ -1,4 +1,4 @@
-// Package admission decides which requests contended upstreams take next. It answers the
+// Package admission decides which requests engines take next. It answers the
 // load of more requests for a few models than their engines can run: without it, every
 // instance sends what it has, the engines queue it, and most answers come after their
 // callers have left. It does no I/O and reads no clock.
@@ -23,14 +23,17 @@
 	prefillAhead = 40 * time.Millisecond
 	// memoryShare is the share of an engine's KV cache that running requests may take.
 	memoryShare = 0.9
-	// contendedRequests and contendedShare are the number of running requests, and the share
-	// of the slots if that is less, from which an upstream is contended: with more, reading
-	// the prompts of some requests pauses the others.
-	contendedRequests = 8
-	contendedShare    = 0.5
-	// contendedHold is how long an upstream stays contended, so that the instances are not
-	// told of every short change.
-	contendedHold = time.Second
+	// slotShare is the share of an engine's slots that is used: with more, the events of the
+	// running streams are further apart than their callers accept.
+	slotShare = 0.8
+	// occupiedMS is the cost of a fully occupied engine in the choice between engines, and
+	// preferenceMS the cost of each place further down in the preferences of the instance,
+	// which knows where the prompt is cached.
+	occupiedMS   = 200.0
+	preferenceMS = 15.0
+	// lateHold bounds the wait of a claim, as a multiple of the time in which it could meet
+	// its objective: later ones go before it then, and the caller may return instead.
+	lateHold = 2
 	// grantLife is how long a grant counts that no report of its instance covers.
 	grantLife = 700 * time.Millisecond
 	// grantDelay is the time from a grant until the instance reports the request as running.
@@ -59,10 +62,10 @@
 // Claim asks for a place for one request at one of several upstreams.
 type Claim struct {
 	Instance  string
-	Upstreams []string
-	Priority  int   // 0 is the most urgent
-	Prompt    int64 // tokens to read
-	Tokens    int64 // prompt and longest output
+	Upstreams []string // the preferred one first
+	Priority  int      // 0 is the most urgent
+	Prompt    int64    // tokens to read
+	Tokens    int64    // prompt and longest output
 	// OnTime is the latest start with which the request meets its latency objective.
 	OnTime bootclock.Time
 	// Latest is the latest start that is of use to the caller.
@@ -102,7 +105,6 @@
 	lastGrant bootclock.Time
 	gap       time.Duration // mean time between two grants while claims wait
 	granted   int           // since a claim was granted for its age
-	contended bootclock.Time
 	// returns is when the last refused caller was told to return.
 	returns bootclock.Time
 }
@@ -183,32 +185,6 @@
 	l.queue = slices.DeleteFunc(l.queue, func(w *waiting) bool { return w.Instance == instance })
 }
 
-// Contended returns the requests that run at each contended upstream.
-func (l *Ledger) Contended(now bootclock.Time) map[string]int {
-	list := map[string]int{}
-	for _, w := range l.queue {
-		for _, id := range w.Upstreams {
-			if u := l.upstreams[id]; u != nil {
-				u.contended = now
-			}
-		}
-	}
-	for id, u := range l.upstreams {
-		occupied := u.occupied(now)
-		if occupied >= u.contendedFrom() {
-			u.contended = now
-		}
-		if u.contended != 0 && now.Sub(u.contended) < contendedHold {
-			list[id] = occupied
-		}
-	}
-	return list
-}
-
-func (u *upstream) contendedFrom() int {
-	return max(min(contendedRequests, int(contendedShare*float64(u.capacity.Slots))), 1)
-}
-
 // occupied returns the number of requests that run at the upstream or are on their way.
 func (u *upstream) occupied(now bootclock.Time) int {
 	u.grants = slices.DeleteFunc(u.grants, func(g grant) bool { return now.Sub(g.at) > grantLife })
@@ -226,7 +202,7 @@
 
 // room reports whether the upstream takes one more request now.
 func (u *upstream) room(now bootclock.Time, c *Claim) bool {
-	limit := u.capacity.Slots
+	limit := max(int(slotShare*float64(u.capacity.Slots)), 1)
 	if c.Tokens > 0 && u.capacity.KVTokens > 0 {
 		limit = min(limit, max(int(memoryShare*float64(u.capacity.KVTokens)/float64(c.Tokens)), 1))
 	}
@@ -256,6 +232,9 @@
 	}
 	l.lastID++
 	w := &waiting{Claim: c, id: l.lastID, arrived: now}
+	if c.OnTime.After(now) {
+		w.Latest = min(c.Latest, now.Add(lateHold*c.OnTime.Sub(now)))
+	}
 	ahead := l.ahead(now, w)
 	if ahead == 0 {
 		if id := l.choose(now, &w.Claim); id != "" {
@@ -263,23 +242,27 @@
 			return 0, Decision{Upstream: id}, true
 		}
 	}
-	if wait := l.expectedWait(now, w, ahead); now.Add(wait).After(c.Latest) {
+	if wait := l.expectedWait(now, w, ahead); now.Add(wait).After(w.Latest) {
 		return 0, l.refuse(now, w, wait), true
 	}
 	l.queue = append(l.queue, w)
 	return w.id, Decision{}, false
 }
 
-// choose returns the upstream with room that is the least occupied for its slots.
+// choose returns the best upstream with room: the preferred one unless others have less to
+// read and run.
 func (l *Ledger) choose(now bootclock.Time, c *Claim) string {
 	best, least := "", 0.0
-	for _, id := range c.Upstreams {
+	for i, id := range c.Upstreams {
 		u := l.upstreams[id]
 		if u == nil || !u.room(now, c) {
 			continue
 		}
-		if share := float64(u.occupied(now)) / float64(max(u.capacity.Slots, 1)); best == "" || share < least {
-			best, least = id, share
+		cost := preferenceMS * float64(i)
+		cost += max(float64(u.readUntil.Sub(now))/float64(time.Millisecond), 0)
+		cost += occupiedMS * float64(u.occupied(now)) / float64(max(u.capacity.Slots, 1))
+		if best == "" || cost < least {
+			best, least = id, cost
 		}
 	}
 	return best
--- a/decision/dispatch/dispatch.go
+++ b/decision/dispatch/dispatch.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -57,6 +58,8 @@
 	Software fleet.VersionConstraint
 	NotYet   []string // software versions at which a stream that has not begun may not begin yet
 	Tried    []string // upstreams tried before; not chosen again unless they are in Retryable
+	// Candidates asks for all upstreams that can run the request.
+	Candidates bool
 	// Place is an upstream at which the leader has granted a place. It is chosen if it can
 	// run the request.
 	Place     string
@@ -102,7 +105,8 @@
 	Reason   Reason
 	Eligible int
 	Excluded Exclusions
-	// Candidates are the upstreams that can run the request, if the chosen one is contended.
+	// Candidates are the upstreams that can run the request, the best one first, if
+	// Demand.Candidates is set.
 	Candidates []string
 	// limited is the limited or paused upstream that may get a request first, at
 	// limitedUntil; nil if there is none.
@@ -133,11 +137,6 @@
 	Models(upstream *fleet.Upstream) map[string][]string
 }
 
-// Occupancy tells the requests that all instances together run at contended upstreams.
-type Occupancy interface {
-	Occupied(upstream string) (running int, contended bool)
-}
-
 // load is this instance's state of one upstream.
 type load struct {
 	service    string
@@ -165,8 +164,6 @@
 	Members int
 	// Limits is nil if no upstream names a limit.
 	Limits Limits
-	// Occupancy is nil if no upstream is contended.
-	Occupancy Occupancy
 
 	loads map[string]*load
 }
@@ -197,6 +194,7 @@
 	choice := Choice{Reason: NoUpstream}
 	var best, bestRetry float64
 	var retry *fleet.Upstream
+	var candidates []candidate
 	for _, u := range v.ByService[d.Service] {
 		if !v.Usable(u) {
 			continue
@@ -254,16 +252,20 @@
 			continue
 		}
 		choice.Eligible++
-		if b.Occupancy != nil {
-			choice.Candidates = append(choice.Candidates, u.ID)
-		}
 		if d.Place == u.ID {
 			cost = placeCostMS
 		}
+		if d.Candidates {
+			candidates = append(candidates, candidate{u.ID, cost})
+		}
 		if choice.Upstream == nil || cost < best {
 			choice.Upstream, best = u, cost
 		}
 	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.id, b.id)) })
+	for _, c := range candidates {
+		choice.Candidates = append(choice.Candidates, c.id)
+	}
 	switch {
 	case choice.Eligible > 1:
 		choice.Reason = LeastLoaded
@@ -275,6 +277,12 @@
 	return choice
 }
 
+// candidate is an upstream that can run a request.
+type candidate struct {
+	id   string
+	cost float64
+}
+
 // reasonOrder lists the reasons for no choice by how many conditions an upstream
 // met, fewest first.
 var reasonOrder = []Reason{NoUpstream, NoVersion, NotLoaded, NoAdapter, AllExcluded}
@@ -293,11 +301,6 @@
 	if now.Sub(l.reportedAt) < reportMaxAge {
 		others = l.reported
 	}
-	if b.Occupancy != nil {
-		if running, contended := b.Occupancy.Occupied(u.ID); contended {
-			others = max(running-l.running, others)
-		}
-	}
 	busy := float64(l.running + others)
 	var cost float64
 	if s.Engine == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,11 +125,12 @@
 	PruneLimits(v *fleet.View)
 }
 
-// Places admits requests to contended upstreams over all instances. Its methods are safe for
-// concurrent use.
+// Places admits requests to the engines of some services over all instances. Its methods are
+// safe for concurrent use.
 type Places interface {
-	dispatch.Occupancy
-	// TakePlace asks for a place at one of several upstreams. It waits at most until the
+	// Admitted reports whether the requests of a service are admitted by the leader.
+	Admitted(service string) bool
+	// TakePlace asks for a place at one of several upstreams, the preferred one first. It waits at most until the
 	// latest useful start, and returns no upstream but the time to return if the request is
 	// refused. It fails if there is no leader.
 	TakePlace(ctx context.Context, upstreams []string, priority int, prompt, tokens int64, onTime, latest time.Duration) (upstream string, retryAfter time.Duration, err error)
@@ -213,7 +214,7 @@
 	// is set.
 	trialOf    quarantine.Cause
 	trialTaken bool
-	// place is the contended upstream at which the request has a place since placeAt.
+	// place is the upstream at which the request has a place since placeAt.
 	place   string
 	placeAt bootclock.Time
 	// grantedAt is when the workspace's tokens were granted, 0 if they were not.
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -19,17 +19,17 @@
 	waitedForPlace = "place"
 )
 
-// hasPlace reports whether the request has a place at a contended upstream.
+// hasPlace reports whether the request has a place at an upstream.
 func (r *Request) hasPlace(now bootclock.Time) bool {
 	return r.place != "" && now.Sub(r.placeAt) < placeLife
 }
 
-// takePlace asks for a place if the chosen upstream is contended. again is set if the
+// takePlace asks for a place if the leader admits requests to the service. again is set if the
 // upstream is to be chosen once more, as the request has waited. Without a leader the
 // request is sent to the chosen upstream.
 func (f *Route) takePlace(ctx context.Context, r *Request, u *fleet.Upstream) (again bool, refusal error) {
 	now := bootclock.Now()
-	if _, contended := f.Places.Occupied(u.ID); !contended || r.Model == "" || r.hasPlace(now) && r.place == u.ID {
+	if len(r.choice.Candidates) == 0 || r.hasPlace(now) && r.place == u.ID {
 		return false, nil
 	}
 	latest := r.WaitLeft(now) - placeReserve
@@ -41,11 +41,7 @@
 	if r.Writer.Begun() || r.LastEventID != "" {
 		priority = -1 // what has run of the stream would be lost
 	}
-	candidates := r.choice.Candidates
-	if len(candidates) == 0 {
-		candidates = []string{u.ID}
-	}
-	upstream, after, err := f.Places.TakePlace(ctx, candidates, priority, r.PromptTokens, r.PromptTokens+r.OutputTokens, onTime, latest)
+	upstream, after, err := f.Places.TakePlace(ctx, r.choice.Candidates, priority, r.PromptTokens, r.PromptTokens+r.OutputTokens, onTime, latest)
 	if ctx.Err() != nil {
 		return false, r.canceled(ctx)
 	}
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -276,8 +276,8 @@
 			d.NotYet = f.Origins.VersionsNotYet(r.Service)
 		}
 		f.mu.Lock()
-		f.balancer.Members, f.balancer.Limits, f.balancer.Occupancy = f.State.Members(), f.Limits, f.Places
-		d.Place = ""
+		f.balancer.Members, f.balancer.Limits = f.State.Members(), f.Limits
+		d.Place, d.Candidates = "", d.Model != "" && f.Places.Admitted(d.Service)
 		if r.hasPlace(now) {
 			d.Place = r.place
 		}
