Save the services whose requests are admitted

Cause: after a restart of all instances nobody knows which upstreams name their pace. Change: a row with the services, and questions wait for a leader.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -231,7 +231,6 @@
 	}
 	now := bootclock.Now()
 	if l.leader != from || token != l.token || l.lastContact == 0 {
-		l.admitted = nil
 		l.leaderSince = now
 		l.reportOriginsSoon()
 	}
--- a/coordinator/places.go
+++ b/coordinator/places.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -12,7 +14,9 @@
 	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // placeRequest asks the leader for a place for one request at one of several
@@ -48,11 +52,78 @@
 	stepPending bool
 }
 
-func newPlaces() *places {
-	return &places{
+func newPlaces(services []string) *places {
+	p := &places{
 		ledger: admission.NewLedger(), waiters: map[admission.ID]chan admission.Decision{},
 		services: map[string]struct{}{},
 	}
+	for _, service := range services {
+		p.services[service] = struct{}{}
+	}
+	return p
+}
+
+// admissionKey is the row of Table with the services whose requests the leader admits: after
+// a restart of all instances the first requests come before any upstream has answered.
+const admissionKey = "admission"
+
+// applySavedAdmission takes over the services in the row.
+func (c *Coordinator) applySavedAdmission(page ports.Page) {
+	for _, row := range page.Rows {
+		if row.Table != Table || row.Key != admissionKey {
+			continue
+		}
+		var services []string
+		if err := json.Unmarshal(row.Value, &services); err != nil {
+			c.config.Log.WithError(err).Warn("row of the admitted services can't be read")
+		}
+		c.mu.Lock()
+		c.savedAdmission, c.admissionRow = services, row.Version
+		if c.places == nil {
+			c.client.setAdmitted(services)
+		}
+		c.mu.Unlock()
+	}
+}
+
+// saveAdmission writes the services whose requests the leader admits if they have changed.
+func (c *Coordinator) saveAdmission() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.leading || c.savingAdmission || len(c.places.services) == 0 {
+		return
+	}
+	services := slices.Sorted(maps.Keys(c.places.services))
+	if slices.Equal(services, c.savedAdmission) {
+		return
+	}
+	value, err := json.Marshal(services)
+	if err != nil {
+		panic(err) // a list of texts
+	}
+	c.savingAdmission = true
+	change := ports.Change{Table: Table, Key: admissionKey, Value: value, ExpectedVersion: c.admissionRow}
+	go c.writeAdmission(change, services)
+}
+
+func (c *Coordinator) writeAdmission(change ports.Change, services []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	page, err := c.config.Store.Commit(ctx, change)
+	if err == nil {
+		c.mu.Lock()
+		c.savedAdmission, c.admissionRow, c.savingAdmission = services, page.Version, false
+		c.mu.Unlock()
+		return
+	}
+	c.config.Log.WithError(err).Info("admitted services not saved; retrying")
+	if errors.Is(err, ports.ErrConflict) {
+		c.applySavedAdmission(page)
+	}
+	duration.Sleep(ctx, storeTimeout/2)
+	c.mu.Lock()
+	c.savingAdmission = false
+	c.mu.Unlock()
 }
 
 // observe sets the upstreams of the services that the leader admits requests to.
@@ -200,6 +271,12 @@
 	return placeResponse{Upstream: d.Upstream, RetryAfter: d.RetryAfter}
 }
 
+func (l *Client) setAdmitted(services []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.admitted = services
+}
+
 // Admitted implements gateway.Places.
 func (l *Client) Admitted(service string) bool {
 	l.mu.Lock()
@@ -211,11 +288,26 @@
 func (l *Client) TakePlace(ctx context.Context, upstreams []string, priority int, prompt, tokens int64, onTime, latest time.Duration) (upstream string, retryAfter time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, max(latest, 0)+peerCallTimeout)
 	defer cancel()
-	request := placeRequest{Upstreams: upstreams, Priority: priority, Prompt: prompt, Tokens: tokens, OnTime: onTime, Latest: latest}
-	response, err := callLeader(ctx, l, peer.KindTakePlace, request, func(ctx context.Context, req placeRequest) (placeResponse, error) {
-		return l.c.takePlace(ctx, l.c.config.Instance, req)
-	})
-	return response.Upstream, response.RetryAfter, err
+	now := bootclock.Now()
+	giveUpAt := now.Add(time.Duration(leaderWaitShare * float64(latest)))
+	for {
+		changed := l.Changed()
+		passed := bootclock.Since(now)
+		request := placeRequest{Upstreams: upstreams, Priority: priority, Prompt: prompt, Tokens: tokens, OnTime: onTime - passed, Latest: latest - passed}
+		response, err := callLeader(ctx, l, peer.KindTakePlace, request, func(ctx context.Context, req placeRequest) (placeResponse, error) {
+			return l.c.takePlace(ctx, l.c.config.Instance, req)
+		})
+		if err == nil || ctx.Err() != nil || !bootclock.Now().Before(giveUpAt) {
+			return response.Upstream, response.RetryAfter, err
+		}
+		timer := time.NewTimer(tick)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
 }
 
 // RecordPace implements gateway.Places.
