--- a/coordinator/places.go
+++ b/coordinator/places.go
@@ -286,6 +286,7 @@
 
 // TakePlace implements gateway.Places.
 func (l *Client) TakePlace(ctx context.Context, upstreams []string, priority int, prompt, tokens int64, onTime, latest time.Duration) (upstream string, retryAfter time.Duration, err error) {
+	l.c.config.Metrics.GetOrCreateCounter(`hibiscusyard_places_asked_total`).Inc()
 	ctx, cancel := context.WithTimeout(ctx, max(latest, 0)+peerCallTimeout)
 	defer cancel()
 	now := bootclock.Now()
--- a/node/testsystem_test.go
+++ b/node/testsystem_test.go
@@ -26,15 +26,16 @@
 
 // testSystem is a stand-in platform with upstreams and instances in one process.
 type testSystem struct {
-	t               *testing.T
-	store           *userplatform.Store
-	address         string
-	configure       func(*node.Settings)
-	engines         []*userplatform.Upstream
-	rotas           []*userplatform.Upstream
-	nodes           []*node.Node
-	callerAddresses []string // addresses for callers
-	readyAddresses  []string
+	t                *testing.T
+	store            *userplatform.Store
+	address          string
+	configure        func(*node.Settings)
+	engines          []*userplatform.Upstream
+	rotas            []*userplatform.Upstream
+	nodes            []*node.Node
+	callerAddresses  []string // addresses for callers
+	readyAddresses   []string
+	metricsAddresses []string
 }
 
 // newTestSystem starts a platform with two engines, two plain upstreams and the
@@ -119,6 +120,7 @@
 	s.nodes = append(s.nodes, n)
 	s.callerAddresses = append(s.callerAddresses, settings.CallerListen)
 	s.readyAddresses = append(s.readyAddresses, settings.ReadyListen)
+	s.metricsAddresses = append(s.metricsAddresses, settings.MetricsListen)
 	s.t.Cleanup(n.Stop)
 	return n
 }
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -94,6 +94,7 @@
 
 	mu          sync.Mutex
 	running     int
+	namesPace   bool
 	sequence    int64
 	state       string
 	faults      []Fault     // of the next requests, one each
@@ -174,6 +175,14 @@
 	return u.running
 }
 
+// NamePace makes answers say how long work takes on the machine now, as a fourth figure of
+// the load.
+func (u *Upstream) NamePace() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.namesPace = true
+}
+
 // Close simulates a crash of the upstream: its entry remains in the store.
 func (u *Upstream) Close() {
 	u.mu.Lock()
@@ -399,7 +408,11 @@
 	if refusal == 0 {
 		u.running++
 	}
-	w.Header().Set(HeaderLoad, fmt.Sprintf("%d,0,%d", u.running, u.Slots))
+	load := fmt.Sprintf("%d,0,%d", u.running, u.Slots)
+	if u.namesPace {
+		load += ",100"
+	}
+	w.Header().Set(HeaderLoad, load)
 	if l := u.currentLimit(); l != nil {
 		w.Header().Set(HeaderLimit, strconv.FormatFloat(l.rate, 'f', -1, 64))
 	}
