Admit requests in all services without a limit for cold upstreams

Cause: the second deployment has too little room as well, but its upstreams name no pace. Change: the desired state decides (no coldPerS), so that the row and the messages about services go.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -77,9 +77,7 @@
 	quarantine     *quarantine.Ledger
 	evidenceAt     bootclock.Time // when the evidence against causes of crashes last changed
 	leaderSince    bootclock.Time // when the current leader became known
-	// admitted are the services whose requests the leader admits, and paces what upstreams
-	// have said since the last report.
-	admitted   []string
+	// paces are what upstreams have said since the last report of how long work takes there.
 	paces      map[string]float64
 	origins    *origin.Ledger
 	originsDue chan struct{}
@@ -265,9 +263,6 @@
 	if !l.recordContact(from, u.Token) {
 		return
 	}
-	if u.HasAdmitted {
-		l.admitted = u.Admitted
-	}
 	if len(u.Peers) > 0 {
 		l.peers = u.Peers
 	}
--- a/coordinator/contend.go
+++ b/coordinator/contend.go
@@ -140,7 +140,6 @@
 	}
 	c.applySavedVerdicts(page)
 	c.applySavedVersions(page)
-	c.applySavedAdmission(page)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.lease.RecordRead(sent, bootclock.Now(), page); err != nil {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -144,11 +144,6 @@
 	unsentLimits map[upstreamlimit.ID]struct{}
 	// places admits requests to contended upstreams while this instance leads.
 	places *places
-	// savedAdmission are the services in the row of admissionKey, and admissionRow its version
-	// as last read or written.
-	savedAdmission  []string
-	admissionRow    int64
-	savingAdmission bool
 	// quarantineChanged is set if the verdicts or the evidence about causes of crashes have
 	// changed since they were last judged.
 	quarantineChanged bool
@@ -274,7 +269,6 @@
 	}
 	c.applySavedVerdicts(page)
 	c.applySavedVersions(page)
-	c.applySavedAdmission(page)
 	if secret := findSecret(page); secret != "" {
 		c.recordSecret(secret, page.Era)
 		return secret, nil
@@ -318,7 +312,6 @@
 		c.secretEra = era
 		c.savedVerdicts, c.quarantineChanged = unsaved, true
 		c.origins.savedVersions, c.origins.position = unsaved, 0
-		c.savedAdmission, c.admissionRow = nil, 0
 	}
 	c.mu.Unlock()
 	if !due {
@@ -402,6 +395,5 @@
 	c.judge(bootclock.Now())
 	c.saveVersions(bootclock.Now())
 	c.saveOrigins(bootclock.Now())
-	c.saveAdmission()
 	c.client.endDepartures(bootclock.Now())
 }
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/decision/quarantine"
@@ -77,6 +76,8 @@
 
 // RecordRunning implements gateway.Placement.
 func (l *Client) RecordRunning(service, model, adapter, upstream string) func() {
+	config := l.c.config.View().Config
+	admitted := config != nil && config.Services[service].Admitted()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := l.demandFor(service, model)
@@ -94,7 +95,7 @@
 		if n.running[upstream]--; n.running[upstream] == 0 {
 			delete(n.running, upstream)
 		}
-		if slices.Contains(l.admitted, service) {
+		if admitted {
 			l.reportSoon() // another request may have the place
 		}
 	}
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -80,7 +80,7 @@
 	reserves := c.buckets.begin()
 	c.observedView, c.reports, c.sentPeers = nil, map[string]instanceReport{}, nil
 	c.placements, c.unsent, c.waiters = map[string]residency.Placement{}, map[string]struct{}{}, map[string]struct{}{}
-	c.places = newPlaces(c.savedAdmission)
+	c.places = newPlaces()
 	c.sends, c.unsentLimits = upstreamlimit.NewBuckets(), map[upstreamlimit.ID]struct{}{}
 	c.relayProgress = map[string]*relayProgress{}
 	c.startOrigins(now)
--- a/coordinator/places.go
+++ b/coordinator/places.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -14,9 +11,7 @@
 	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
-	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
-	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
 )
 
 // placeRequest asks the leader for a place for one request at one of several
@@ -42,96 +37,20 @@
 // places is the leader's side of the admission to engines. Coordinator.mu
 // guards it.
 type places struct {
-	ledger  *admission.Ledger
-	waiters map[admission.ID]chan admission.Decision
-	// services are those whose upstreams say how long work takes on their machines, which
-	// they share with others. Only these are admitted to by the leader.
-	services map[string]struct{}
-	// sent are the services that all instances have been told of.
-	sent        []string
+	ledger      *admission.Ledger
+	waiters     map[admission.ID]chan admission.Decision
 	stepPending bool
 }
 
-func newPlaces(services []string) *places {
-	p := &places{
-		ledger: admission.NewLedger(), waiters: map[admission.ID]chan admission.Decision{},
-		services: map[string]struct{}{},
-	}
-	for _, service := range services {
-		p.services[service] = struct{}{}
-	}
-	return p
-}
-
-// admissionKey is the row of Table with the services whose requests the leader admits: after
-// a restart of all instances the first requests come before any upstream has answered.
-const admissionKey = "admission"
-
-// applySavedAdmission takes over the services in the row.
-func (c *Coordinator) applySavedAdmission(page ports.Page) {
-	for _, row := range page.Rows {
-		if row.Table != Table || row.Key != admissionKey {
-			continue
-		}
-		var services []string
-		if err := json.Unmarshal(row.Value, &services); err != nil {
-			c.config.Log.WithError(err).Warn("row of the admitted services can't be read")
-		}
-		c.mu.Lock()
-		c.savedAdmission, c.admissionRow = services, row.Version
-		if c.places == nil {
-			c.client.setAdmitted(services)
-		}
-		c.mu.Unlock()
-	}
-}
-
-// saveAdmission writes the services whose requests the leader admits if they have changed.
-func (c *Coordinator) saveAdmission() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.leading || c.savingAdmission || len(c.places.services) == 0 {
-		return
-	}
-	services := slices.Sorted(maps.Keys(c.places.services))
-	if slices.Equal(services, c.savedAdmission) {
-		return
-	}
-	value, err := json.Marshal(services)
-	if err != nil {
-		panic(err) // a list of texts
-	}
-	c.savingAdmission = true
-	change := ports.Change{Table: Table, Key: admissionKey, Value: value, ExpectedVersion: c.admissionRow}
-	go c.writeAdmission(change, services)
-}
-
-func (c *Coordinator) writeAdmission(change ports.Change, services []string) {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	page, err := c.config.Store.Commit(ctx, change)
-	if err == nil {
-		c.mu.Lock()
-		c.savedAdmission, c.admissionRow, c.savingAdmission = services, page.Version, false
-		c.mu.Unlock()
-		return
-	}
-	c.config.Log.WithError(err).Info("admitted services not saved; retrying")
-	if errors.Is(err, ports.ErrConflict) {
-		c.applySavedAdmission(page)
-	}
-	duration.Sleep(ctx, storeTimeout/2)
-	c.mu.Lock()
-	c.savingAdmission = false
-	c.mu.Unlock()
+func newPlaces() *places {
+	return &places{ledger: admission.NewLedger(), waiters: map[admission.ID]chan admission.Decision{}}
 }
 
 // observe sets the upstreams of the services that the leader admits requests to.
 func (p *places) observe(v *fleet.View) {
 	capacities := map[string]admission.Capacity{}
-	for service := range p.services {
-		s := v.Config.Services[service]
-		if s == nil || s.Engine == nil {
+	for service, s := range v.Config.Services {
+		if !s.Admitted() {
 			continue
 		}
 		for _, u := range v.ByService[service] {
@@ -154,21 +73,11 @@
 // recordOccupancy records what an instance runs at each upstream and how long work takes
 // there. The caller holds mu.
 func (c *Coordinator) recordOccupancy(now bootclock.Time, from string, demands []residency.ModelDemand, paces map[string]float64) {
-	if c.places == nil {
+	if c.places == nil || c.places.ledger.Empty() {
 		return
 	}
 	for id, pace := range paces {
-		if u := c.observedUpstream(id); u != nil {
-			if _, known := c.places.services[u.Service]; !known {
-				c.places.services[u.Service] = struct{}{}
-				c.places.observe(c.observedView)
-				c.config.Log.WithField("service", u.Service).Info("requests to the service are admitted by the leader")
-			}
-			c.places.ledger.RecordPace(now, id, pace)
-		}
-	}
-	if len(c.places.services) == 0 {
-		return
+		c.places.ledger.RecordPace(now, id, pace)
 	}
 	running := map[string]int{}
 	for _, d := range demands {
@@ -180,13 +89,6 @@
 	c.stepPlaces(now)
 }
 
-func (c *Coordinator) observedUpstream(id string) *fleet.Upstream {
-	if c.observedView == nil {
-		return nil
-	}
-	return c.observedView.ByID[id]
-}
-
 // stepPlaces decides about the waiting claims. The caller holds mu.
 func (c *Coordinator) stepPlaces(now bootclock.Time) {
 	for _, d := range c.places.ledger.Step(now) {
@@ -210,13 +112,6 @@
 	})
 }
 
-// admittedServices returns the services whose requests the leader admits, and whether the
-// instances have to be told. The caller holds mu.
-func (c *Coordinator) admittedServices() ([]string, bool) {
-	list := slices.Sorted(maps.Keys(c.places.services))
-	return list, !slices.Equal(list, c.places.sent)
-}
-
 func (c *Coordinator) handleTakePlace(ctx context.Context, from peer.Identity, body []byte) (any, error) {
 	var req placeRequest
 	if err := cbor.Unmarshal(body, &req); err != nil {
@@ -271,19 +166,6 @@
 	return placeResponse{Upstream: d.Upstream, RetryAfter: d.RetryAfter}
 }
 
-func (l *Client) setAdmitted(services []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.admitted = services
-}
-
-// Admitted implements gateway.Places.
-func (l *Client) Admitted(service string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.leader != "" && slices.Contains(l.admitted, service)
-}
-
 // TakePlace implements gateway.Places.
 func (l *Client) TakePlace(ctx context.Context, upstreams []string, priority int, prompt, tokens int64, onTime, latest time.Duration) (upstream string, retryAfter time.Duration, err error) {
 	l.c.config.Metrics.GetOrCreateCounter(`hibiscusyard_places_asked_total`).Inc()
--- a/coordinator/updates.go
+++ b/coordinator/updates.go
@@ -44,10 +44,6 @@
 	// HasVersions is set.
 	Versions    []origin.Seen `cbor:"13,keyasint,omitempty"`
 	HasVersions bool          `cbor:"14,keyasint,omitempty"`
-	// Admitted are the services whose requests the sender admits, all of them if HasAdmitted
-	// is set.
-	Admitted    []string `cbor:"15,keyasint,omitempty"`
-	HasAdmitted bool     `cbor:"16,keyasint,omitempty"`
 }
 
 // readyEstimate is the estimated time until a model that requests wait for is served.
@@ -125,8 +121,7 @@
 		return nil, nil
 	}
 	peers := c.newPeers(connected)
-	admitted, admittedChanged := c.admittedServices()
-	if len(c.unsent) == 0 && len(c.unsentLimits) == 0 && peers == nil && !admittedChanged && !c.client.anyUnsynced(connected) {
+	if len(c.unsent) == 0 && len(c.unsentLimits) == 0 && peers == nil && !c.client.anyUnsynced(connected) {
 		return nil, nil
 	}
 	c.lastPush = now
@@ -144,12 +139,7 @@
 	changedLimits, allLimits := c.limitReports(now)
 	clear(c.unsentLimits)
 	changed.Limits = changedLimits
-	if admittedChanged {
-		changed.Admitted, changed.HasAdmitted = admitted, true
-		c.places.sent = admitted
-	}
 	full = &update{Token: c.lease.Token(), OrdersIn: ordersIn, Peers: c.sentPeers, Full: true, Limits: allLimits, Quarantine: c.client.entries(now), HasQuarantine: true, Crashes: c.client.observedCrashes(now, 0)}
-	full.Admitted, full.HasAdmitted = admitted, true
 	full.Versions, full.HasVersions = c.client.admittedVersions(now), true
 	for _, id := range slices.Sorted(maps.Keys(c.placements)) {
 		full.Changed = append(full.Changed, c.placements[id])
@@ -235,7 +225,7 @@
 		message := changed
 		if c.client.markSynced(id.Instance, id.Incarnation) {
 			body, message = &fullBody, full
-		} else if len(changed.Changed) == 0 && len(changed.Removed) == 0 && len(changed.Limits) == 0 && changed.Peers == nil && !changed.HasAdmitted {
+		} else if len(changed.Changed) == 0 && len(changed.Removed) == 0 && len(changed.Limits) == 0 && changed.Peers == nil {
 			continue
 		}
 		if *body == nil {
--- a/decision/admission/admission.go
+++ b/decision/admission/admission.go
@@ -150,6 +150,9 @@
 	}
 }
 
+// Empty reports whether the ledger has no upstreams.
+func (l *Ledger) Empty() bool { return len(l.upstreams) == 0 }
+
 // RecordReport replaces what an instance runs at each upstream.
 func (l *Ledger) RecordReport(now bootclock.Time, instance string, running map[string]int) {
 	for id, n := range l.reports[instance] {
--- a/decision/fleet/config.go
+++ b/decision/fleet/config.go
@@ -93,6 +93,13 @@
 	Engine          *Engine // nil for plain services
 }
 
+// Admitted reports whether the leader admits the requests to the service's engines. Where cold
+// upstreams limit their requests, instances take turns at them instead, which the leader
+// does not know of.
+func (s *Service) Admitted() bool {
+	return s != nil && s.Engine != nil && s.ColdPerSecond == 0
+}
+
 // Workspace is a customer with its rate limit, in tokens across all instances.
 type Workspace struct {
 	Name        string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,11 +125,9 @@
 	PruneLimits(v *fleet.View)
 }
 
-// Places admits requests to the engines of some services over all instances. Its methods are
-// safe for concurrent use.
+// Places admits requests to engines over all instances, in services with fleet.Service.Admitted.
+// Its methods are safe for concurrent use.
 type Places interface {
-	// Admitted reports whether the requests of a service are admitted by the leader.
-	Admitted(service string) bool
 	// TakePlace asks for a place at one of several upstreams, the preferred one first. It waits at most until the
 	// latest useful start, and returns no upstream but the time to return if the request is
 	// refused. It fails if there is no leader.
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -277,7 +277,7 @@
 		}
 		f.mu.Lock()
 		f.balancer.Members, f.balancer.Limits = f.State.Members(), f.Limits
-		d.Place, d.Candidates = "", d.Model != "" && f.Places.Admitted(d.Service)
+		d.Place, d.Candidates = "", d.Model != "" && view.Config != nil && view.Config.Services[d.Service].Admitted()
 		if r.hasPlace(now) {
 			d.Place = r.place
 		}
--- a/standin/userplatform/operator.go
+++ b/standin/userplatform/operator.go
@@ -35,10 +35,13 @@
 
 // Service is a group of upstreams. Engine is nil for a plain service.
 type Service struct {
-	Name        string       `json:"name"`
-	HealthPath  string       `json:"healthPath"`
-	Connections int          `json:"connectionLimit"`
-	Engine      *EngineLimit `json:"engine,omitempty"`
+	Name        string `json:"name"`
+	HealthPath  string `json:"healthPath"`
+	Connections int    `json:"connectionLimit"`
+	// ColdPerSecond is the number of requests a second that a cold upstream serves, 0 for no
+	// limit.
+	ColdPerSecond float64      `json:"coldPerS,omitempty"`
+	Engine        *EngineLimit `json:"engine,omitempty"`
 }
 
 // EngineLimit holds the capacity of each engine of a service and the models that
