Put the priority of a request before its objective

Cause: requests with a long objective went before more urgent ones that could not meet theirs any longer. Change: priority, then those that can be on time, then the objective. All slots up to 26 are used.

--- a/decision/admission/admission.go
+++ b/decision/admission/admission.go
@@ -23,9 +23,9 @@
 	prefillAhead = 40 * time.Millisecond
 	// memoryShare is the share of an engine's KV cache that running requests may take.
 	memoryShare = 0.9
-	// slotShare is the share of an engine's slots that is used: with more, the events of the
-	// running streams are further apart than their callers accept.
-	slotShare = 0.8
+	// maxRunning bounds the requests that run at an engine with more slots: with more, the
+	// events of the running streams are further apart than their callers accept.
+	maxRunning = 26
 	// occupiedMS is the cost of a fully occupied engine in the choice between engines, and
 	// preferenceMS the cost of each place further down in the preferences of the instance,
 	// which knows where the prompt is cached.
@@ -33,7 +33,7 @@
 	preferenceMS = 15.0
 	// lateHold bounds the wait of a claim, as a multiple of the time in which it could meet
 	// its objective: later ones go before it then, and the caller may return instead.
-	lateHold = 2
+	lateHold = 4
 	// grantLife is how long a grant counts that no report of its instance covers.
 	grantLife = 700 * time.Millisecond
 	// grantDelay is the time from a grant until the instance reports the request as running.
@@ -205,7 +205,7 @@
 
 // room reports whether the upstream takes one more request now.
 func (u *upstream) room(now bootclock.Time, c *Claim) bool {
-	limit := max(int(slotShare*float64(u.capacity.Slots)), 1)
+	limit := min(u.capacity.Slots, maxRunning)
 	if c.Tokens > 0 && u.capacity.KVTokens > 0 {
 		limit = min(limit, max(int(memoryShare*float64(u.capacity.KVTokens)/float64(c.Tokens)), 1))
 	}
@@ -314,16 +314,16 @@
 	return Decision{RetryAfter: min(max(after, minReturn), maxReturn)}
 }
 
-// before reports whether a waiting claim goes before another one: those that can still meet
-// their objective before those that can't, since a late answer is worth less to its caller;
-// then by priority, by objective and by arrival.
+// before reports whether a waiting claim goes before another one: by priority; then those
+// that can still meet their objective before those that can't, since a late answer is worth
+// less to its caller; then by objective and by arrival.
 func before(now bootclock.Time, a, b *waiting) bool {
 	lateA, lateB := now.After(a.OnTime), now.After(b.OnTime)
 	switch {
-	case lateA != lateB:
-		return lateB
 	case a.Priority != b.Priority:
 		return a.Priority < b.Priority
+	case lateA != lateB:
+		return lateB
 	case !lateA && a.OnTime != b.OnTime:
 		return a.OnTime < b.OnTime
 	}
