Measure the gap between grants only while requests wait

Cause: a gap after an idle time made the expected wait too long. Change: as the subject says; requests are held to their latest useful start. One test of the package fails at this state: requests whose answer would come just after their callers have left are counted by none of its sums.

--- a/decision/admission/admission.go
+++ b/decision/admission/admission.go
@@ -31,9 +31,6 @@
 	// which knows where the prompt is cached.
 	occupiedMS   = 200.0
 	preferenceMS = 15.0
-	// lateHold bounds the wait of a claim, as a multiple of the time in which it could meet
-	// its objective: later ones go before it then, and the caller may return instead.
-	lateHold = 4
 	// grantLife is how long a grant counts that no report of its instance covers.
 	grantLife = 700 * time.Millisecond
 	// grantDelay is the time from a grant until the instance reports the request as running.
@@ -213,19 +210,21 @@
 }
 
 // grant records a request that is sent to the upstream.
-func (u *upstream) grant(now bootclock.Time, c *Claim, queued bool) {
+func (u *upstream) grant(now bootclock.Time, c *Claim) {
 	u.grants = append(u.grants, grant{c.Instance, now})
-	read := u.readTime(now, c.Prompt)
-	u.readUntil = max(u.readUntil, now).Add(read)
-	if gap := now.Sub(u.lastGrant); queued && u.lastGrant != 0 {
-		if u.gap == 0 {
-			u.gap = read
-		}
-		u.gap = time.Duration(gapWeight*float64(gap) + (1-gapWeight)*float64(u.gap))
-	}
+	u.readUntil = max(u.readUntil, now).Add(u.readTime(now, c.Prompt))
 	u.lastGrant = now
 }
 
+// recordGap records the time between two grants, while a claim waited since a time.
+func (u *upstream) recordGap(now, since bootclock.Time, read time.Duration) {
+	gap := now.Sub(max(u.lastGrant, since))
+	if u.gap == 0 {
+		u.gap = read
+	}
+	u.gap = time.Duration(gapWeight*float64(gap) + (1-gapWeight)*float64(u.gap))
+}
+
 // Ask decides about a claim: it is granted if an upstream has room, refused if its turn
 // would come too late, and waits otherwise.
 func (l *Ledger) Ask(now bootclock.Time, c Claim) (id ID, d Decision, decided bool) {
@@ -235,13 +234,10 @@
 	}
 	l.lastID++
 	w := &waiting{Claim: c, id: l.lastID, arrived: now}
-	if c.OnTime.After(now) {
-		w.Latest = min(c.Latest, now.Add(lateHold*c.OnTime.Sub(now)))
-	}
 	ahead := l.ahead(now, w)
 	if ahead == 0 {
 		if id := l.choose(now, &w.Claim); id != "" {
-			l.upstreams[id].grant(now, &w.Claim, false)
+			l.upstreams[id].grant(now, &w.Claim)
 			return 0, Decision{Upstream: id}, true
 		}
 	}
@@ -349,7 +345,8 @@
 		}
 		id := l.choose(now, &w.Claim)
 		u := l.upstreams[id]
-		u.grant(now, &w.Claim, true)
+		u.recordGap(now, w.arrived, u.readTime(now, w.Prompt))
+		u.grant(now, &w.Claim)
 		if u.granted++; u.granted >= agedEvery {
 			u.granted = 0
 		}
