Refuse late requests that others have passed

Cause: requests that can't meet their objective any longer were passed by later ones until they were refused at the end of their time. Change: they are refused after two later ones, and each tenth grant instead of each fifth goes to the longest wait.

--- a/decision/admission/admission.go
+++ b/decision/admission/admission.go
@@ -37,7 +37,10 @@
 	grantDelay = 60 * time.Millisecond
 	// agedEvery is the number of grants of an upstream of which one goes to the claim that
 	// has waited longest, so that no kind of request is starved.
-	agedEvery = 5
+	agedEvery = 10
+	// maxOvertaken is how often a claim that can't meet its objective any longer is passed by
+	// later ones until it is refused: its caller may return, while it would go on waiting here.
+	maxOvertaken = 2
 	// gapWeight is the weight of the last gap between two grants in their mean.
 	gapWeight = 0.2
 	// minReturn and maxReturn bound the time after which a refused caller is told to return.
@@ -108,8 +111,9 @@
 
 type waiting struct {
 	Claim
-	id      ID
-	arrived bootclock.Time
+	id        ID
+	arrived   bootclock.Time
+	overtaken int // grants to later claims since it can't meet its objective
 }
 
 // Ledger holds the occupancy of the upstreams and the waiting claims. It is not safe for
@@ -238,6 +242,7 @@
 	if ahead == 0 {
 		if id := l.choose(now, &w.Claim); id != "" {
 			l.upstreams[id].grant(now, &w.Claim)
+			l.recordOvertaking(now, w, id)
 			return 0, Decision{Upstream: id}, true
 		}
 	}
@@ -351,6 +356,7 @@
 			u.granted = 0
 		}
 		l.remove(w.id)
+		l.recordOvertaking(now, w, id)
 		decided = append(decided, Decided{w.id, Decision{Upstream: id}})
 	}
 	for _, w := range slices.Clone(l.queue) {
@@ -358,7 +364,7 @@
 		case !slices.ContainsFunc(w.Upstreams, func(id string) bool { return l.upstreams[id] != nil }):
 			decided = append(decided, Decided{ID: w.id})
 			l.remove(w.id)
-		case !now.Before(w.Latest):
+		case !now.Before(w.Latest), w.overtaken >= maxOvertaken:
 			decided = append(decided, Decided{w.id, l.refuse(now, w, l.expectedWait(now, w, l.ahead(now, w)))})
 			l.remove(w.id)
 		}
@@ -366,6 +372,16 @@
 	return decided
 }
 
+// recordOvertaking records a grant of an upstream for the late claims that have waited longer
+// for it.
+func (l *Ledger) recordOvertaking(now bootclock.Time, granted *waiting, id string) {
+	for _, w := range l.queue {
+		if w.id < granted.id && now.After(w.OnTime) && slices.Contains(w.Upstreams, id) {
+			w.overtaken++
+		}
+	}
+}
+
 // next returns the claim to grant next, nil if no upstream has room for one: the first of
 // the queue, or at each agedEvery-th grant of an upstream the one that has waited longest.
 func (l *Ledger) next(now bootclock.Time) *waiting {
