Count requests without room as demand for their model

Cause: with places, no more requests run at an engine than it has slots, so that the planner saw no backlog and added no replicas. Change: Planner.RecordExcess.

--- a/coordinator/places.go
+++ b/coordinator/places.go
@@ -23,6 +23,8 @@
 	Tokens    int64         `cbor:"4,keyasint"`
 	OnTime    time.Duration `cbor:"5,keyasint"` // until the latest start that meets the objective
 	Latest    time.Duration `cbor:"6,keyasint"` // until the latest start that is of use
+	Service   string        `cbor:"7,keyasint"`
+	Model     string        `cbor:"8,keyasint"`
 }
 
 // placeResponse names the upstream at which the request has a place, or refuses it.
@@ -133,6 +135,9 @@
 		Instance: from, Upstreams: req.Upstreams, Priority: req.Priority, Prompt: req.Prompt, Tokens: req.Tokens,
 		OnTime: now.Add(req.OnTime), Latest: now.Add(req.Latest),
 	})
+	if !decided || d.Upstream == "" {
+		c.planner.RecordExcess(now, req.Service, req.Model)
+	}
 	if decided {
 		c.mu.Unlock()
 		return c.placeDecided(d, 0), nil
@@ -167,7 +172,7 @@
 }
 
 // TakePlace implements gateway.Places.
-func (l *Client) TakePlace(ctx context.Context, upstreams []string, priority int, prompt, tokens int64, onTime, latest time.Duration) (upstream string, retryAfter time.Duration, err error) {
+func (l *Client) TakePlace(ctx context.Context, service, model string, upstreams []string, priority int, prompt, tokens int64, onTime, latest time.Duration) (upstream string, retryAfter time.Duration, err error) {
 	l.c.config.Metrics.GetOrCreateCounter(`hibiscusyard_places_asked_total`).Inc()
 	ctx, cancel := context.WithTimeout(ctx, max(latest, 0)+peerCallTimeout)
 	defer cancel()
@@ -176,7 +181,7 @@
 	for {
 		changed := l.Changed()
 		passed := bootclock.Since(now)
-		request := placeRequest{Upstreams: upstreams, Priority: priority, Prompt: prompt, Tokens: tokens, OnTime: onTime - passed, Latest: latest - passed}
+		request := placeRequest{Service: service, Model: model, Upstreams: upstreams, Priority: priority, Prompt: prompt, Tokens: tokens, OnTime: onTime - passed, Latest: latest - passed}
 		response, err := callLeader(ctx, l, peer.KindTakePlace, request, func(ctx context.Context, req placeRequest) (placeResponse, error) {
 			return l.c.takePlace(ctx, l.c.config.Instance, req)
 		})
--- a/decision/residency/planner.go
+++ b/decision/residency/planner.go
@@ -109,6 +109,21 @@
 	p.reports[instance] = &demandReport{at: now, demands: demands}
 }
 
+// RecordExcess records a request that found no room at the replicas of its model, and so is
+// not counted among those that run or wait for the model.
+func (p *Planner) RecordExcess(now bootclock.Time, service, model string) {
+	p.demand(key{service, model}).excess.add(now, 1)
+}
+
+// requestTime is the assumed time that a request runs, in which requests without room add up.
+const requestTime = 2 * time.Second
+
+// excessRequests returns the number of requests that would run beside the others if there
+// were room for them.
+func (d *demand) excessRequests(now bootclock.Time) int {
+	return int(d.excess.current(now) * requestTime.Seconds())
+}
+
 // markAdaptersUsed updates the time of last use of the adapters that requests
 // for a model use.
 func (p *Planner) markAdaptersUsed(now bootclock.Time, n ModelDemand) {
--- a/decision/residency/priority.go
+++ b/decision/residency/priority.go
@@ -23,7 +23,7 @@
 			list = append(list, k)
 		}
 	}
-	p.sortByUrgency(list)
+	p.sortByUrgency(now, list)
 	return list
 }
 
@@ -31,10 +31,10 @@
 // backlog by how long their requests have been waiting, longest first. The weight
 // store loads about one model a second: a model with many requests a second must
 // not wait for all models that were requested once.
-func (p *Planner) sortByUrgency(list []key) {
+func (p *Planner) sortByUrgency(now bootclock.Time, list []key) {
 	backlog := make(map[key]int, len(list))
 	for _, k := range list {
-		backlog[k] = p.backlog(k)
+		backlog[k] = p.backlog(now, k)
 	}
 	slices.SortFunc(list, func(a, b key) int {
 		return cmp.Or(cmp.Compare(backlog[b], backlog[a]), cmp.Compare(p.demands[a].urgency(), p.demands[b].urgency()), cmp.Compare(a.model, b.model))
@@ -45,11 +45,11 @@
 // its replicas, in units of requestsPerReplica, rounded down. The rounding makes
 // models with few requests equal, so that they are loaded in order of waiting
 // time.
-func (p *Planner) backlog(k key) int {
+func (p *Planner) backlog(now bootclock.Time, k key) int {
 	d := p.demands[k]
 	n := d.waiting
 	if replicas := p.totals.replicas(k); replicas > 0 {
-		n += p.running(d) - requestsPerReplica*replicas
+		n += p.running(d) + d.excessRequests(now) - requestsPerReplica*replicas
 	}
 	return max(n, 0) / requestsPerReplica
 }
@@ -57,7 +57,7 @@
 // needsReplica reports whether a model needs a first or another replica.
 func (p *Planner) needsReplica(now bootclock.Time, k key, d *demand) bool {
 	if replicas := p.totals.replicas(k); replicas > 0 {
-		return p.running(d)+d.waiting > requestsPerReplica*replicas
+		return p.running(d)+d.waiting+d.excessRequests(now) > requestsPerReplica*replicas
 	}
 	return d.waiting > 0 || d.rate.current(now) >= firstReplicaRate
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,7 +131,7 @@
 	// TakePlace asks for a place at one of several upstreams, the preferred one first. It waits at most until the
 	// latest useful start, and returns no upstream but the time to return if the request is
 	// refused. It fails if there is no leader.
-	TakePlace(ctx context.Context, upstreams []string, priority int, prompt, tokens int64, onTime, latest time.Duration) (upstream string, retryAfter time.Duration, err error)
+	TakePlace(ctx context.Context, service, model string, upstreams []string, priority int, prompt, tokens int64, onTime, latest time.Duration) (upstream string, retryAfter time.Duration, err error)
 	// RecordPace records how long work takes at an upstream, as it says in an answer.
 	RecordPace(upstream string, pace float64)
 }
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -41,7 +41,7 @@
 	if r.Writer.Begun() || r.LastEventID != "" {
 		priority = -1 // what has run of the stream would be lost
 	}
-	upstream, after, err := f.Places.TakePlace(ctx, r.choice.Candidates, priority, r.PromptTokens, r.PromptTokens+r.OutputTokens, onTime, latest)
+	upstream, after, err := f.Places.TakePlace(ctx, r.Service, r.Model, r.choice.Candidates, priority, r.PromptTokens, r.PromptTokens+r.OutputTokens, onTime, latest)
 	if ctx.Err() != nil {
 		return false, r.canceled(ctx)
 	}
