--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -77,8 +77,10 @@
 	quarantine     *quarantine.Ledger
 	evidenceAt     bootclock.Time // when the evidence against causes of crashes last changed
 	leaderSince    bootclock.Time // when the current leader became known
-	origins        *origin.Ledger
-	originsDue     chan struct{}
+	// paces are what upstreams have said since the last report of how long work takes there.
+	paces      map[string]float64
+	origins    *origin.Ledger
+	originsDue chan struct{}
 	// originsSent is the position in the ledger up to which streams have been reported to
 	// the leader of the term with originsToken.
 	originsSent  int
@@ -93,6 +95,7 @@
 		absent: map[absence]bootclock.Time{}, demands: map[modelKey]*modelDemand{}, changed: make(chan struct{}),
 		urgent: make(chan struct{}, 1), synced: map[string]string{}, relayStatuses: map[string]relayStatus{},
 		limits: upstreamlimit.NewTable(), quarantine: quarantine.NewLedger(),
+		paces:   map[string]float64{},
 		origins: origin.NewLedger(), originsDue: make(chan struct{}, 1),
 	}
 }
--- a/coordinator/updates.go
+++ b/coordinator/updates.go
@@ -282,6 +282,9 @@
 		c.origins.losses.LinkUp(bootclock.Now(), id.Instance, id.Incarnation)
 	} else {
 		c.origins.losses.LinkDown(bootclock.Now(), id.Instance, id.Incarnation, c.hub.Linked(id.Instance))
+		if c.places != nil {
+			c.places.ledger.Forget(bootclock.Now(), id.Instance)
+		}
 	}
 	c.mu.Unlock()
 	if !up {
--- a/plumbing/peer/message.go
+++ b/plumbing/peer/message.go
@@ -38,6 +38,7 @@
 	KindOrigins
 	KindFindOrigin
 	KindListOrigins
+	KindTakePlace
 )
 
 // envelope frames every message after the handshake. Replies repeat the ID of
