Add calls to the platform's API that the leader makes under its lease

Usage reports and scaling orders are calls that one instance makes for all.

Settings have the section `duties` (address of the API, list of duties, calls a second) and the bounds usage_window_s and usage_late_s, all optional; the template leaves each out if its value is absent. platform.Duties makes the calls on connpool, which resets a connection whose call is given up, and tells accepted, throttled, not applied and unknown apart (5xx and 408 count as unknown, as they don't show that the call was not executed). Coordinator.sendDuty binds a call to a term, gives it up after 3 s, spaces the calls of each duty at a quarter of what the platform accepts, and counts hibiscusyard_duty_calls_total{duty,outcome}. Nothing calls it yet.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -116,18 +116,21 @@
 	// StoreParallel is the number of concurrent loads that the weight store serves at
 	// full speed.
 	StoreParallel int
-	Log           log.Interface
-	Metrics       *metrics.Set
+	// Duties are the calls to the platform's API that this instance makes while it leads.
+	Duties  DutyConfig
+	Log     log.Interface
+	Metrics *metrics.Set
 }
 
 // Coordinator contends for the lease and leads while it holds it. Its Client
 // connects the instance to the current leader.
 type Coordinator struct {
-	config  Config
-	client  *Client
-	hub     *peer.Hub
-	wake    chan struct{}
-	started bootclock.Time
+	config    Config
+	client    *Client
+	hub       *peer.Hub
+	wake      chan struct{}
+	started   bootclock.Time
+	dutyPacer pacer
 
 	mu           sync.Mutex
 	lease        *Lease
--- a/node/node.go
+++ b/node/node.go
@@ -102,6 +102,13 @@
 		store: store, table: platform.TableUpstreams, wait: feedWait, changePause: upstreamFeedPause, shortestBound: shortestBound, log: n.log,
 		applyRow: n.state.applyUpstream, onAnswer: n.state.onAnswer,
 	}
+	duties := coordinator.DutyConfig{
+		Enabled: s.Duties.enabled(), CallsPerS: s.Duties.CallsPerS,
+		UsageWindow: seconds(s.Bounds.UsageWindowS), UsageLate: seconds(s.Bounds.UsageLateS),
+	}
+	if len(duties.Enabled) > 0 {
+		duties.API = &platform.Duties{Address: s.Duties.Address, Pool: n.pool, Holder: s.Instance}
+	}
 	n.coord = coordinator.New(coordinator.Config{
 		Instance: s.Instance, Boot: uuid.NewString(), Address: s.PeerListen, DataCentre: s.DataCentre,
 		Store: store, Engines: &platform.Engines{Pool: n.pool, OnAnswer: n.recordAnswer}, View: n.state.View, SetDeparted: n.state.setDeparted,
@@ -111,7 +118,7 @@
 			Window: seconds(s.Bounds.QuotaWindowS), Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack,
 		},
 		Weak: s.Weak(), ShortestBound: shortestBound, Size: n.state.estimateSize,
-		LeaseGap: milliseconds(s.Bounds.LeaseMS), StoreParallel: s.StoreParallel, Log: n.log, Metrics: n.metrics,
+		LeaseGap: milliseconds(s.Bounds.LeaseMS), StoreParallel: s.StoreParallel, Duties: duties, Log: n.log, Metrics: n.metrics,
 	})
 	client := n.coord.Client()
 	n.state.desired.relayFresh = func(now bootclock.Time) bool {
--- a/node/nodecmd/nodecmd.go
+++ b/node/nodecmd/nodecmd.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -117,7 +118,7 @@
 	switch {
 	case err != nil:
 		logger.WithError(err).Error("changed settings are invalid; keeping the current ones")
-	case changed != current:
+	case !reflect.DeepEqual(changed, current):
 		logger.Warn("settings have changed; they apply at the next start")
 	default:
 		logger.Info("settings reloaded; no changes")
--- a/node/nodecmd/nodecmd_test.go
+++ b/node/nodecmd/nodecmd_test.go
@@ -66,24 +66,68 @@
 	}
 }
 
-// Guards the settings template that the platform fills in: the result must be valid
-// JSON with only fields that the daemon knows.
-func TestTemplateFitsTheSettings(t *testing.T) {
+// fillTemplate fills in the settings template: values by placeholder, 1 for others. A
+// section is kept if it has a value.
+func fillTemplate(t *testing.T, values map[string]string) string {
+	t.Helper()
 	template, err := os.ReadFile("../../deploy/settings.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	filled := strings.NewReplacer(
-		"{{nodeName|json}}", `"i"`, "{{zone|json}}", `"d"`, "{{listen.front|json}}", `"127.0.0.1:1"`, "{{listen.ready|json}}", `"127.0.0.1:2"`,
-		"{{ipAddress}}:{{internalPorts.0}}", "127.0.0.1:3", "{{ipAddress}}:{{internalPorts.1}}", "127.0.0.1:4",
-		"{{platform.address|json}}", `"127.0.0.1:5"`,
-	).Replace(string(template))
-	for strings.Contains(filled, "{{") {
-		start := strings.Index(filled, "{{")
-		end := strings.Index(filled, "}}")
-		filled = filled[:start] + "1" + filled[end+2:]
+	text := string(template)
+	for {
+		before, rest, found := strings.Cut(text, "{{#")
+		if !found {
+			break
+		}
+		name, rest, _ := strings.Cut(rest, "}}")
+		section, after, closed := strings.Cut(rest, "{{/"+name+"}}")
+		if !closed {
+			t.Fatalf("the section %s has no end", name)
+		}
+		if _, present := values[name]; !present {
+			section = ""
+		}
+		text = before + section + after
+	}
+	for {
+		before, rest, found := strings.Cut(text, "{{")
+		if !found {
+			return text
+		}
+		name, after, _ := strings.Cut(rest, "}}")
+		value, ok := values[strings.TrimSuffix(name, "|json")]
+		if !ok {
+			value = "1"
+		}
+		text = before + value + after
 	}
-	if code, _, errOut := run("validate", "--settings", writeFile(t, filled)); code != cli.ExitOK {
-		t.Errorf("filled template: got code %d, error output %s\n%s", code, errOut, filled)
+}
+
+// Guards the settings template that the platform fills in: the result must be valid
+// JSON with only fields that the daemon knows, with and without each optional value.
+func TestTemplateFitsTheSettings(t *testing.T) {
+	values := func(more ...string) map[string]string {
+		v := map[string]string{
+			"nodeName": `"i"`, "zone": `"d"`, "listen.front": `"127.0.0.1:1"`, "listen.ready": `"127.0.0.1:2"`, "ipAddress": "127.0.0.1",
+			"internalPorts.0": "3", "internalPorts.1": "4", "platform.address": `"127.0.0.1:5"`,
+		}
+		for i := 0; i < len(more); i += 2 {
+			v[more[i]] = more[i+1]
+		}
+		return v
+	}
+	for name, v := range map[string]map[string]string{
+		"no duties":   values(),
+		"empty list":  values("cloud.address", `"127.0.0.1:6"`, "cloud.duties", `""`, "cloud.dutyPerS", "50", "bounds.usageWindowS", "5"),
+		"address":     values("cloud.address", `"127.0.0.1:6"`),
+		"only limits": values("cloud.dutyPerS", "50", "bounds.usageLateS", "10"),
+		"all": values("cloud.address", `"127.0.0.1:6"`, "cloud.duties", `"usage_reporting,autoscaling"`, "cloud.dutyPerS", "50",
+			"bounds.usageWindowS", "5", "bounds.usageLateS", "10"),
+	} {
+		filled := fillTemplate(t, v)
+		if code, _, errOut := run("validate", "--settings", writeFile(t, filled)); code != cli.ExitOK {
+			t.Errorf("%s: filled template: got code %d, error output %s\n%s", name, code, errOut, filled)
+		}
 	}
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/samber/oops"
@@ -38,10 +39,41 @@
 	// StoreParallel is the initial limit of a leader on concurrent loads from the
 	// weight store; the limit then adapts to how long loads take. Default 4.
 	StoreParallel int `json:"store_parallel"`
+	// Duties are the calls to the platform's API that the leader makes. Default none.
+	Duties Duties `json:"duties"`
 	// Bounds are the guarantees of the deployment. Required.
 	Bounds Bounds `json:"bounds"`
 }
 
+// Duties configures the calls to the platform's API that one instance makes on behalf of
+// all.
+type Duties struct {
+	// Address is the address of the API. Empty: no duties.
+	Address string `json:"address"`
+	// List has the enabled duties, "usage_reporting" and "autoscaling"; one element may
+	// have several, separated by commas. Default none.
+	List []string `json:"list"`
+	// CallsPerS is the number of calls a second that the API accepts from all instances
+	// together. Default 50.
+	CallsPerS float64 `json:"calls_per_s"`
+}
+
+// enabled returns the names of the enabled duties.
+func (d *Duties) enabled() []string {
+	var names []string
+	if d.Address == "" {
+		return nil
+	}
+	for _, element := range d.List {
+		for name := range strings.SplitSeq(element, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
 // Machines below either threshold count as weak: leading 85 instances took 0.13 of
 // a CPU and several Mbit/s.
 const (
@@ -82,6 +114,11 @@
 	QuotaWindowS float64 `json:"quota_window_s"`
 	QuotaOverage float64 `json:"quota_overage"`
 	QuotaSlack   float64 `json:"quota_slack"`
+	// UsageWindowS is the length of the windows of usage reports, and UsageLateS the time
+	// after the end of a window at which its report is due, in seconds. Without a window
+	// there are no usage reports.
+	UsageWindowS float64 `json:"usage_window_s"`
+	UsageLateS   float64 `json:"usage_late_s"`
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -103,7 +140,7 @@
 
 // ParseSettings decodes and validates settings. The error lists all faults found.
 func ParseSettings(data []byte) (Settings, error) {
-	s := Settings{LogLevel: "info", StoreParallel: 4}
+	s := Settings{LogLevel: "info", StoreParallel: 4, Duties: Duties{CallsPerS: 50}}
 	if err := strictjson.Decode(data, &s); err != nil {
 		return s, err
 	}
@@ -131,6 +168,14 @@
 	default:
 		c.Fail("log_level", "unknown level %q", s.LogLevel)
 	}
+	if s.Duties.Address != "" {
+		if _, err := netip.ParseAddrPort(s.Duties.Address); err != nil {
+			c.Fail("duties.address", "must be an IP address with a port, not %q", s.Duties.Address)
+		}
+	}
+	if !(s.Duties.CallsPerS > 0) {
+		c.Fail("duties.calls_per_s", "must be above 0")
+	}
 	if s.StoreParallel < 1 {
 		c.Fail("store_parallel", "must be at least 1")
 	}
@@ -147,6 +192,7 @@
 	for field, value := range map[string]float64{
 		"bounds.budget_ratio": s.Bounds.BudgetRatio, "bounds.budget_slack": s.Bounds.BudgetSlack,
 		"bounds.quota_overage": s.Bounds.QuotaOverage, "bounds.quota_slack": s.Bounds.QuotaSlack,
+		"bounds.usage_window_s": s.Bounds.UsageWindowS, "bounds.usage_late_s": s.Bounds.UsageLateS,
 	} {
 		if !(value >= 0) {
 			c.Fail(field, "must not be negative")
