Report the usage of each window to the platform

The platform wants, for each window of true time and each workspace, the number of requests that began to run at upstreams, from one instance on behalf of all.

Each instance counts (first event of each run of a stream, head of another response that shows that the request ran, and a request that was sent in full and lost without a crash of its upstream) and reports absolute counts of its run with the demand report: what changed or is not confirmed, and from which window on it is not complete. The report after the end of a window goes out 20 ms after it, spread over up to 300 ms. The leader takes the median of the wall clocks as true time, decides a window when all have reported it or 3 s after its end, writes the decision to a row, and sends exactly what is in the row until it is accepted. Decision package `usage`; a row of its own table, in parts above 40 KiB.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscusyard/hibiscusyard/decision/quarantine"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
 	"github.com/hibiscusyard/hibiscusyard/decision/upstreamlimit"
+	"github.com/hibiscusyard/hibiscusyard/decision/usage"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 )
@@ -50,7 +51,7 @@
 
 // Client sends an instance's demand and requests to the leader and holds the state
 // that the leader distributes. It implements gateway.Placement, gateway.Limiter,
-// gateway.UpstreamLimits, gateway.Quarantine and gateway.Origins, and is safe for concurrent use.
+// gateway.UpstreamLimits, gateway.Quarantine, gateway.Origins and gateway.Usage, and is safe for concurrent use.
 type Client struct {
 	c *Coordinator
 
@@ -85,16 +86,27 @@
 	originsToken uint64
 	// versionsReadAt is when the last read of the saved versions was sent.
 	versionsReadAt bootclock.Time
+	// clock keeps true time, and counter the requests that began on this instance; both are
+	// nil if usage is not reported. usageDecided is the window up to which leaders have
+	// announced that they had decided.
+	clock        *usage.Clock
+	counter      *usage.Counter
+	usageDecided int64
 }
 
 func newClient(c *Coordinator) *Client {
-	return &Client{
+	l := &Client{
 		c: c, placements: map[string]residency.Placement{}, ready: map[modelKey]bootclock.Time{},
 		absent: map[absence]bootclock.Time{}, demands: map[modelKey]*modelDemand{}, changed: make(chan struct{}),
 		urgent: make(chan struct{}, 1), synced: map[string]string{}, relayStatuses: map[string]relayStatus{},
 		limits: upstreamlimit.NewTable(), quarantine: quarantine.NewLedger(),
 		origins: origin.NewLedger(), originsDue: make(chan struct{}, 1),
 	}
+	if c.config.Duties.Has(DutyUsage) {
+		now := bootclock.Now()
+		l.clock, l.counter = usage.NewClock(now, c.config.WallClock()), usage.NewCounter(now, c.config.Duties.UsageWindow)
+	}
+	return l
 }
 
 // Members returns the number of instances, or 0 if it is unknown.
@@ -158,7 +170,9 @@
 	defer l.mu.Unlock()
 	if instance == l.leader {
 		l.lastContact = 0
-		l.originsSent = 0 // the last reports may be lost with the link
+		// The last reports may be lost with the link.
+		l.originsSent = 0
+		l.resetUsage()
 	}
 }
 
@@ -228,6 +242,7 @@
 	if l.leader != from || token != l.token || l.lastContact == 0 {
 		l.leaderSince = now
 		l.reportOriginsSoon()
+		l.resetUsage()
 	}
 	l.token = token
 	if l.leader != from {
@@ -241,6 +256,9 @@
 func (l *Client) recordLeading(members int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.leader != l.c.config.Instance {
+		l.resetUsage()
+	}
 	l.leader, l.lastContact, l.members = l.c.config.Instance, bootclock.Now(), members
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -116,6 +116,9 @@
 	// StoreParallel is the number of concurrent loads that the weight store serves at
 	// full speed.
 	StoreParallel int
+	// WallClock returns the wall-clock time since the start of 1970. It is used only if
+	// usage is reported.
+	WallClock func() time.Duration
 	// Duties are the calls to the platform's API that this instance makes while it leads.
 	Duties  DutyConfig
 	Log     log.Interface
@@ -153,6 +156,8 @@
 	savedVerdicts, sentEntries string
 	// origins is what this instance has saved of origins while it leads.
 	origins originState
+	// usage is what a leader needs for usage reports.
+	usage usageState
 	// versionsRow is the version of the row with the software versions, as last read or
 	// written.
 	versionsRow int64
@@ -202,6 +207,7 @@
 	}
 	c.buckets = &leaderBuckets{lease: c.lease, bounds: config.Bounds}
 	c.client = newClient(c)
+	c.initUsage()
 	return c
 }
 
@@ -395,5 +401,6 @@
 	c.judge(bootclock.Now())
 	c.saveVersions(bootclock.Now())
 	c.saveOrigins(bootclock.Now())
+	c.runUsage(ctx, bootclock.Now())
 	c.client.endDepartures(bootclock.Now())
 }
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -6,6 +6,7 @@
 
 	"github.com/hibiscusyard/hibiscusyard/decision/quarantine"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/usage"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
@@ -101,11 +102,15 @@
 func (l *Client) reportDemand(ctx context.Context) {
 	ticker := time.NewTicker(demandInterval)
 	defer ticker.Stop()
+	windowEnd := time.NewTimer(l.untilWindowReport())
+	defer windowEnd.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-windowEnd.C:
+			windowEnd.Reset(l.untilWindowReport())
 		case <-l.urgent:
 			if !duration.Sleep(ctx, demandBatchDelay) {
 				return
@@ -113,16 +118,20 @@
 		}
 		if err := l.report(ctx); err != nil {
 			l.c.config.Log.WithError(err).Debug("demand not reported to the leader")
+			l.mu.Lock()
+			l.resetUsage()
+			l.mu.Unlock()
 		}
 	}
 }
 
 func (l *Client) report(ctx context.Context) error {
-	demands, evidence, leader, due := l.collectReport()
+	demands, evidence, counted, leader, due := l.collectReport()
 	if !due || leader == "" {
 		return nil
 	}
 	if leader == l.c.config.Instance {
+		l.c.recordOwnUsage(counted)
 		l.c.recordDemand(leader, demands)
 		if evidence != nil {
 			l.c.evidenceChanged()
@@ -131,13 +140,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	return l.c.hub.Notify(ctx, leader, peer.KindDemandReport, instanceReport{Demands: demands, Sent: bootclock.Now(), Versions: l.versions(), Weak: l.c.config.Weak, Uptime: bootclock.Since(l.c.started), Resigned: l.c.hasResigned(), Evidence: evidence})
+	return l.c.hub.Notify(ctx, leader, peer.KindDemandReport, instanceReport{Demands: demands, Sent: bootclock.Now(), Versions: l.versions(), Weak: l.c.config.Weak, Uptime: bootclock.Since(l.c.started), Resigned: l.c.hasResigned(), Evidence: evidence, Usage: counted})
 }
 
 // collectReport returns the demand since the last report, the evidence against causes
-// of crashes, the leader, and whether a report is due. After a report with demand, one report without demand is sent to
-// clear it.
-func (l *Client) collectReport() ([]residency.ModelDemand, *quarantine.Evidence, string, bool) {
+// of crashes, the requests that began, the leader, and whether a report is due. After a
+// report with demand, one report without demand is sent to clear it.
+func (l *Client) collectReport() ([]residency.ModelDemand, *quarantine.Evidence, *usage.Report, string, bool) {
 	now := bootclock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -165,10 +174,11 @@
 		list = append(list, r)
 	}
 	evidence := l.evidence(now)
-	due := len(list) > 0 || evidence != nil || l.reportedDemand || now.Sub(l.reportedAt) >= maxReportInterval
+	counted := l.usageReport(now)
+	due := len(list) > 0 || evidence != nil || counted != nil || l.reportedDemand || now.Sub(l.reportedAt) >= maxReportInterval
 	l.reportedDemand = len(list) > 0
 	if due {
 		l.reportedAt = now
 	}
-	return list, evidence, l.leader, due
+	return list, evidence, counted, l.leader, due
 }
--- a/coordinator/handlers.go
+++ b/coordinator/handlers.go
@@ -59,9 +59,12 @@
 	if err := cbor.Unmarshal(body, &report); err != nil {
 		return nil, err
 	}
+	now := bootclock.Now()
+	report.received = now
 	c.mu.Lock()
 	if c.leading {
 		c.reports[from.Instance] = report
+		c.recordUsageReport(now, from, report.Usage)
 	}
 	c.mu.Unlock()
 	c.recordDemand(from.Instance, report.Demands)
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -80,6 +80,7 @@
 	c.sends, c.unsentLimits = upstreamlimit.NewBuckets(), map[upstreamlimit.ID]struct{}{}
 	c.relayProgress = map[string]*relayProgress{}
 	c.startOrigins(now)
+	c.startUsage()
 	c.announceTo = c.client.peerAddresses()
 	c.client.startJudging(now)
 	c.sentCrashesAt = 0
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscusyard/hibiscusyard/decision/delta"
 	"github.com/hibiscusyard/hibiscusyard/decision/quarantine"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
+	"github.com/hibiscusyard/hibiscusyard/decision/usage"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
@@ -68,6 +69,10 @@
 	Resigned bool `cbor:"6,keyasint,omitempty"`
 	// Evidence is what requests showed about causes of crashes.
 	Evidence *quarantine.Evidence `cbor:"7,keyasint,omitempty"`
+	// Usage are the requests that began on the sender, if one is due.
+	Usage *usage.Report `cbor:"8,keyasint,omitempty"`
+
+	received bootclock.Time // when the leader got the report
 }
 
 // heartbeat is the message that the leader sends to an instance regularly, and also
@@ -80,6 +85,8 @@
 	Echo bootclock.Time `cbor:"3,keyasint,omitempty"`
 	// Tables are the changes of the relayed tables, in the order of the sources.
 	Tables []relay `cbor:"4,keyasint,omitempty"`
+	// Usage tells about true time and decided windows, if it is due.
+	Usage *usageNews `cbor:"5,keyasint,omitempty"`
 }
 
 // relay carries the changes of one table.
@@ -154,6 +161,7 @@
 		if !due && !changed {
 			continue
 		}
+		message.Usage = c.usageNewsFor(now, id.Instance, report)
 		messages[id.Instance] = message
 		for i, r := range message.Tables {
 			c.relayProgress[id.Instance].versions[i] = r.To
@@ -265,11 +273,14 @@
 	}
 	l.mu.Lock()
 	current := l.recordContact(from.Instance, message.Token)
+	var late []usage.WindowCounts
 	if current {
 		l.members = message.Members
+		late = l.applyUsageNews(bootclock.Now(), &message)
 	}
 	l.mu.Unlock()
 	if current {
+		l.logLateUsage(late)
 		l.applyRelays(&message)
 	}
 	return nil, nil
--- /dev/null
+++ b/coordinator/usage.go
@@ -0,0 +1,481 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/hibiscusyard/hibiscusyard/decision/usage"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
+)
+
+// UsageTable has the leader's state of usage reports. It is apart from Table, which each
+// contender for the lease reads.
+const UsageTable = "hibiscusyard-usage"
+
+// usageKey is the row of UsageTable with the state, or with its first part. Each write
+// replaces it, under the condition that it is the one known, so that the others follow it.
+const usageKey = "state"
+
+const (
+	// usageReportInterval is the shortest time between two reports of counts, except after
+	// the end of a window.
+	usageReportInterval = 800 * time.Millisecond
+	// windowReportDelay is how long after the end of a window its last counts are reported,
+	// and windowReportSpread the time, for each instance, over which the instances spread
+	// these reports, at most maxWindowReportSpread.
+	windowReportDelay     = 20 * time.Millisecond
+	windowReportSpread    = 4 * time.Millisecond
+	maxWindowReportSpread = 300 * time.Millisecond
+	// usageNewsInterval is the longest time between two messages about true time to one
+	// instance.
+	usageNewsInterval = 2 * time.Second
+	// usageSaveInterval is the shortest time between two writes of counts, for each row that
+	// the state takes.
+	usageSaveInterval = 500 * time.Millisecond
+	// usageSettle is how long after the begin of a term some instances may not be connected
+	// yet, or true time may rest on few clocks.
+	usageSettle = 2 * time.Second
+	// usageRetry is the pause before a report is sent again that was not accepted, and
+	// usageThrottled that after too many calls.
+	usageRetry     = 250 * time.Millisecond
+	usageThrottled = time.Second
+	// maxUsageRow bounds the state in one row: 64 KiB with the encoding of the store.
+	maxUsageRow = 40 << 10
+)
+
+// usageNews tells an instance about true time and decided windows.
+type usageNews struct {
+	True time.Duration `cbor:"1,keyasint,omitempty"` // when the message was sent
+	// Held is the time from the receipt of the report whose time the heartbeat echoes.
+	Held    time.Duration `cbor:"2,keyasint,omitempty"`
+	Decided int64         `cbor:"3,keyasint,omitempty"` // windows before it have been decided
+}
+
+// told is what an instance was last told.
+type told struct {
+	at      bootclock.Time
+	decided int64
+}
+
+// usageState is what a leader needs for usage reports. Coordinator.mu guards it.
+type usageState struct {
+	ledger *usage.Ledger // nil if usage is not reported
+	clocks *usage.Clocks
+	told   map[string]told
+	// loaded is set while the ledger has all that the store has, and kept once it has been
+	// so in this term.
+	loaded, kept, loading, saving, sending bool
+	era                                    int64 // of the store when the state was loaded
+	version                                int64 // of the row usageKey
+	nextSave, nextSend                     bootclock.Time
+	attempts                               int // to send the next report, in this term
+}
+
+// initUsage prepares the usage reports if they are enabled.
+func (c *Coordinator) initUsage() {
+	if !c.config.Duties.Has(DutyUsage) {
+		return
+	}
+	c.usage.ledger = usage.NewLedger(c.config.Duties.UsageWindow, c.config.Duties.API.UsageBody)
+	c.usage.clocks = usage.NewClocks(c.client.clock)
+	c.config.Metrics.GetOrCreateGauge("hibiscusyard_usage_windows_undecided", c.undecidedWindows)
+}
+
+// undecidedWindows returns the number of windows that have ended and that this instance, if
+// it leads, has not decided.
+func (c *Coordinator) undecidedWindows() float64 {
+	now := bootclock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.leading || !c.usage.loaded {
+		return 0
+	}
+	c.client.mu.Lock()
+	at := c.client.clock.At(now)
+	c.client.mu.Unlock()
+	return float64(usage.WindowOf(at, c.config.Duties.UsageWindow) - c.usage.ledger.DecidedUpTo())
+}
+
+// startUsage begins a term. The caller holds mu.
+func (c *Coordinator) startUsage() {
+	u := &c.usage
+	if u.ledger == nil {
+		return
+	}
+	c.client.mu.Lock()
+	u.clocks = usage.NewClocks(c.client.clock)
+	c.client.mu.Unlock()
+	u.told = map[string]told{}
+	u.loaded, u.kept, u.loading, u.saving, u.sending = false, false, false, false, false
+	u.nextSave, u.nextSend, u.attempts = 0, 0, 0
+}
+
+// RecordUsage implements gateway.Usage.
+func (l *Client) RecordUsage(workspace string) {
+	if l.counter == nil || workspace == "" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counter.Record(l.clock.At(bootclock.Now()), workspace)
+}
+
+// usageReport returns the report of the requests that began, or nil if none is due. The
+// caller holds mu.
+func (l *Client) usageReport(now bootclock.Time) *usage.Report {
+	if l.counter == nil || l.leader == "" || !l.counter.Due(now, l.clock, usageReportInterval) {
+		return nil
+	}
+	return l.counter.Report(now, l.clock, l.c.config.WallClock())
+}
+
+// untilWindowReport returns the time until the report that follows the end of the current
+// window. The instances spread these reports.
+func (l *Client) untilWindowReport() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.counter == nil {
+		return maxReportInterval
+	}
+	spread := min(time.Duration(max(l.members, 1))*windowReportSpread, maxWindowReportSpread)
+	return l.counter.UntilEnd(bootclock.Now(), l.clock) + windowReportDelay + rand.N(spread)
+}
+
+// resetUsage makes the next report a full one. The caller holds mu.
+func (l *Client) resetUsage() {
+	if l.counter != nil {
+		l.counter.Reset()
+	}
+}
+
+// applyUsageNews takes over what a heartbeat of the leader says. It returns the counts that
+// no leader had when it decided their windows. The caller holds mu.
+func (l *Client) applyUsageNews(now bootclock.Time, message *heartbeat) []usage.WindowCounts {
+	if l.counter == nil {
+		return nil
+	}
+	if message.Echo != 0 {
+		l.counter.Confirm(message.Echo)
+	}
+	news := message.Usage
+	if news == nil {
+		return nil
+	}
+	if news.True != 0 && message.Echo != 0 {
+		l.clock.Sync(now, message.Token, news.True, now.Sub(message.Echo)-news.Held)
+	}
+	return l.usageDecidedUpTo(news.Decided)
+}
+
+// usageDecidedUpTo drops the counts of decided windows. The caller holds mu.
+func (l *Client) usageDecidedUpTo(window int64) []usage.WindowCounts {
+	if window <= l.usageDecided {
+		return nil
+	}
+	l.usageDecided = window
+	return l.counter.Decided(window)
+}
+
+func (l *Client) logLateUsage(late []usage.WindowCounts) {
+	for _, w := range late {
+		total := int64(0)
+		for _, n := range w.Counts {
+			total += n
+		}
+		l.c.config.Log.WithFields(log.Fields{"window": w.Window, "requests": total}).Warn("usage counted too late: the window had been decided")
+	}
+}
+
+// recordUsageReport takes over the report of an instance. The caller holds mu.
+func (c *Coordinator) recordUsageReport(now bootclock.Time, from peer.Identity, report *usage.Report) {
+	if c.usage.ledger == nil || report == nil {
+		return
+	}
+	c.usage.clocks.Record(from.Instance, now, report.Wall)
+	c.usage.ledger.Record(usage.RunOf(from.Instance, from.Incarnation), from.Instance, report)
+}
+
+// recordOwnUsage takes over the leader's own report.
+func (c *Coordinator) recordOwnUsage(report *usage.Report) {
+	if report == nil {
+		return
+	}
+	now := bootclock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.leading {
+		return
+	}
+	c.recordUsageReport(now, peer.Identity{Instance: c.config.Instance, Incarnation: c.config.Boot}, report)
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
+	c.client.counter.Confirm(now)
+}
+
+// usageNewsFor returns what to tell an instance now, or nil. The caller holds mu.
+func (c *Coordinator) usageNewsFor(now bootclock.Time, instance string, report instanceReport) *usageNews {
+	u := &c.usage
+	if u.ledger == nil {
+		return nil
+	}
+	last, decided := u.told[instance], int64(0)
+	if u.loaded {
+		decided = u.ledger.DecidedUpTo()
+	}
+	tellTime := report.received != 0 && now.Sub(last.at) >= usageNewsInterval
+	if !tellTime && decided <= last.decided {
+		return nil
+	}
+	news := &usageNews{Decided: decided}
+	next := told{at: last.at, decided: max(decided, last.decided)}
+	c.client.mu.Lock()
+	if tellTime && c.client.clock.Synced() {
+		news.True, news.Held = c.client.clock.At(now), now.Sub(report.received)
+		next.at = now
+	}
+	c.client.mu.Unlock()
+	u.told[instance] = next
+	return news
+}
+
+// runUsage lets the leader decide, save and send what is due.
+func (c *Coordinator) runUsage(ctx context.Context, now bootclock.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := &c.usage
+	if u.ledger == nil || !c.leading || !c.lease.Held(now) {
+		return
+	}
+	token := c.lease.Token()
+	settled := now.Sub(c.leadingSince) >= usageSettle
+	at, known := c.trueTime(now, token, settled)
+	if !known {
+		return
+	}
+	linked := map[string]usage.Run{c.config.Instance: usage.RunOf(c.config.Instance, c.config.Boot)}
+	for _, id := range c.hub.Connected() {
+		linked[id.Instance] = usage.RunOf(id.Instance, id.Incarnation)
+	}
+	u.ledger.SetLinked(at, linked)
+	if u.loaded && c.lease.Era() > u.era {
+		u.loaded = false
+	}
+	switch {
+	case u.saving || u.loading:
+	case !u.loaded:
+		u.loading = true
+		go c.loadUsage(token)
+	case settled:
+		decisions := u.ledger.Decide(at)
+		if len(decisions) > 0 || u.ledger.Changed() && !now.Before(u.nextSave) {
+			c.saveUsage(now, decisions, token)
+		}
+	}
+	if report, ok := u.ledger.Next(); ok && u.kept && !u.sending && !now.Before(u.nextSend) && c.lease.MayOrder(now) {
+		u.sending = true
+		go c.sendUsage(ctx, report, token)
+	}
+}
+
+// trueTime returns the leader's estimate of true time, which becomes that of this instance.
+// It is not known while it may rest on too few clocks. The caller holds mu.
+func (c *Coordinator) trueTime(now bootclock.Time, token uint64, settled bool) (time.Duration, bool) {
+	connected := map[string]bool{c.config.Instance: true}
+	for _, id := range c.hub.Connected() {
+		connected[id.Instance] = true
+	}
+	c.usage.clocks.Keep(func(instance string) bool { return connected[instance] })
+	if !c.usage.clocks.Ready() && !settled {
+		return 0, false
+	}
+	at := c.usage.clocks.At(now)
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
+	c.client.clock.Sync(now, token, at, 0)
+	return at, true
+}
+
+// loadUsage reads the saved state.
+func (c *Coordinator) loadUsage(token uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	page, err := c.config.Store.Read(ctx, UsageTable)
+	now := bootclock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.leading || c.lease.Token() != token {
+		return
+	}
+	u := &c.usage
+	u.loading = false
+	if err != nil {
+		c.config.Log.WithError(err).Info("usage not read from the store; retrying")
+		return
+	}
+	c.client.mu.Lock()
+	at, announced := c.client.clock.At(now), c.client.usageDecided
+	c.client.mu.Unlock()
+	eraSince := at
+	if c.lease.Era() == page.Era {
+		eraSince -= now.Sub(c.lease.eraSince)
+	}
+	value, version := joinUsage(page.Rows)
+	found := usage.Found{Value: value, Era: page.Era, EraSince: eraSince, Kept: u.kept, Announced: announced}
+	first, last, err := u.ledger.Load(at, found)
+	if err != nil {
+		c.config.Log.WithError(err).Error("usage in the store can't be decoded")
+		return
+	}
+	u.loaded, u.kept, u.era, u.version = true, true, page.Era, version
+	if first <= last {
+		c.logSkipped(first, last, token, "the store has lost what earlier leaders reported")
+	}
+	c.config.Log.WithFields(log.Fields{"decided": u.ledger.DecidedUpTo(), "bytes": len(value), "token": token}).Info("usage read from the store")
+}
+
+// saveUsage writes the state with decisions, which are in force once they are written. The
+// caller holds mu.
+func (c *Coordinator) saveUsage(now bootclock.Time, decisions []usage.Decision, token uint64) {
+	u := &c.usage
+	changes := splitUsage(u.ledger.Encode(u.era, decisions), u.version)
+	u.saving = true
+	u.nextSave = now.Add(time.Duration(len(changes)) * usageSaveInterval)
+	go c.writeUsage(changes, decisions, u.era, token)
+}
+
+func (c *Coordinator) writeUsage(changes []ports.Change, decisions []usage.Decision, era int64, token uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	page, err := c.config.Store.Commit(ctx, changes...)
+	now := bootclock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lease.Token() != token || !c.leading {
+		return // the next term reads what was written
+	}
+	u := &c.usage
+	u.saving = false
+	if err == nil && page.Era != era {
+		err = ports.ErrHistoryGone // the version has been given out again
+	}
+	if err != nil {
+		// Whether the decisions are saved is settled by reading the state.
+		u.loaded = false
+		c.config.Log.WithError(err).Info("usage not written to the store; reading it again")
+		return
+	}
+	u.version = page.Version
+	c.client.mu.Lock()
+	at := c.client.clock.At(now)
+	c.client.mu.Unlock()
+	for _, d := range u.ledger.Confirm(at, decisions) {
+		c.logSkipped(d.Window, d.Window, token, "too many reports wait for the platform")
+	}
+	for _, d := range decisions {
+		if d.Skipped {
+			c.logSkipped(d.First, d.Last, token, "nothing is known of it")
+		}
+	}
+	if len(decisions) > 0 {
+		c.client.mu.Lock()
+		late := c.client.usageDecidedUpTo(u.ledger.DecidedUpTo())
+		c.client.mu.Unlock()
+		c.client.logLateUsage(late)
+		c.Notify()
+	}
+}
+
+func (c *Coordinator) logSkipped(first, last int64, token uint64, reason string) {
+	c.config.Log.WithFields(log.Fields{"window": first, "last": last, "reason": reason, "token": token}).Warn("usage window skipped")
+	c.config.Metrics.GetOrCreateCounter(`hibiscusyard_usage_reports_total{outcome="skipped"}`).Add(int(last - first + 1))
+}
+
+// splitUsage returns the rows of the state. The one with the condition comes last, so that
+// the version of the transaction is its version.
+func splitUsage(value []byte, version int64) []ports.Change {
+	var changes []ports.Change
+	first := value[:min(len(value), maxUsageRow)]
+	for rest, i := value[len(first):], 1; len(rest) > 0; i++ {
+		part := rest[:min(len(rest), maxUsageRow)]
+		rest = rest[len(part):]
+		changes = append(changes, ports.Change{Table: UsageTable, Key: partKey(i), Value: part, Unconditional: true})
+	}
+	head := append([]byte{byte(len(changes))}, first...)
+	return append(changes, ports.Change{Table: UsageTable, Key: usageKey, Value: head, ExpectedVersion: version})
+}
+
+func partKey(i int) string { return fmt.Sprintf("part/%03d", i) }
+
+// joinUsage returns the state in the rows, nil if there is none, and the version of the
+// row usageKey.
+func joinUsage(rows []ports.VersionedRow) (value []byte, version int64) {
+	parts := map[string][]byte{}
+	for _, r := range rows {
+		if r.Table != UsageTable || r.Deleted {
+			continue
+		}
+		parts[r.Key] = r.Value
+		if r.Key == usageKey {
+			version = r.Version
+		}
+	}
+	head := parts[usageKey]
+	if len(head) == 0 {
+		return nil, version
+	}
+	value = append(value, head[1:]...)
+	for i := 1; i <= int(head[0]); i++ {
+		value = append(value, parts[partKey(i)]...)
+	}
+	return value, version
+}
+
+// sendUsage sends one report and records the result.
+func (c *Coordinator) sendUsage(ctx context.Context, report usage.Decided, token uint64) {
+	result, err := c.sendDuty(ctx, token, DutyUsage, func(ctx context.Context) (ports.DutyResult, error) {
+		return c.config.Duties.API.ReportUsage(ctx, token, report.Body)
+	})
+	now := bootclock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lease.Token() != token || !c.leading {
+		if result == ports.DutyAccepted {
+			c.usage.ledger.Accept(report.Window)
+		}
+		return
+	}
+	u := &c.usage
+	u.sending = false
+	u.attempts++
+	c.client.mu.Lock()
+	after := c.client.clock.At(now) - time.Duration(report.Window+1)*c.config.Duties.UsageWindow
+	c.client.mu.Unlock()
+	entry := c.config.Log.WithFields(log.Fields{
+		"window": report.Window, "total": report.Total, "workspaces": report.Workspaces, "heard": report.Heard, "missing": report.Missing,
+		"after_ms": after.Milliseconds(), "attempts": u.attempts, "token": token, "outcome": result.String(),
+	})
+	if result != ports.DutyAccepted {
+		pause := usageRetry
+		if result == ports.DutyThrottled {
+			pause = usageThrottled
+		}
+		u.nextSend = now.Add(pause)
+		entry.WithError(err).Info("usage not reported; retrying")
+		return
+	}
+	outcome := "accepted"
+	if late := c.config.Duties.UsageLate; late > 0 && after > late {
+		outcome = "late"
+	}
+	c.config.Metrics.GetOrCreateCounter(`hibiscusyard_usage_reports_total{outcome="` + outcome + `"}`).Inc()
+	entry.Info("usage reported")
+	u.ledger.Accept(report.Window)
+	u.attempts = 0
+	c.Notify()
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -52,6 +52,7 @@
 // observer receives the events of a response that the balancer records.
 type observer struct {
 	onHead  func(head ResponseHead, success bool)
+	onRun   func()             // the first event of a stream, or the head of another response that shows that the request ran
 	onEvent func()             // first event that the caller gets in this answer, before it does
 	onFirst func()             // first event or complete response
 	onLoad  func(requests int) // load reported in the headers
@@ -108,7 +109,7 @@
 	}
 	resp, err := x.conn.Receive(x.r.HTTP.Method, x.Dialect.IDHeader(), x.r.ID)
 	if err != nil {
-		return x.failed(ctx, err, false)
+		return x.failed(ctx, err, false).afterWrite()
 	}
 	// The body is not closed: that would read on to its end. The connection is closed
 	// unless the body has been read.
@@ -128,9 +129,12 @@
 	case verdict.PassEvents:
 		return x.relayStream(ctx, resp)
 	case verdict.PassBody:
+		if x.r.Route.Kind != fleet.Streaming {
+			x.observe.onRun()
+		}
 		return x.relayBody(ctx, resp)
 	default:
-		return x.discarded(ctx, head, problem)
+		return x.discarded(ctx, head, problem).afterWrite()
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,6 +123,13 @@
 	PruneLimits(v *fleet.View)
 }
 
+// Usage counts requests for the usage reports. Its methods are safe for concurrent use.
+type Usage interface {
+	// RecordUsage records that a request of a workspace begins to run at an upstream now.
+	// Requests without a workspace are not counted.
+	RecordUsage(workspace string)
+}
+
 // Quarantine keeps requests that crash upstreams from being sent. Its methods are safe
 // for concurrent use.
 type Quarantine interface {
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -65,6 +65,7 @@
 	// Quarantine is asked before each send of a request.
 	Quarantine Quarantine
 	Origins    Origins
+	Usage      Usage
 	Forward    *Forward
 	Budget     *Budget
 	Log        log.Interface
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -26,9 +26,17 @@
 	crashed   bool // the upstream has ended
 	closed    bool // nothing listens at the upstream's address
 	framed    bool // the end of a complete answer can't be mistaken for a closed connection
+	written   bool // it was sent in full, and no response shows whether it ran
 	ended     bootclock.Time
 }
 
+// afterWrite returns the result of a send without a valid response after the whole request
+// was sent.
+func (a sendResult) afterWrite() sendResult {
+	a.written = true
+	return a
+}
+
 // send sends the request to an upstream and relays the response.
 func (f *Route) send(ctx context.Context, r *Request, d dispatch.Demand, u *fleet.Upstream) sendResult {
 	if r.Model != "" {
@@ -43,6 +51,7 @@
 	observe := observer{
 		onEvent: func() { f.recordOrigin(r, u) },
 		onHead:  func(head ResponseHead, success bool) { f.recordHead(r, u, head, success) },
+		onRun:   func() { f.Usage.RecordUsage(r.WorkspaceName) },
 		onFirst: func() {
 			now := bootclock.Now()
 			if r.firstAt == 0 {
@@ -74,6 +83,9 @@
 		r.runs++
 	}
 	f.recordCauses(ctx, r, u, &a, began, proven)
+	if a.written && !a.crashed && a.outcome != dispatch.Full && r.Route.Kind != fleet.Streaming {
+		f.Usage.RecordUsage(r.WorkspaceName) // it has most likely run
+	}
 	if a.closed || a.crashed {
 		f.Limits.RecordDeparture(u, upstreamlimit.Ended)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -124,6 +124,9 @@
 		x.writeHead(resp)
 		x.r.Writer.WriteHeader(resp.StatusCode)
 	}
+	if x.r.events == 0 {
+		x.observe.onRun()
+	}
 	x.observe.onFirst()
 	x.r.recordEvent(bootclock.Now())
 	if err := x.r.Writer.Send(whole, true); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -118,7 +118,7 @@
 			Window: seconds(s.Bounds.QuotaWindowS), Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack,
 		},
 		Weak: s.Weak(), ShortestBound: shortestBound, Size: n.state.estimateSize,
-		LeaseGap: milliseconds(s.Bounds.LeaseMS), StoreParallel: s.StoreParallel, Duties: duties, Log: n.log, Metrics: n.metrics,
+		LeaseGap: milliseconds(s.Bounds.LeaseMS), StoreParallel: s.StoreParallel, Duties: duties, WallClock: s.wallTime, Log: n.log, Metrics: n.metrics,
 	})
 	client := n.coord.Client()
 	n.state.desired.relayFresh = func(now bootclock.Time) bool {
@@ -163,7 +163,7 @@
 	stale := time.Duration(staleShare * float64(milliseconds(n.settings.Bounds.RevokeMS)))
 	n.route = gateway.NewRoute(n.settings.Instance, n.settings.DataCentre)
 	n.route.Log = n.log
-	n.route.State, n.route.Placement, n.route.Limiter, n.route.Limits, n.route.Quarantine, n.route.Origins, n.route.StaleAfter = n.state, client, client, client, client, client, stale
+	n.route.State, n.route.Placement, n.route.Limiter, n.route.Limits, n.route.Quarantine, n.route.Origins, n.route.Usage, n.route.StaleAfter = n.state, client, client, client, client, client, client, stale
 	n.route.Forward = &gateway.Forward{Pool: n.pool, Dialect: dialect}
 	n.route.Budget = gateway.NewBudget(gateway.BudgetConfig{
 		Ratio: n.settings.Bounds.BudgetRatio, Slack: n.settings.Bounds.BudgetSlack,
--- a/node/settings.go
+++ b/node/settings.go
@@ -43,6 +43,9 @@
 	Duties Duties `json:"duties"`
 	// Bounds are the guarantees of the deployment. Required.
 	Bounds Bounds `json:"bounds"`
+
+	// WallClock returns the wall-clock time, for tests. Default time.Now.
+	WallClock func() time.Time `json:"-"`
 }
 
 // Duties configures the calls to the platform's API that one instance makes on behalf of
@@ -121,6 +124,15 @@
 	UsageLateS   float64 `json:"usage_late_s"`
 }
 
+// wallTime returns the wall-clock time since the start of 1970.
+func (s *Settings) wallTime() time.Duration {
+	now := time.Now
+	if s.WallClock != nil {
+		now = s.WallClock
+	}
+	return time.Duration(now().UnixNano())
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
