--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -102,15 +102,20 @@
 func (l *Client) reportDemand(ctx context.Context) {
 	ticker := time.NewTicker(demandInterval)
 	defer ticker.Stop()
-	windowEnd := time.NewTimer(l.untilWindowReport())
-	defer windowEnd.Stop()
+	var windowEnd <-chan time.Time // never, unless usage is reported
+	if l.counter != nil {
+		windowEnd = time.After(l.untilWindowReport())
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-windowEnd.C:
-			windowEnd.Reset(l.untilWindowReport())
+		case <-windowEnd:
+			windowEnd = time.After(l.untilWindowReport())
+			if !l.usageDue() {
+				continue // an earlier report has shown that the window is complete
+			}
 		case <-l.urgent:
 			if !duration.Sleep(ctx, demandBatchDelay) {
 				return
--- a/coordinator/updates.go
+++ b/coordinator/updates.go
@@ -278,7 +278,7 @@
 	c.mu.Lock()
 	delete(c.relayProgress, id.Instance)
 	delete(c.reports, id.Instance)
-	delete(c.usage.told, id.Instance)
+	c.usageLinkChanged(id.Instance)
 	if !up {
 		c.origins.lostAt = bootclock.Now()
 	}
--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -41,6 +41,8 @@
 	// usageSettle is how long after the begin of a term some instances may not be connected
 	// yet, or true time may rest on few clocks.
 	usageSettle = 2 * time.Second
+	// usageReadRetry is the pause before the saved state is read again after a failure.
+	usageReadRetry = 500 * time.Millisecond
 	// usageRetry is the pause before a report is sent again that was not accepted, and
 	// usageThrottled that after too many calls.
 	usageRetry     = 250 * time.Millisecond
@@ -73,7 +75,7 @@
 	loaded, kept, loading, saving, sending bool
 	era                                    int64 // of the store when the state was loaded
 	version                                int64 // of the row usageKey
-	nextSave, nextSend                     bootclock.Time
+	nextLoad, nextSave, nextSend           bootclock.Time
 	attempts                               int // to send the next report, in this term
 }
 
@@ -111,9 +113,10 @@
 	c.client.mu.Lock()
 	u.clocks = usage.NewClocks(c.client.clock)
 	c.client.mu.Unlock()
+	u.ledger.StartTerm()
 	u.told = map[string]told{}
 	u.loaded, u.kept, u.loading, u.saving, u.sending = false, false, false, false, false
-	u.nextSave, u.nextSend, u.attempts = 0, 0, 0
+	u.nextLoad, u.nextSave, u.nextSend, u.attempts = 0, 0, 0, 0
 }
 
 // RecordUsage implements gateway.Usage.
@@ -135,14 +138,18 @@
 	return l.counter.Report(now, l.clock, l.c.config.WallClock())
 }
 
+// usageDue reports whether a report of the requests that began is due.
+func (l *Client) usageDue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counter.Due(bootclock.Now(), l.clock, usageReportInterval)
+}
+
 // untilWindowReport returns the time until the report that follows the end of the current
 // window. The instances spread these reports.
 func (l *Client) untilWindowReport() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.counter == nil {
-		return maxReportInterval
-	}
 	spread := min(time.Duration(max(l.members, 1))*windowReportSpread, maxWindowReportSpread)
 	return l.counter.UntilEnd(bootclock.Now(), l.clock) + windowReportDelay + rand.N(spread)
 }
@@ -155,7 +162,7 @@
 }
 
 // applyUsageNews takes over what a heartbeat of the leader says. It returns the counts that
-// no leader had when it decided their windows. The caller holds mu.
+// no leader had confirmed when their windows were decided. The caller holds mu.
 func (l *Client) applyUsageNews(now bootclock.Time, message *heartbeat) []usage.WindowCounts {
 	if l.counter == nil {
 		return nil
@@ -188,7 +195,16 @@
 		for _, n := range w.Counts {
 			total += n
 		}
-		l.c.config.Log.WithFields(log.Fields{"window": w.Window, "requests": total}).Warn("usage counted too late: the window had been decided")
+		l.c.config.Log.WithFields(log.Fields{"window": w.Window, "requests": total}).Warn("usage may be missing: no leader had confirmed it before the window was decided")
+	}
+}
+
+// usageLinkChanged records that a link to an instance came up or went down. The caller holds
+// mu.
+func (c *Coordinator) usageLinkChanged(instance string) {
+	if c.usage.ledger != nil {
+		c.usage.ledger.RecordLinkChange(instance)
+		delete(c.usage.told, instance)
 	}
 }
 
@@ -268,8 +284,9 @@
 	}
 	switch {
 	case u.saving || u.loading:
+	case !u.loaded && now.Before(u.nextLoad):
 	case !u.loaded:
-		u.loading = true
+		u.loading, u.nextLoad = true, now.Add(usageReadRetry)
 		go c.loadUsage(token)
 	case settled:
 		decisions := u.ledger.Decide(at)
--- a/decision/usage/counter.go
+++ b/decision/usage/counter.go
@@ -147,7 +147,8 @@
 }
 
 // Decided drops the counts of windows before the given one, which the leader has decided.
-// It returns those that the leader did not have by then.
+// It returns those that no leader had confirmed by then, and that may be missing from the
+// reports. A leader that ended before it confirmed them may have had them.
 func (c *Counter) Decided(window int64) (late []WindowCounts) {
 	c.decided = max(c.decided, window)
 	for _, k := range slices.Sorted(maps.Keys(c.windows)) {
--- a/decision/usage/ledger.go
+++ b/decision/usage/ledger.go
@@ -45,6 +45,7 @@
 	instance string // empty if only the saved counts of the run are known
 	from     int64  // first window counted from its start, 0 if not known
 	open     int64  // windows before it are complete
+	full     bool   // all its counts have been reported in this term, on this link
 	linked   bool
 	ended    bool          // another run of the instance has replaced it
 	lostAt   time.Duration // when it was last found not to be linked
@@ -84,9 +85,12 @@
 	r := l.runFor(id)
 	r.instance = instance
 	if report.From != 0 {
-		r.from = report.From
+		r.from, r.full = report.From, true
+	}
+	if r.full {
+		// An earlier report with counts may have been lost otherwise.
+		r.open = max(r.open, report.Open)
 	}
-	r.open = max(r.open, report.Open)
 	for _, w := range report.Counts {
 		l.merge(r, w.Window, w.Counts)
 	}
@@ -110,6 +114,24 @@
 	}
 }
 
+// StartTerm begins a term of this instance as the leader: reports to it may have been lost
+// since its last one.
+func (l *Ledger) StartTerm() {
+	for _, r := range l.runs {
+		r.full = false
+	}
+}
+
+// RecordLinkChange records that a link to an instance came up or went down, with which
+// reports may have been lost.
+func (l *Ledger) RecordLinkChange(instance string) {
+	for _, r := range l.runs {
+		if r.instance == instance {
+			r.full = false
+		}
+	}
+}
+
 // SetLinked records which runs are connected at a true time, by instance.
 func (l *Ledger) SetLinked(now time.Duration, linked map[string]Run) {
 	for instance, id := range linked {
