--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -343,7 +343,9 @@
 		eraSince -= now.Sub(c.lease.eraSince)
 	}
 	value, version := joinUsage(page.Rows)
-	found := usage.Found{Value: value, Era: page.Era, EraSince: eraSince, Kept: u.kept, Announced: announced}
+	found := usage.Found{
+		Value: value, Era: page.Era, EraSince: eraSince, Began: at - now.Sub(c.leadingSince), Kept: u.kept, Announced: announced,
+	}
 	first, last, err := u.ledger.Load(at, found)
 	if err != nil {
 		c.config.Log.WithError(err).Error("usage in the store can't be decoded")
--- a/decision/usage/clock.go
+++ b/decision/usage/clock.go
@@ -19,6 +19,11 @@
 	// which of two clocks has been stepped can't be told.
 	maxClockStep = 100 * time.Millisecond
 	minClocks    = 3
+	// stepLife is how long the median has to differ from the estimate by more than
+	// maxClockStep before it is believed. Reports show for up to a second clocks as they
+	// were, so that the median of a moment may be of more stepped clocks than there are; and
+	// a step of true time decides windows, which can't be undone.
+	stepLife = 10 * time.Second
 	// sampleLife is how long a sample of the leader's clock is preferred to later ones
 	// whose messages took longer.
 	sampleLife = 10 * time.Second
@@ -73,6 +78,9 @@
 	offsets  map[string]time.Duration // wall clocks less the leader's boot clock
 	estimate time.Duration
 	known    bool
+	// stepped is the median that differs from the estimate, since steppedAt.
+	stepped   time.Duration
+	steppedAt bootclock.Time
 }
 
 // NewClocks returns an estimate without clocks. It begins with that of an earlier leader if
@@ -96,11 +104,19 @@
 
 // At returns the estimated true time at a reading of the leader's boot clock.
 func (c *Clocks) At(now bootclock.Time) time.Duration {
-	if len(c.offsets) > 0 {
-		median := c.median()
-		if step := (median - c.estimate).Abs(); !c.known || len(c.offsets) >= minClocks || step <= maxClockStep {
-			c.estimate, c.known = median, true
-		}
+	if len(c.offsets) == 0 {
+		return time.Duration(now) + c.estimate
+	}
+	median := c.median()
+	switch {
+	case !c.known || (median-c.estimate).Abs() <= maxClockStep:
+		c.estimate, c.known, c.steppedAt = median, true, 0
+	case len(c.offsets) < minClocks:
+		c.steppedAt = 0
+	case c.steppedAt == 0 || (median-c.stepped).Abs() > maxClockStep:
+		c.stepped, c.steppedAt = median, now
+	case now.Sub(c.steppedAt) >= stepLife:
+		c.estimate, c.steppedAt = median, 0
 	}
 	return time.Duration(now) + c.estimate
 }
--- a/decision/usage/saved.go
+++ b/decision/usage/saved.go
@@ -80,6 +80,8 @@
 	// which that era is known.
 	Era      int64
 	EraSince time.Duration
+	// Began is the true time at which the term began.
+	Began time.Duration
 	// Kept is set if this leader has read or written the state before in this term, so
 	// that nothing of it is lost if the store has lost it.
 	Kept bool
@@ -102,8 +104,8 @@
 	l.decided, l.sent = max(l.decided, s.Decided, f.Announced), max(l.sent, s.Sent)
 	switch {
 	case l.decided == 0:
-		// The first leader: windows that have ended were not counted for a report.
-		l.decided = WindowOf(now, l.length)
+		// The first leader: no report is due for windows that ended before it led.
+		l.decided = WindowOf(f.Began, l.length)
 	case s.Era < f.Era && !f.Kept:
 		if lost := WindowOf(f.EraSince, l.length); lost > l.decided {
 			first, last = l.decided, lost-1
