--- a/node/nodecmd/nodecmd.go
+++ b/node/nodecmd/nodecmd.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -24,6 +26,9 @@
 // without --settings.
 const settingsEnv = "HIBISCUSYARD_SETTINGS"
 
+// windowPrefix marks the number of a window of the usage reports in place of a request ID.
+const windowPrefix = "window:"
+
 type common struct {
 	Settings string `long:"settings" value-name:"FILE" description:"settings file in JSON; default: the file that HIBISCUSYARD_SETTINGS names"`
 	out      io.Writer
@@ -54,7 +59,7 @@
 }
 
 type options struct {
-	Explain  explainCommand  `command:"explain" description:"Print what log files of several instances tell of one request, in order of time" long-description:"Example: hibiscusyard-front explain 9c41d07be2a35f68 entry-1.log entry-2.log"`
+	Explain  explainCommand  `command:"explain" description:"Print what log files of several instances tell of one request, in order of time" long-description:"Example: hibiscusyard-front explain 9c41d07be2a35f68 entry-1.log entry-2.log. With window:NUMBER in place of the ID: what they tell of the usage report of that window."`
 	Serve    serveCommand    `command:"serve" description:"Run one instance until SIGTERM or SIGINT"`
 	Validate validateCommand `command:"validate" description:"Check a settings file and report all errors"`
 }
@@ -143,6 +148,17 @@
 		}
 		lines = append(lines, parsed...)
 	}
+	if number, ok := strings.CutPrefix(c.Arguments.Request, windowPrefix); ok {
+		window, err := strconv.ParseInt(number, 10, 64)
+		if err != nil {
+			return fmt.Errorf("window %q: %w", number, err)
+		}
+		events := explain.Window(lines, window, c.Before)
+		if len(events) == 0 {
+			return fmt.Errorf("no log line is about the usage of window %d", window)
+		}
+		return explain.Print(c.out, events)
+	}
 	events := explain.Request(lines, c.Arguments.Request, c.Before)
 	if len(events) == 0 {
 		return fmt.Errorf("no log line mentions request %s", c.Arguments.Request)
--- a/node/nodecmd/nodecmd_test.go
+++ b/node/nodecmd/nodecmd_test.go
@@ -66,6 +66,19 @@
 	}
 }
 
+// Guards the explanation of a usage window: who reported it and when.
+func TestExplainWindow(t *testing.T) {
+	path := writeFile(t, `{"fields":{"instance":"i","window":353445120,"token":3},"level":"info","timestamp":"2026-01-01T00:00:10Z","message":"usage reported"}`)
+	if code, out, _ := run("explain", "window:353445120", path); code != cli.ExitOK || !strings.Contains(out, "usage reported: token=3 window=353445120") {
+		t.Errorf("explain: got code %d, output %q", code, out)
+	}
+	for _, unknown := range []string{"window:353445121", "window:x"} {
+		if code, _, errOut := run("explain", unknown, path); code != cli.ExitFailure || !strings.Contains(errOut, "window") {
+			t.Errorf("explain of %s: got code %d, error output %q", unknown, code, errOut)
+		}
+	}
+}
+
 // fillTemplate fills in the settings template: values by placeholder, 1 for others. A
 // section is kept if it has a value.
 func fillTemplate(t *testing.T, values map[string]string) string {
--- a/tools/explain/explain.go
+++ b/tools/explain/explain.go
@@ -1,7 +1,7 @@
 // Package explain selects the lines of log files that explain the outcome of one
 // request: the lines with its ID, and the state changes and decisions that the
 // instances logged in the same period about its upstreams, its models and the
-// leadership.
+// leadership. For a window of the usage reports it selects who reported it and when.
 package explain
 
 import (
@@ -97,6 +97,36 @@
 	return slices.CompactFunc(chain, sameUpstreamChange)
 }
 
+// Window returns the lines about the usage report of a window and the changes of leadership
+// around them, from the given time before the first line, in order of time. It returns nil
+// if no line is about the window.
+func Window(lines []Line, window int64, before time.Duration) []Line {
+	var chain []Line
+	for _, l := range lines {
+		if first, ok := l.Fields["window"].(float64); ok && strings.HasPrefix(l.Message, "usage") {
+			last, ok := l.Fields["last"].(float64)
+			if !ok {
+				last = first
+			}
+			if int64(first) <= window && window <= int64(last) {
+				chain = append(chain, l)
+			}
+		}
+	}
+	if len(chain) == 0 {
+		return nil
+	}
+	sortLines(chain)
+	first, last := chain[0].Time.Add(-before), chain[len(chain)-1].Time
+	for _, l := range lines {
+		if strings.HasPrefix(l.Message, "leadership") && !l.Time.Before(first) && !l.Time.After(last) {
+			chain = append(chain, l)
+		}
+	}
+	sortLines(chain)
+	return chain
+}
+
 // arrival returns the time at which the line's request arrived, computed from
 // after_ms, or the line's time if that field is missing.
 func (l *Line) arrival() time.Time {
@@ -116,7 +146,7 @@
 }
 
 // Print writes lines in a readable form: time since the first one, instance,
-// message and fields. Lines of the request are marked with an asterisk.
+// message and fields. Lines of the request or the window are marked with an asterisk.
 func Print(w io.Writer, lines []Line) error {
 	if len(lines) == 0 {
 		return nil
@@ -128,11 +158,14 @@
 			if name == "instance" || name == "data_centre" || name == "request" || value == "" {
 				continue
 			}
+			if number, ok := value.(float64); ok && number == float64(int64(number)) {
+				value = int64(number) // windows are too large for the default format
+			}
 			fields = append(fields, fmt.Sprintf("%s=%v", name, value))
 		}
 		slices.Sort(fields)
 		mark := " "
-		if l.text("request") != "" {
+		if l.text("request") != "" || l.Fields["window"] != nil {
 			mark = "*"
 		}
 		if _, err := fmt.Fprintf(w, "%9.3fs %s %-16s %s: %s\n", l.Time.Sub(start).Seconds(), mark, l.text("instance"), l.Message, strings.Join(fields, " ")); err != nil {
--- a/tools/explain/explain_test.go
+++ b/tools/explain/explain_test.go
@@ -40,3 +40,39 @@
 		t.Errorf("got output %q, error %v", text.String(), err)
 	}
 }
+
+const usageLogs = `{"fields":{"instance":"entry-1","token":7},"level":"info","timestamp":"2026-01-01T00:00:01Z","message":"leadership taken"}
+{"fields":{"instance":"entry-1","window":353445119,"token":7},"level":"info","timestamp":"2026-01-01T00:00:06Z","message":"usage reported"}
+{"fields":{"instance":"entry-1","window":353445120,"token":7,"outcome":"unknown"},"level":"info","timestamp":"2026-01-01T00:00:11Z","message":"usage not reported; retrying"}
+{"fields":{"instance":"entry-1","token":7},"level":"info","timestamp":"2026-01-01T00:00:12Z","message":"leadership ended"}
+{"fields":{"instance":"entry-2","token":8},"level":"info","timestamp":"2026-01-01T00:00:12.5Z","message":"leadership taken"}
+{"fields":{"instance":"entry-2","window":353445120,"token":8,"after_ms":4400},"level":"info","timestamp":"2026-01-01T00:00:16Z","message":"usage reported"}
+{"fields":{"instance":"entry-2","window":353445121,"last":353445130,"token":8},"level":"warn","timestamp":"2026-01-01T00:01:30Z","message":"usage window skipped"}
+`
+
+// Guards against an explanation of a window that lacks the attempts and changes of
+// leadership between its end and its report, or windows that were skipped together.
+func TestWindow(t *testing.T) {
+	lines, err := explain.Read(strings.NewReader(usageLogs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for window, want := range map[int64]string{
+		353445119: "leadership taken, usage reported",
+		353445120: "usage not reported; retrying, leadership ended, leadership taken, usage reported",
+		353445125: "usage window skipped",
+		353445131: "",
+	} {
+		var got []string
+		for _, l := range explain.Window(lines, window, 5*time.Second) {
+			got = append(got, l.Message)
+		}
+		if strings.Join(got, ", ") != want {
+			t.Errorf("window %d: got %v, want %s", window, got, want)
+		}
+	}
+	var text strings.Builder
+	if err := explain.Print(&text, explain.Window(lines, 353445120, time.Second)); err != nil || !strings.Contains(text.String(), "* entry-2          usage reported: after_ms=4400 token=8 window=353445120") {
+		t.Errorf("got output %q, error %v", text.String(), err)
+	}
+}
