Pass on the last counts of an instance that stops

A planned stop lost what an instance had counted since its last report, up to 0.8 s. A stopping instance now sends a last, final report to the leader, which is complete for all windows to come, or writes the state if it leads. The leader looks at most each 40 ms for what is due.

New node tests: planned stop of the leader and of another instance, what counts as run by kind of answer, a store that comes back from a copy with the leader and without it.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -366,6 +366,7 @@
 		case <-ticker.C:
 		}
 	}
+	c.finishUsage()
 	c.release()
 }
 
--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -47,6 +47,10 @@
 	// usageThrottled that after too many calls.
 	usageRetry     = 250 * time.Millisecond
 	usageThrottled = time.Second
+	// usageFinishTimeout bounds the last report or write of an instance that stops.
+	usageFinishTimeout = 300 * time.Millisecond
+	// usageStepInterval is the shortest time between two looks for what is due.
+	usageStepInterval = 40 * time.Millisecond
 	// maxUsageRow bounds the state in one row: 64 KiB with the encoding of the store.
 	maxUsageRow = 40 << 10
 )
@@ -75,7 +79,7 @@
 	loaded, kept, loading, saving, sending bool
 	era                                    int64 // of the store when the state was loaded
 	version                                int64 // of the row usageKey
-	nextLoad, nextSave, nextSend           bootclock.Time
+	nextStep, nextLoad, nextSave, nextSend bootclock.Time
 	attempts                               int // to send the next report, in this term
 }
 
@@ -265,9 +269,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := &c.usage
-	if u.ledger == nil || !c.leading || !c.lease.Held(now) {
+	if u.ledger == nil || !c.leading || !c.lease.Held(now) || now.Before(u.nextStep) {
 		return
 	}
+	u.nextStep = now.Add(usageStepInterval)
 	token := c.lease.Token()
 	settled := now.Sub(c.leadingSince) >= usageSettle
 	at, known := c.trueTime(now, token, settled)
@@ -402,6 +407,7 @@
 		}
 	}
 	if len(decisions) > 0 {
+		u.nextStep = 0
 		c.client.mu.Lock()
 		late := c.client.usageDecidedUpTo(u.ledger.DecidedUpTo())
 		c.client.mu.Unlock()
@@ -495,6 +501,42 @@
 	c.config.Metrics.GetOrCreateCounter(`hibiscusyard_usage_reports_total{outcome="` + outcome + `"}`).Inc()
 	entry.Info("usage reported")
 	u.ledger.Accept(report.Window)
-	u.attempts = 0
+	u.attempts, u.nextStep = 0, 0
 	c.Notify()
 }
+
+// finishUsage passes on the last counts of an instance that stops: to the leader, or to the
+// store if it leads itself.
+func (c *Coordinator) finishUsage() {
+	l := c.client
+	if l.counter == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), usageFinishTimeout)
+	defer cancel()
+	now := bootclock.Now()
+	l.mu.Lock()
+	leader, final := l.leader, l.counter.Final(now, l.clock, c.config.WallClock())
+	l.mu.Unlock()
+	var err error
+	switch leader {
+	case "":
+		return
+	case c.config.Instance:
+		c.recordOwnUsage(final)
+		c.mu.Lock()
+		changes := splitUsage(c.usage.ledger.Encode(c.usage.era, nil), c.usage.version)
+		due := c.leading && c.usage.loaded && !c.usage.saving && c.lease.Held(now)
+		c.mu.Unlock()
+		if due {
+			_, err = c.config.Store.Commit(ctx, changes...)
+		}
+	default:
+		err = c.hub.Notify(ctx, leader, peer.KindDemandReport, instanceReport{
+			Sent: now, Versions: l.versions(), Weak: c.config.Weak, Uptime: bootclock.Since(c.started), Resigned: true, Usage: final,
+		})
+	}
+	if err != nil {
+		c.config.Log.WithError(err).Info("last usage not passed on")
+	}
+}
--- a/decision/usage/counter.go
+++ b/decision/usage/counter.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -124,6 +125,14 @@
 	return r
 }
 
+// Final returns the last report of a run that ends: all of its counts, which are complete.
+func (c *Counter) Final(now bootclock.Time, clock *Clock, wall time.Duration) *Report {
+	c.Reset()
+	r := c.Report(now, clock, wall)
+	r.Open = math.MaxInt64
+	return r
+}
+
 // Reset makes the next report a full one, for a new leader or a new link to it.
 func (c *Counter) Reset() {
 	c.full = true
--- a/decision/usage/usage_test.go
+++ b/decision/usage/usage_test.go
@@ -97,6 +97,23 @@
 	}
 }
 
+// Guards against a wait for an instance that has stopped, and against counts that it had not
+// reported.
+func TestLastReportIsCompleteForGood(t *testing.T) {
+	c, clock := newCounter()
+	c.Record(trueAt(1), "w")
+	report(c, clock, 1)
+	c.Confirm(second(1))
+	c.Record(trueAt(2), "w")
+	l := newLedger(t)
+	l.Record(l.a, "a", c.Final(second(2), clock, trueAt(2)))
+	l.SetLinked(trueAt(2), map[string]usage.Run{"b": l.b})
+	l.record(l.b, testWindow+2, testWindow, 1)
+	if d := l.decide(10.1); len(d) != 2 || d[0].Report.Total != 3 || d[0].Report.Missing != 0 || d[1].Report.Total != 0 {
+		t.Errorf("got %+v, want 3 requests in the first window, none in the second, nobody missing", d)
+	}
+}
+
 // Guards against operators who are not told that counts may be missing, and against an
 // alarm about counts that the leader had.
 func TestCountsWithoutConfirmationAreNamed(t *testing.T) {
--- a/node/usage_test.go
+++ b/node/usage_test.go
@@ -352,3 +352,94 @@
 		})
 	}
 }
+
+// Guards against counts that are lost in a planned stop of an instance, of the leader or
+// another one.
+func TestPlannedStopLosesNoCounts(t *testing.T) {
+	for name, stopsLeader := range map[string]bool{"of the leader": true, "of another instance": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newUsageSystem(t, 3)
+			s.serveWindows(1, 0, 1, 2)
+			s.reported()
+			stopped := s.leader()
+			if !stopsLeader {
+				stopped = s.others(stopped)[0]
+			}
+			for range 5 {
+				s.ask(stopped, true)
+			}
+			s.nodes[stopped].Shutdown()
+			s.serveWindows(1, s.others(stopped)...)
+			s.reported()
+			s.checkExact()
+			s.checkRule()
+		})
+	}
+}
+
+// Guards against requests that ran and are not counted, or are counted although they did
+// not run: answers of all kinds, and none.
+func TestUsageCountsWhatRan(t *testing.T) {
+	s := newUsageSystem(t, 2)
+	s.serveWindows(1, 0, 1)
+	for _, fault := range []userplatform.Fault{
+		userplatform.ResetAfter, userplatform.RefusedAtCapacity, userplatform.ErrorResponse, userplatform.Unsigned, userplatform.UnframedReset,
+	} {
+		for _, u := range s.rotas {
+			u.Fail(fault)
+		}
+		s.ask(0, false)
+		s.ask(1, false)
+	}
+	for _, fault := range []userplatform.Fault{userplatform.CutStream, userplatform.RefusedAtCapacity, userplatform.UnframedCut} {
+		// One engine alone: a run that goes on elsewhere and is cut again before its first
+		// event does not count.
+		s.engines[0].Fail(fault)
+		for i := range 6 {
+			s.ask(i%2, true)
+		}
+	}
+	for _, list := range [][]*userplatform.Upstream{s.engines, s.rotas} {
+		for _, u := range list {
+			u.ClearFaults()
+		}
+	}
+	s.serveWindows(1, 0, 1)
+	s.reported()
+	if got, want := s.total(), s.ran(); !maps.Equal(got, want) {
+		t.Errorf("reported %v in total, the upstreams have run %v", got, want)
+	}
+	s.checkRule()
+}
+
+// Guards against a window with two contents, and against windows that are not reported any
+// more, after the store has come back from a copy that lacks the last decisions, with the
+// leader that made them or with another one.
+func TestReportsAfterTheStoreCameBackFromACopy(t *testing.T) {
+	for name, loseLeader := range map[string]bool{"the leader goes on": false, "the leader is lost": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newUsageSystem(t, 3)
+			s.serveWindows(4, 0, 1, 2)
+			s.reported()
+			leader := s.leader()
+			again := s.store.Restore(2 * usageWindow)
+			again()
+			serving := []int{0, 1, 2}
+			if loseLeader {
+				s.kill(leader)
+				serving = s.others(leader)
+			}
+			s.serveWindows(3, serving...)
+			s.reported()
+			if !loseLeader {
+				s.checkExact()
+			}
+			s.checkRule()
+			for workspace, n := range s.total() {
+				if ran := s.ran()[workspace]; n > ran {
+					t.Errorf("%s: %d requests reported, the upstreams have run %d", workspace, n, ran)
+				}
+			}
+		})
+	}
+}
