Let a new leader wait for reports, and ask for full ones

A new leader decided the windows of the time before its term as soon as it was 2 s old, although instances might not have reported to it yet and no call may be made in the first lease_ms + 0.3 s. It now waits up to 3 s for incomplete runs, and decides only shortly before its first call. If only the leader noticed that a link broke, reports of that instance would never be complete; it now asks for a full one with the next heartbeat.

Tests: TestNewLeaderWaitsForReports, TestPartialReportAsksForAFullOne; rows of the state, messages and rows without usage reporting.

--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -161,7 +161,7 @@
 		if !due && !changed {
 			continue
 		}
-		message.Usage = c.usageNewsFor(now, id.Instance, report)
+		message.Usage = c.usageNewsFor(now, id, report)
 		messages[id.Instance] = message
 		for i, r := range message.Tables {
 			c.relayProgress[id.Instance].versions[i] = r.To
--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -61,6 +61,8 @@
 	// Held is the time from the receipt of the report whose time the heartbeat echoes.
 	Held    time.Duration `cbor:"2,keyasint,omitempty"`
 	Decided int64         `cbor:"3,keyasint,omitempty"` // windows before it have been decided
+	// Resend asks for a full report.
+	Resend bool `cbor:"4,keyasint,omitempty"`
 }
 
 // told is what an instance was last told.
@@ -181,6 +183,9 @@
 	if news.True != 0 && message.Echo != 0 {
 		l.clock.Sync(now, message.Token, news.True, now.Sub(message.Echo)-news.Held)
 	}
+	if news.Resend {
+		l.resetUsage()
+	}
 	return l.usageDecidedUpTo(news.Decided)
 }
 
@@ -239,20 +244,21 @@
 }
 
 // usageNewsFor returns what to tell an instance now, or nil. The caller holds mu.
-func (c *Coordinator) usageNewsFor(now bootclock.Time, instance string, report instanceReport) *usageNews {
+func (c *Coordinator) usageNewsFor(now bootclock.Time, id peer.Identity, report instanceReport) *usageNews {
 	u := &c.usage
 	if u.ledger == nil {
 		return nil
 	}
-	last, decided := u.told[instance], int64(0)
+	last, decided := u.told[id.Instance], int64(0)
 	if u.loaded {
 		decided = u.ledger.DecidedUpTo()
 	}
 	tellTime := report.received != 0 && now.Sub(last.at) >= usageNewsInterval
-	if !tellTime && decided <= last.decided {
+	resend := u.ledger.NeedsFull(usage.RunOf(id.Instance, id.Incarnation))
+	if !tellTime && decided <= last.decided && !resend {
 		return nil
 	}
-	news := &usageNews{Decided: decided}
+	news := &usageNews{Decided: decided, Resend: resend}
 	next := told{at: last.at, decided: max(decided, last.decided)}
 	c.client.mu.Lock()
 	if tellTime && c.client.clock.Synced() {
@@ -260,7 +266,7 @@
 		next.at = now
 	}
 	c.client.mu.Unlock()
-	u.told[instance] = next
+	u.told[id.Instance] = next
 	return news
 }
 
@@ -274,7 +280,8 @@
 	}
 	u.nextStep = now.Add(usageStepInterval)
 	token := c.lease.Token()
-	settled := now.Sub(c.leadingSince) >= usageSettle
+	// After another holder there is time until the first call.
+	settled := now.Sub(c.leadingSince) >= usageSettle && c.lease.ordersAt.Sub(now) < usageSaveInterval
 	at, known := c.trueTime(now, token, settled)
 	if !known {
 		return
@@ -294,7 +301,7 @@
 		u.loading, u.nextLoad = true, now.Add(usageReadRetry)
 		go c.loadUsage(token)
 	case settled:
-		decisions := u.ledger.Decide(at)
+		decisions := u.ledger.Decide(at, at-now.Sub(c.leadingSince))
 		if len(decisions) > 0 || u.ledger.Changed() && !now.Before(u.nextSave) {
 			c.saveUsage(now, decisions, token)
 		}
--- a/decision/usage/ledger.go
+++ b/decision/usage/ledger.go
@@ -8,7 +8,8 @@
 
 const (
 	// maxWait is how long after its end a window waits for instances that can't be
-	// reached: they may be frozen, partitioned off or dead.
+	// reached: they may be frozen, partitioned off or dead. A new leader waits as long for
+	// those that do not report to it yet; it may make no calls meanwhile, either.
 	maxWait = 3 * time.Second
 	// lostLife is how long an instance that can't be reached is waited for.
 	lostLife = 30 * time.Second
@@ -46,6 +47,7 @@
 	from     int64  // first window counted from its start, 0 if not known
 	open     int64  // windows before it are complete
 	full     bool   // all its counts have been reported in this term, on this link
+	partial  bool   // a report has come that needs a full one before it
 	linked   bool
 	ended    bool          // another run of the instance has replaced it
 	lostAt   time.Duration // when it was last found not to be linked
@@ -91,6 +93,7 @@
 		// An earlier report with counts may have been lost otherwise.
 		r.open = max(r.open, report.Open)
 	}
+	r.partial = !r.full
 	for _, w := range report.Counts {
 		l.merge(r, w.Window, w.Counts)
 	}
@@ -114,6 +117,17 @@
 	}
 }
 
+// NeedsFull reports whether a run has to send a full report, and counts it as asked for one
+// until its next report.
+func (l *Ledger) NeedsFull(id Run) bool {
+	r := l.runs[id]
+	if r == nil || !r.partial {
+		return false
+	}
+	r.partial = false
+	return true
+}
+
 // StartTerm begins a term of this instance as the leader: reports to it may have been lost
 // since its last one.
 func (l *Ledger) StartTerm() {
@@ -151,9 +165,9 @@
 	}
 }
 
-// Decide returns the decisions that can be made at a true time. They are not in force until
-// Confirm is called, after they have been saved.
-func (l *Ledger) Decide(now time.Duration) []Decision {
+// Decide returns the decisions that can be made at a true time, in a term that began at the
+// given one. They are not in force until Confirm is called, after they have been saved.
+func (l *Ledger) Decide(now, began time.Duration) []Decision {
 	var list []Decision
 	if l.decided == 0 {
 		return nil
@@ -164,7 +178,7 @@
 			break
 		}
 		heard, missing, waiting := l.hearing(k, now)
-		if waiting && now < end+maxWait {
+		if waiting && now < max(end, began)+maxWait {
 			break
 		}
 		counts, counted := l.sum(k)
--- a/decision/usage/simulation_test.go
+++ b/decision/usage/simulation_test.go
@@ -287,7 +287,7 @@
 func (s *simulation) save(at time.Duration) {
 	l := s.leader
 	m := s.machines[l.machine]
-	decisions := m.ledger.Decide(at)
+	decisions := m.ledger.Decide(at, l.since)
 	if len(decisions) == 0 && !m.ledger.Changed() {
 		return
 	}
--- a/decision/usage/usage_test.go
+++ b/decision/usage/usage_test.go
@@ -245,7 +245,7 @@
 
 // decide makes the decisions of a time and puts them into force.
 func (l *testLedger) decide(at float64) []usage.Decision {
-	decisions := l.Decide(trueAt(at))
+	decisions := l.Decide(trueAt(at), testBegin)
 	l.Confirm(trueAt(at), decisions)
 	return decisions
 }
@@ -272,6 +272,41 @@
 	}
 }
 
+// Guards against a new leader that decides windows of the time without a leader before all
+// instances have reported to it.
+func TestNewLeaderWaitsForReports(t *testing.T) {
+	l := newLedger(t)
+	l.record(l.a, testWindow+3, testWindow, 3)
+	if d := l.Decide(trueAt(12.9), trueAt(10)); len(d) != 0 {
+		t.Errorf("2.9 s into its term, b has not reported: got %v, want no decision", d)
+	}
+	if d := l.Decide(trueAt(13), trueAt(10)); len(d) != 2 {
+		t.Errorf("3 s into its term: got %v, want two decisions", d)
+	}
+}
+
+// Guards against windows that wait 3 s each because an instance has not noticed that its
+// link to the leader had broken, and does not send all its counts again.
+func TestPartialReportAsksForAFullOne(t *testing.T) {
+	l := newLedger(t)
+	l.record(l.a, testWindow, testWindow, 3)
+	if l.NeedsFull(l.a) {
+		t.Error("a full report is asked for after a full report")
+	}
+	l.RecordLinkChange("a")
+	if l.NeedsFull(l.a) {
+		t.Error("a full report is asked for before the first one on a link")
+	}
+	l.Record(l.a, "a", &usage.Report{Open: testWindow + 1})
+	if !l.NeedsFull(l.a) || l.NeedsFull(l.a) {
+		t.Error("a full report is not asked for once after a partial one")
+	}
+	l.record(l.a, testWindow+1, testWindow, 3)
+	if l.NeedsFull(l.a) {
+		t.Error("a full report is asked for after it has come")
+	}
+}
+
 // Guards against a wait for an instance that has been replaced by a new run of it, whose
 // counts are added, and for one that has been away for long.
 func TestWindowDoesNotWaitForEndedRuns(t *testing.T) {
@@ -308,11 +343,11 @@
 		lose(l)
 		l.record(l.b, testWindow+1, testWindow, 1)
 		l.Record(l.a, "a", &usage.Report{Open: testWindow + 1})
-		if d := l.Decide(trueAt(5.1)); len(d) != 0 {
+		if d := l.Decide(trueAt(5.1), testBegin); len(d) != 0 {
 			t.Errorf("%s: got %+v without a full report, want no decision", name, d)
 		}
 		l.record(l.a, testWindow+1, testWindow, 2)
-		if d := l.Decide(trueAt(5.1)); len(d) != 1 || d[0].Report.Total != 3 {
+		if d := l.Decide(trueAt(5.1), testBegin); len(d) != 1 || d[0].Report.Total != 3 {
 			t.Errorf("%s: got %+v after a full report, want 3 requests", name, d)
 		}
 	}
@@ -374,7 +409,7 @@
 	l := newLedger(t)
 	l.record(l.a, testWindow+1, testWindow, 1)
 	l.record(l.b, testWindow+1, testWindow, 1)
-	decisions := l.Decide(trueAt(5.1))
+	decisions := l.Decide(trueAt(5.1), testBegin)
 	saved := l.Encode(1, decisions)
 	if next, ok := l.Next(); ok || l.DecidedUpTo() != testWindow {
 		t.Errorf("got report %s and windows before %d decided without an answer to the write, want neither", next.Body, l.DecidedUpTo())
@@ -468,7 +503,7 @@
 		l.record(l.a, testWindow+k+1, testWindow+k, 1)
 		l.record(l.b, testWindow+k+1, testWindow+k, 1)
 		at := trueAt(5*float64(k+1) + 0.1)
-		givenUp += len(l.Confirm(at, l.Decide(at)))
+		givenUp += len(l.Confirm(at, l.Decide(at, testBegin)))
 	}
 	if next, _ := l.Next(); givenUp != 100 || next.Window != testWindow+100 {
 		t.Errorf("got %d reports given up and window %d next, want 100 and %d", givenUp, next.Window, testWindow+100)
--- a/node/usage_test.go
+++ b/node/usage_test.go
@@ -443,3 +443,21 @@
 		})
 	}
 }
+
+// Guards against rows and calls where usage is not enabled, although the API is there.
+func TestNoUsageIsReportedUnlessEnabled(t *testing.T) {
+	s := &usageSystem{api: userplatform.NewAPI(testLeaseGap)}
+	server := httptest.NewServer(s.api.Gate())
+	t.Cleanup(server.Close)
+	s.testSystem = newConfiguredSystem(t, func(settings *node.Settings) {
+		settings.Duties = node.Duties{Address: server.Listener.Addr().String(), List: []string{"autoscaling", ""}, CallsPerS: 50}
+		settings.Bounds.UsageWindowS, settings.Bounds.UsageLateS = usageWindow.Seconds(), 10
+	}, 2)
+	s.serveWindows(4, 0, 1)
+	if calls := s.api.Calls(); len(calls) != 0 {
+		t.Errorf("got calls %v, want none", calls)
+	}
+	if row := s.store.Value("hibiscusyard-usage", "state"); row != nil {
+		t.Errorf("got a row of %d bytes, want none", len(row))
+	}
+}
