--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -116,18 +116,24 @@
 	// StoreParallel is the number of concurrent loads that the weight store serves at
 	// full speed.
 	StoreParallel int
-	Log           log.Interface
-	Metrics       *metrics.Set
+	// WallClock returns the wall-clock time since the start of 1970. It is used only if
+	// usage is reported.
+	WallClock func() time.Duration
+	// Duties are the calls to the platform's API that this instance makes while it leads.
+	Duties  DutyConfig
+	Log     log.Interface
+	Metrics *metrics.Set
 }
 
 // Coordinator contends for the lease and leads while it holds it. Its Client
 // connects the instance to the current leader.
 type Coordinator struct {
-	config  Config
-	client  *Client
-	hub     *peer.Hub
-	wake    chan struct{}
-	started bootclock.Time
+	config    Config
+	client    *Client
+	hub       *peer.Hub
+	wake      chan struct{}
+	started   bootclock.Time
+	dutyPacer pacer
 
 	mu           sync.Mutex
 	lease        *Lease
@@ -152,6 +158,8 @@
 	savedVerdicts, sentEntries string
 	// origins is what this instance has saved of origins while it leads.
 	origins originState
+	// usage is what a leader needs for usage reports.
+	usage usageState
 	// versionsRow is the version of the row with the software versions, as last read or
 	// written.
 	versionsRow int64
@@ -202,6 +210,7 @@
 	c.buckets = &leaderBuckets{lease: c.lease, bounds: config.Bounds}
 	c.client = newClient(c)
 	c.origins = newOriginState(0)
+	c.initUsage()
 	return c
 }
 
@@ -362,6 +371,7 @@
 		case <-ticker.C:
 		}
 	}
+	c.finishUsage()
 	c.release()
 }
 
@@ -398,5 +408,6 @@
 	c.saveVersions(bootclock.Now())
 	c.requestOrigins(bootclock.Now())
 	c.saveOrigins(bootclock.Now())
+	c.runUsage(ctx, bootclock.Now())
 	c.client.endDepartures(bootclock.Now())
 }
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/hibiscusyard/hibiscusyard/decision/quarantine"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
@@ -106,11 +105,20 @@
 func (l *Client) reportDemand(ctx context.Context) {
 	ticker := time.NewTicker(demandInterval)
 	defer ticker.Stop()
+	var windowEnd <-chan time.Time // never, unless usage is reported
+	if l.counter != nil {
+		windowEnd = time.After(l.untilWindowReport())
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-windowEnd:
+			windowEnd = time.After(l.untilWindowReport())
+			if !l.usageDue() {
+				continue // an earlier report has shown that the window is complete
+			}
 		case <-l.urgent:
 			if !duration.Sleep(ctx, demandBatchDelay) {
 				return
@@ -118,66 +126,66 @@
 		}
 		if err := l.report(ctx); err != nil {
 			l.c.config.Log.WithError(err).Debug("demand not reported to the leader")
+			l.mu.Lock()
+			l.resetUsage()
+			l.mu.Unlock()
 		}
 	}
 }
 
 func (l *Client) report(ctx context.Context) error {
-	demands, evidence, paces, leader, due := l.collectReport()
+	r, leader, due := l.collectReport()
 	if !due || leader == "" {
 		return nil
 	}
 	if leader == l.c.config.Instance {
-		l.c.recordDemand(leader, demands, paces)
-		if evidence != nil {
+		l.c.recordOwnUsage(r.Usage)
+		l.c.recordDemand(leader, r.Demands, r.Paces)
+		if r.Evidence != nil {
 			l.c.evidenceChanged()
 		}
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	return l.c.hub.Notify(ctx, leader, peer.KindDemandReport, instanceReport{Demands: demands, Sent: bootclock.Now(), Versions: l.versions(), Weak: l.c.config.Weak, Uptime: bootclock.Since(l.c.started), Resigned: l.c.hasResigned(), Evidence: evidence, Paces: paces})
+	r.Sent, r.Versions, r.Weak = bootclock.Now(), l.versions(), l.c.config.Weak
+	r.Uptime, r.Resigned = bootclock.Since(l.c.started), l.c.hasResigned()
+	return l.c.hub.Notify(ctx, leader, peer.KindDemandReport, r)
 }
 
-// collectReport returns the demand since the last report, the evidence against causes
-// of crashes, the leader, and whether a report is due. After a report with demand, one report without demand is sent to
-// clear it.
-func (l *Client) collectReport() ([]residency.ModelDemand, *quarantine.Evidence, map[string]float64, string, bool) {
+// collectReport returns what has come since the last report, the leader, and whether a
+// report is due. After a report with demand, one report without demand is sent to clear it.
+func (l *Client) collectReport() (r instanceReport, leader string, due bool) {
 	now := bootclock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var list []residency.ModelDemand
 	for k, n := range l.demands {
-		r := residency.ModelDemand{Service: k.service, Model: k.model, Arrived: n.arrived, Waiting: len(n.deadlines), Running: map[string]int{}}
+		d := residency.ModelDemand{Service: k.service, Model: k.model, Arrived: n.arrived, Waiting: len(n.deadlines), Running: map[string]int{}}
 		for _, deadline := range n.deadlines {
-			if left := deadline.Sub(now); r.UntilDeadline == 0 || left < r.UntilDeadline {
-				r.UntilDeadline = left
+			if left := deadline.Sub(now); d.UntilDeadline == 0 || left < d.UntilDeadline {
+				d.UntilDeadline = left
 			}
 		}
 		for id, running := range n.running {
-			r.Running[id] = running
+			d.Running[id] = running
 		}
-		if r.Arrived == 0 && r.Waiting == 0 && len(r.Running) == 0 {
+		if d.Arrived == 0 && d.Waiting == 0 && len(d.Running) == 0 {
 			continue
 		}
 		n.arrived = 0
 		for id, running := range n.adapters {
-			r.Adapters = append(r.Adapters, id)
+			d.Adapters = append(d.Adapters, id)
 			if running == 0 {
 				delete(n.adapters, id)
 			}
 		}
-		list = append(list, r)
-	}
-	evidence := l.evidence(now)
-	due := len(list) > 0 || evidence != nil || l.reportedDemand || now.Sub(l.reportedAt) >= maxReportInterval
-	l.reportedDemand = len(list) > 0
-	if due {
-		l.reportedAt = now
+		r.Demands = append(r.Demands, d)
 	}
-	var paces map[string]float64
+	r.Evidence, r.Usage = l.evidence(now), l.usageReport(now)
+	due = len(r.Demands) > 0 || r.Evidence != nil || r.Usage != nil || l.reportedDemand || now.Sub(l.reportedAt) >= maxReportInterval
+	l.reportedDemand = len(r.Demands) > 0
 	if due {
-		paces = l.takePaces()
+		l.reportedAt, r.Paces = now, l.takePaces()
 	}
-	return list, evidence, paces, l.leader, due
+	return r, l.leader, due
 }
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -66,6 +66,7 @@
 	Quarantine Quarantine
 	Origins    Origins
 	Places     Places
+	Usage      Usage
 	Forward    *Forward
 	Budget     *Budget
 	Log        log.Interface
