--- a/decision/fleet/config.go
+++ b/decision/fleet/config.go
@@ -91,6 +91,14 @@
 	ConnectionLimit int     // connections to one upstream, from all callers
 	ColdPerSecond   float64 // requests per second that a cold upstream can serve
 	Engine          *Engine // nil for plain services
+	Scale           *Scale  // nil if the number of upstreams can't be ordered
+}
+
+// Scale is the range in which the number of upstreams of a service in each data centre
+// may be ordered.
+type Scale struct {
+	Minimum, Maximum int
+	BootTime         time.Duration // from the order of an upstream to its registration
 }
 
 // Workspace is a customer with its rate limit, in tokens across all instances.
