Report how much of the engines' capacity is in demand

The number of upstreams can only follow demand that the leader knows. Demand reports get a count of such refusals, left out if zero; nothing counts them yet.

--- a/decision/residency/order.go
+++ b/decision/residency/order.go
@@ -5,6 +5,7 @@
 package residency
 
 import (
+	"math"
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
@@ -93,6 +94,10 @@
 	// Adapters are the adapters of the model that requests have used since the
 	// last report.
 	Adapters []string `cbor:"7,keyasint"`
+	// Refused counts the requests since the last report that were refused because no
+	// upstream could serve them in time. It is reported only where the number of
+	// upstreams can be ordered.
+	Refused int `cbor:"8,keyasint,omitempty"`
 }
 
 // Policy parameters.
@@ -182,9 +187,17 @@
 // constant for rateHalfLife.
 const decayPerSecond = 0.115 // ln 2 / 6 s
 
-func (r *rate) current(now bootclock.Time) float64 {
+func (r *rate) current(now bootclock.Time) float64 { return r.over(now, rateHalfLife) }
+
+// addOver and over are add and current with another half-life than rateHalfLife.
+func (r *rate) addOver(now bootclock.Time, arrivals int, halfLife time.Duration) {
+	r.value = r.over(now, halfLife) + float64(arrivals)*math.Ln2/halfLife.Seconds()
+	r.at = now
+}
+
+func (r *rate) over(now bootclock.Time, halfLife time.Duration) float64 {
 	if r.at == 0 {
 		return 0
 	}
-	return r.value * decay(now.Sub(r.at), rateHalfLife)
+	return r.value * decay(now.Sub(r.at), halfLife)
 }
--- a/decision/residency/planner.go
+++ b/decision/residency/planner.go
@@ -98,6 +98,12 @@
 		if n.Arrived > 0 {
 			p.demand(key{n.Service, n.Model}).rate.add(now, n.Arrived)
 		}
+		if n.Arrived+n.Refused > 0 {
+			p.demand(key{n.Service, n.Model}).steady.addOver(now, n.Arrived+n.Refused, steadyHalfLife)
+		}
+		if n.Refused > 0 {
+			p.demand(key{n.Service, n.Model}).refused.addOver(now, n.Refused, refusedHalfLife)
+		}
 		for id, running := range n.Running {
 			if h := p.hosts[id]; h != nil && running > 0 && h.models[n.Model] != nil {
 				h.models[n.Model].lastUsed = now
--- a/decision/residency/totals.go
+++ b/decision/residency/totals.go
@@ -20,8 +20,10 @@
 
 // demand is the demand of all instances for one model.
 type demand struct {
-	rate  rate
-	since bootclock.Time // since when requests have been waiting, 0 if none wait
+	rate    rate
+	steady  rate           // with steadyHalfLife, includes refused requests
+	refused rate           // with refusedHalfLife
+	since   bootclock.Time // since when requests have been waiting, 0 if none wait
 
 	// Sums over the instances' reports.
 	waiting   int
