Order upstreams for models that do not fit

If the settings name the duty `autoscaling`, the leader decides every 0.2 s on the number of upstreams of each service with a scale and makes the calls under its lease, one at a time for a service and data centre. It tells the instances in heartbeats which numbers it ordered, before it makes a call, so that the next leader goes on with them. Instances count requests that they refuse for lack of capacity. Without the duty no field, message or call is added.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -158,6 +158,8 @@
 	origins originState
 	// usage is what a leader needs for usage reports.
 	usage usageState
+	// scale is what a leader needs to decide on the numbers of upstreams.
+	scale scaleState
 	// versionsRow is the version of the row with the software versions, as last read or
 	// written.
 	versionsRow int64
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -15,6 +15,7 @@
 // modelDemand counts this instance's requests for one model.
 type modelDemand struct {
 	arrived   int
+	refused   int                    // for lack of capacity, counted only where upstreams can be ordered
 	deadlines map[int]bootclock.Time // of waiting requests, by wait ID
 	running   map[string]int
 	adapters  map[string]int // running requests by adapter; 0 if only used since the last report
@@ -97,6 +98,16 @@
 	}
 }
 
+// RecordRefused implements gateway.Placement.
+func (l *Client) RecordRefused(service, model string) {
+	if !l.c.config.Duties.Has(DutyScaling) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.demandFor(service, model).refused++
+}
+
 // reportDemand reports the demand to the leader, regularly and on reportSoon, until ctx
 // ends.
 func (l *Client) reportDemand(ctx context.Context) {
@@ -152,7 +163,7 @@
 	defer l.mu.Unlock()
 	var list []residency.ModelDemand
 	for k, n := range l.demands {
-		r := residency.ModelDemand{Service: k.service, Model: k.model, Arrived: n.arrived, Waiting: len(n.deadlines), Running: map[string]int{}}
+		r := residency.ModelDemand{Service: k.service, Model: k.model, Arrived: n.arrived, Refused: n.refused, Waiting: len(n.deadlines), Running: map[string]int{}}
 		for _, deadline := range n.deadlines {
 			if left := deadline.Sub(now); r.UntilDeadline == 0 || left < r.UntilDeadline {
 				r.UntilDeadline = left
@@ -161,10 +172,10 @@
 		for id, running := range n.running {
 			r.Running[id] = running
 		}
-		if r.Arrived == 0 && r.Waiting == 0 && len(r.Running) == 0 {
+		if r.Arrived == 0 && r.Refused == 0 && r.Waiting == 0 && len(r.Running) == 0 {
 			continue
 		}
-		n.arrived = 0
+		n.arrived, n.refused = 0, 0
 		for id, running := range n.adapters {
 			r.Adapters = append(r.Adapters, id)
 			if running == 0 {
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/hibiscusyard/hibiscusyard/decision/autoscale"
 	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
 	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
@@ -23,6 +24,7 @@
 		return
 	}
 	c.leading, c.planner, c.observedView = false, nil, nil
+	c.stopScaling()
 	c.client.clearLeader()
 	c.config.Log.WithFields(log.Fields{"reason": reason, "token": c.lease.Token()}).Info("leadership ended")
 }
@@ -46,9 +48,12 @@
 	}
 	var uncertain []*fleet.Upstream
 	var orders []residency.Order
+	var scaling []autoscale.Call
+	var scaled autoscale.Input
 	if c.lease.MayOrder(now) {
 		uncertain = c.planner.UpstreamsToQuery(now)
 		orders = c.planner.Plan(now)
+		scaling, scaled = c.planScaling(now)
 	}
 	token, announce := c.lease.Token(), c.announceTo
 	c.announceTo = nil
@@ -69,6 +74,9 @@
 	for _, o := range orders {
 		go c.sendOrder(ctx, o, token)
 	}
+	for _, call := range scaling {
+		go c.sendScale(ctx, call, scaled.Services[call.Service], token)
+	}
 }
 
 func (c *Coordinator) startLeading(now bootclock.Time) {
@@ -81,6 +89,7 @@
 	c.relayProgress = map[string]*relayProgress{}
 	c.startOrigins(now)
 	c.startUsage()
+	c.startScaling(now)
 	c.announceTo = c.client.peerAddresses()
 	c.client.startJudging(now)
 	c.sentCrashesAt = 0
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -87,6 +87,8 @@
 	Tables []relay `cbor:"4,keyasint,omitempty"`
 	// Usage tells about true time and decided windows, if it is due.
 	Usage *usageNews `cbor:"5,keyasint,omitempty"`
+	// Ordered are the numbers of upstreams that the leader last ordered.
+	Ordered []orderedUpstreams `cbor:"6,keyasint,omitempty"`
 }
 
 // relay carries the changes of one table.
@@ -150,8 +152,9 @@
 	connected := c.hub.Connected()
 	cache := make([]map[int64]changes, len(c.config.Sources))
 	messages := map[string]*heartbeat{}
+	ordered := c.orderedNumbers()
 	for _, id := range connected {
-		message := &heartbeat{Token: c.lease.Token(), Members: len(connected) + 1}
+		message := &heartbeat{Token: c.lease.Token(), Members: len(connected) + 1, Ordered: ordered}
 		report, reported := c.reports[id.Instance]
 		changed := false
 		if reported {
@@ -280,6 +283,11 @@
 	}
 	l.mu.Unlock()
 	if current {
+		if message.Ordered != nil {
+			l.c.mu.Lock()
+			l.c.recordOrdered(message.Token, message.Ordered)
+			l.c.mu.Unlock()
+		}
 		l.logLateUsage(late)
 		l.applyRelays(&message)
 	}
--- a/decision/autoscale/autoscale.go
+++ b/decision/autoscale/autoscale.go
@@ -101,8 +101,8 @@
 // Call is an order of upstreams for the platform.
 type Call struct {
 	Subject
-	Number int
-	Reason string
+	Number, Before int // now and when a call was last made
+	Reason         string
 }
 
 // Outcome is the result of a call.
@@ -142,6 +142,7 @@
 // siteState is the state of a service in one data centre.
 type siteState struct {
 	ordered  int // last number that was called for, or in place at the start
+	known    bool
 	answered bool
 	inFlight bool
 	// nextCall is the earliest time of the next call, and repeats counts those without a
@@ -240,17 +241,18 @@
 		if s == nil {
 			s = &siteState{hold: holdTime, calmSince: now, answered: true}
 			if o, ok := d.known[Subject{name, dataCentre}]; ok {
-				s.ordered, s.answered = o.Number, o.Answered
+				s.ordered, s.answered, s.known = o.Number, o.Answered, true
 			} else {
 				s.ordered = clamp(site.Present, service.Scale)
 			}
 			s.wanted = s.ordered
 			state.sites[dataCentre] = s
 		}
-		if _, ok := d.known[Subject{name, dataCentre}]; !ok && !settled {
+		if !s.known && !settled {
 			s.ordered = clamp(site.Present, service.Scale)
 			s.wanted = s.ordered
 		}
+		s.known = s.known || settled
 		setSince(&s.differsSince, now, s.answered && site.Present != s.ordered)
 		setSince(&s.shortSince, now, s.answered && site.Usable < s.ordered)
 	}
@@ -406,6 +408,7 @@
 
 // call records a call as made.
 func (s *siteState) call(now bootclock.Time, subject Subject) Call {
+	before := s.ordered
 	switch {
 	case s.wanted > s.ordered:
 		if s.loweredAt != 0 && now.Sub(s.loweredAt) < reorderTime {
@@ -419,7 +422,7 @@
 		s.differsSince, s.shortSince = 0, 0
 	}
 	s.ordered, s.answered, s.inFlight = s.wanted, false, true
-	return Call{subject, s.ordered, s.reason}
+	return Call{subject, s.ordered, before, s.reason}
 }
 
 // Record records the outcome of a call.
@@ -442,12 +445,14 @@
 	s.nextCall = now.Add(pause)
 }
 
-// Ordered lists the last numbers that were ordered, for the next leader.
+// Ordered lists the last numbers that were ordered, as far as known, for the next leader.
 func (d *Decider) Ordered() []Ordered {
 	var list []Ordered
 	for name, service := range d.services {
 		for dataCentre, s := range service.sites {
-			list = append(list, Ordered{Subject{name, dataCentre}, s.ordered, s.answered})
+			if s.known {
+				list = append(list, Ordered{Subject{name, dataCentre}, s.ordered, s.answered})
+			}
 		}
 	}
 	slices.SortFunc(list, func(a, b Ordered) int {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,6 +87,9 @@
 	RecordWaiting(service, model string, deadline bootclock.Time) (done func())
 	// RecordRunning records a request that runs at an upstream, until done is called.
 	RecordRunning(service, model, adapter, upstream string) (done func())
+	// RecordRefused records a request for a model that is refused because no upstream can
+	// serve it in time.
+	RecordRefused(service, model string)
 	// LoadAdapter loads an adapter on an upstream that has its model and that software
 	// allows.
 	LoadAdapter(ctx context.Context, service, model, adapter string, software fleet.VersionConstraint) error
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -279,6 +280,9 @@
 			return choice.Upstream, nil
 		}
 		if refusal := f.checkWait(now, r, choice, retry); refusal != nil {
+			if d.Model != "" && !retry && lacksCapacity(choice, refusal) {
+				f.Placement.RecordRefused(d.Service, d.Model)
+			}
 			return nil, refusal
 		}
 		r.waitedFor = string(choice.Reason)
@@ -346,6 +350,16 @@
 	return nil
 }
 
+// lacksCapacity reports whether a refusal is due to too few upstreams: the model can't be
+// loaded in time, or those that serve it are full.
+func lacksCapacity(c dispatch.Choice, refusal error) bool {
+	var r *verdict.Refusal
+	if !errors.As(refusal, &r) || c.Reason != dispatch.NotLoaded && c.Reason != dispatch.AllExcluded {
+		return false
+	}
+	return r.Reason == verdict.DeadlineTooShort || r.Reason == verdict.QueueFull
+}
+
 // limitTooLong reports whether the request would wait too long for an upstream that
 // has used up its limit.
 func (f *Route) limitTooLong(now bootclock.Time, r *Request, c dispatch.Choice, retry bool) bool {
--- a/standin/userplatform/operator.go
+++ b/standin/userplatform/operator.go
@@ -39,6 +39,14 @@
 	HealthPath  string       `json:"healthPath"`
 	Connections int          `json:"connectionLimit"`
 	Engine      *EngineLimit `json:"engine,omitempty"`
+	Scale       *Scale       `json:"scale,omitempty"`
+}
+
+// Scale is the range in which the number of upstreams in each zone may be ordered.
+type Scale struct {
+	Minimum int     `json:"minimum"`
+	Maximum int     `json:"maximum"`
+	BootS   float64 `json:"bootS"`
 }
 
 // EngineLimit holds the capacity of each engine of a service and the models that
