Fill the free places of engines that can be ordered

A new engine stayed empty in services in which most models are on the disks of others: a request for a model that no engine serves was served soonest by a load from a disk, in place of another model in demand, so that models displaced each other all the time.

Where the number of upstreams can be ordered, models whose demand pays for a place and that no engine serves are now loaded into free places. In the same test the new engine is full after 10 s and no request meets a missing model. Other services are planned as before.

--- a/decision/residency/planner.go
+++ b/decision/residency/planner.go
@@ -290,6 +290,11 @@
 			orders = p.loadOrEvict(now, orders, w, c)
 		}
 	}
+	for _, w := range p.modelsForFreePlaces(now) {
+		if c, ok := p.chooseFree(now, w); ok {
+			orders = p.loadOrEvict(now, orders, w, c)
+		}
+	}
 	if p.Prefetch {
 		for _, w := range p.modelsToPrefetch(now) {
 			if !p.mayPrefetch(now, p.view.Config.Services[w.service].Engine) {
--- a/decision/residency/usage_test.go
+++ b/decision/residency/usage_test.go
@@ -162,3 +162,78 @@
 		t.Errorf("got models %v at the new upstream after %s, want the 3 that requests wait for within 8 s", sims["new"].models, got)
 	}
 }
+
+// Guards against new upstreams that stay empty while models displace each other: all
+// models are on the disks of the engines in use, from where a load is fast, so that no
+// request needs the new one. Four engines hold 12 of 15 models, each requested twice a
+// second; a request for a model that is not served waits for it.
+func TestNewUpstreamIsFilledThoughOthersHaveCopies(t *testing.T) {
+	const models = 15
+	config := engineService(models, 0)
+	config.Services[service].Scale = &fleet.Scale{Minimum: 1, Maximum: 9}
+	engine := config.Services[service].Engine
+	registry, now := fleet.NewRegistry(), bootclock.Time(time.Hour)
+	registry.SetConfig(config)
+	p, sims := NewPlanner(4), map[string]*fakeUpstream{}
+	add := func(id string, disk bool, names ...string) {
+		u := &fakeUpstream{id: id, engine: engine, started: 1, models: map[string][]string{}}
+		for _, name := range names {
+			u.models[name] = nil
+		}
+		for i := 0; disk && i < models; i++ {
+			u.disk = append(u.disk, fmt.Sprintf("m%d", i))
+		}
+		sims[id] = u
+		registry.SetUpstream(u.entry())
+		p.Observe(now, registry.View())
+	}
+	for i := range 4 {
+		add(fmt.Sprintf("e%d", i), true, fmt.Sprintf("m%d", 3*i), fmt.Sprintf("m%d", 3*i+1), fmt.Sprintf("m%d", 3*i+2))
+	}
+	missed := 0 // requests for models that were not served
+	run := func(length time.Duration) {
+		for i, end := 0, now.Add(length); now < end; i, now = i+1, now.Add(50*time.Millisecond) {
+			var demands []ModelDemand
+			for m := range models {
+				name := fmt.Sprintf("m%d", m)
+				d := ModelDemand{Service: service, Model: name}
+				if i%10 == m%10 {
+					d.Arrived = 1
+				}
+				if d.Arrived > 0 && !p.served(name) {
+					d.Waiting = 1
+					missed++
+				}
+				if d.Arrived > 0 {
+					demands = append(demands, d)
+				}
+			}
+			p.RecordDemand(now, "i", demands)
+			for _, u := range sims {
+				loading := u.loading
+				if u.advance(now); u.loading != loading {
+					registry.SetUpstream(u.entry())
+				}
+			}
+			p.Observe(now, registry.View())
+			for _, u := range p.UpstreamsToQuery(now) {
+				p.ApplyReport(now, now, u.ID, u.Started, sims[u.ID].current())
+			}
+			p.RecordNotification(now)
+			for _, o := range p.Plan(now) {
+				p.RecordOutcome(now, o, sims[o.Upstream].accept(now, o))
+			}
+		}
+	}
+	run(20 * time.Second)
+	add("new", false)
+	run(10 * time.Second)
+	if got := len(sims["new"].models); got != 3 {
+		t.Errorf("got models %v at the new upstream after 10 s, want 3", sims["new"].models)
+	}
+	missed = 0
+	run(10 * time.Second)
+	if missed > 0 {
+		t.Errorf("got %d requests for models that are not served after the new upstream is full, want none", missed)
+	}
+}
