--- a/decision/autoscale/window.go
+++ b/decision/autoscale/window.go
@@ -6,13 +6,17 @@
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
 
-// bucketTime is the resolution of a window.
-const bucketTime = 250 * time.Millisecond
+// minResolution and maxResolution bound the time that one bucket of a window covers.
+const (
+	minResolution = 250 * time.Millisecond
+	maxResolution = time.Second
+)
 
 // window keeps the lowest and the highest of the latest numbers.
 type window struct {
-	since   bootclock.Time // since when there are numbers without interruption, 0 if there are none
-	buckets []bucket       // oldest first
+	since      bootclock.Time // since when there are numbers without interruption, 0 if there are none
+	resolution time.Duration
+	buckets    []bucket // oldest first
 }
 
 type bucket struct {
@@ -23,15 +27,15 @@
 // add adds a number and drops those that are older than keep.
 func (w *window) add(now bootclock.Time, n int, keep time.Duration) {
 	if w.since == 0 {
-		w.since = now
+		w.since, w.resolution = now, min(max(keep/64, minResolution), maxResolution)
 	}
-	if last := len(w.buckets) - 1; last >= 0 && now.Sub(w.buckets[last].at) < bucketTime {
+	if last := len(w.buckets) - 1; last >= 0 && now.Sub(w.buckets[last].at) < w.resolution {
 		w.buckets[last].low, w.buckets[last].high = min(w.buckets[last].low, n), max(w.buckets[last].high, n)
 	} else {
 		w.buckets = append(w.buckets, bucket{now, n, n})
 	}
 	drop := 0
-	for drop < len(w.buckets)-1 && now.Sub(w.buckets[drop].at) > keep+bucketTime {
+	for drop < len(w.buckets)-1 && now.Sub(w.buckets[drop].at) > keep+w.resolution {
 		drop++
 	}
 	w.buckets = w.buckets[drop:]
@@ -55,7 +59,7 @@
 		return 0, false
 	}
 	for _, b := range w.buckets {
-		if now.Sub(b.at) <= within+bucketTime {
+		if now.Sub(b.at) <= within+w.resolution {
 			n = combine(b, n)
 		}
 	}
