Emulate services whose upstreams may be ordered

A new leader counts the members that the last one counted before it takes the demand for complete, and instances that are gone count for 3 minutes. The test of a new leader stops the old one in the moment of its call.

--- a/coordinator/scale.go
+++ b/coordinator/scale.go
@@ -23,7 +23,7 @@
 	heardShare = 0.9
 	// membersTTL is how long instances that are no longer connected count as missing. The
 	// demand of instances that can't be reached is not known.
-	membersTTL = 10 * time.Minute
+	membersTTL = 3 * time.Minute
 	// maxScaleAge is the age of the tables, in multiples of the shortest bound, above which
 	// nothing is decided.
 	maxScaleAge = 2
@@ -68,7 +68,7 @@
 		}
 	}
 	s.decider, s.next = autoscale.New(now, dutyRateShare*c.config.Duties.CallsPerS, known), 0
-	s.members, s.membersAt = 0, now
+	s.members, s.membersAt = c.client.Members(), now // as the last leader counted them
 }
 
 // stopScaling ends the decisions of a term. The caller holds mu.
--- a/node/scale_test.go
+++ b/node/scale_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -179,30 +180,60 @@
 	s.checkRule()
 }
 
-// Guards against calls of two holders with one token, tokens that go back, and numbers that
-// a new leader lowers: the leader is killed after its first call, and the demand goes on.
+// Guards against calls of two holders with one token, tokens that go back, and a new leader
+// that does not know what its predecessor ordered last: the leader is stopped right after it
+// has ordered five engines for ten models. The next one, which sees demand for fewer, must
+// not order fewer, and order more when the demand grows.
 func TestNewLeaderGoesOnScaling(t *testing.T) {
 	s := newScaleSystem(t, 3, func(*node.Settings) {})
 	s.enable()
-	s.demand(6, "a call is made", func() bool { return len(s.api.Calls()) > 0 })
-	first := s.api.Calls()[0]
-	for i, n := range s.nodes {
-		if fmt.Sprintf("entry-%d", i+1) == first.Holder {
-			n.Stop()
+	ordered, stopped := make(chan struct{}), make(chan struct{})
+	fiveOrdered := sync.OnceFunc(func() { close(ordered) })
+	s.api.OnScale = func(service, zone string, desired int) {
+		s.scaling.Order(service, zone, desired)
+		if desired == 5 {
+			fiveOrdered()
+		}
+	}
+	var calls []userplatform.DutyCall
+	var first string // holder of the call for five
+	go func() {
+		defer close(stopped)
+		<-ordered
+		calls = s.api.Calls()
+		first = calls[len(calls)-1].Holder
+		for i, n := range s.nodes {
+			if fmt.Sprintf("entry-%d", i+1) == first {
+				n.Stop()
+			}
+		}
+	}()
+	s.demand(10, "five engines are ordered and the leader is stopped", func() bool {
+		select {
+		case <-stopped:
+			return true
+		default:
+			return false
+		}
+	})
+	for i := range s.nodes {
+		if fmt.Sprintf("entry-%d", i+1) == first {
 			s.nodes = append(s.nodes[:i:i], s.nodes[i+1:]...)
 			s.callerAddresses = append(s.callerAddresses[:i:i], s.callerAddresses[i+1:]...)
 			break
 		}
 	}
-	s.demand(10, "another instance orders more", func() bool {
-		calls := s.api.Calls()
-		return calls[len(calls)-1].Holder != first.Holder
-	})
-	numbers := s.orderedNumbers()
-	for i := 1; i < len(numbers); i++ {
-		if numbers[i] < numbers[i-1] {
-			t.Errorf("got numbers %v, want none below the one before", numbers)
+	end := time.Now().Add(6 * time.Second)
+	s.demand(7, "the time is over", func() bool { return time.Now().After(end) })
+	for i, n := range s.orderedNumbers() {
+		if i >= len(calls) && n != 5 {
+			t.Errorf("got numbers %v, the first %d of them of the first leader, want only 5 from the next one", s.orderedNumbers(), len(calls))
+			break
 		}
 	}
+	s.demand(12, "the next leader orders more", func() bool {
+		calls, numbers := s.api.Calls(), s.orderedNumbers()
+		return calls[len(calls)-1].Holder != first && numbers[len(numbers)-1] == 6
+	})
 	s.checkRule()
 }
--- a/standin/userplatform/scale.go
+++ b/standin/userplatform/scale.go
@@ -19,6 +19,8 @@
 	mu      sync.Mutex
 	ordered int
 	groups  map[scaleGroup]*scaledUpstreams
+	began   map[*Upstream]time.Time // when they were ordered, or added
+	ended   map[*Upstream]time.Time // when they were drained
 	closed  bool
 }
 
@@ -36,6 +38,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := s.group(u.Service, u.Zone)
+	s.began[u] = time.Now()
 	g.running = append(g.running, u)
 	g.desired = len(g.running)
 }
@@ -44,7 +47,7 @@
 func (s *Scaling) group(service, zone string) *scaledUpstreams {
 	k := scaleGroup{service, zone}
 	if s.groups == nil {
-		s.groups = map[scaleGroup]*scaledUpstreams{}
+		s.groups, s.began, s.ended = map[scaleGroup]*scaledUpstreams{}, map[*Upstream]time.Time{}, map[*Upstream]time.Time{}
 	}
 	if s.groups[k] == nil {
 		s.groups[k] = &scaledUpstreams{}
@@ -63,12 +66,14 @@
 		s.ordered++
 		g.booting++
 		u := s.New(service, zone, s.ordered)
+		s.began[u] = time.Now()
 		time.AfterFunc(s.BootTime, func() { s.start(g, u) })
 	}
 	for len(g.running)+g.booting > desired && len(g.running) > 0 {
 		last := len(g.running) - 1
 		u := g.running[last]
 		g.running = g.running[:last]
+		s.ended[u] = time.Now()
 		u.Drain() //nolint:errcheck // it fails only for an upstream that has ended.
 		time.AfterFunc(s.DrainTime, func() {
 			u.Close()
@@ -83,6 +88,7 @@
 	defer s.mu.Unlock()
 	g.booting--
 	if s.closed || len(g.running)+g.booting >= g.desired {
+		s.ended[u] = time.Now()
 		return
 	}
 	if u.Start(s.Store) == nil {
@@ -104,6 +110,22 @@
 	return append([]*Upstream(nil), s.group(service, zone).running...)
 }
 
+// All returns all upstreams that were added or ordered, and for how long each has been
+// billed.
+func (s *Scaling) All() map[*Upstream]time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[*Upstream]time.Duration, len(s.began))
+	for u, began := range s.began {
+		end, ok := s.ended[u]
+		if !ok {
+			end = time.Now()
+		}
+		all[u] = end.Sub(began)
+	}
+	return all
+}
+
 // Close ends all upstreams.
 func (s *Scaling) Close() {
 	s.mu.Lock()
--- a/tools/emulator/command.go
+++ b/tools/emulator/command.go
@@ -118,5 +118,6 @@
 	p := NewPlan(s, seed)
 	results := w.Play(ctx, p, progress)
 	report := NewReport(s, p, results, w.engineWork(), w.store.Calls())
+	report.Scaling = w.scalingReport()
 	return report, report.Write(folder)
 }
--- a/tools/emulator/emulator_test.go
+++ b/tools/emulator/emulator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
 
@@ -133,3 +135,19 @@
 		t.Errorf("got report %+v", r)
 	}
 }
+
+// Guards against a scenario with a scale whose instances can't order upstreams, and a report
+// without what was ordered: 12 models are requested, and 2 places are there.
+func TestScaledScenarioOrdersUpstreams(t *testing.T) {
+	s := readScenario(t, "growth.json")
+	s.Duration, s.Bursts, s.Faults = duration.Duration(8*time.Second), nil, nil
+	s.Services[0].Upstreams, s.Services[0].Scale.Minimum, s.Services[0].Scale.Boot = 1, 1, duration.Duration(100*time.Millisecond)
+	s.Services[0].Engine.Places, s.Services[0].Engine.Models = 2, 12
+	report, err := run(t.Context(), s, 7, t.TempDir(), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := report.Scaling; r == nil || r.Calls == 0 || r.UpstreamSeconds <= s.Duration.Std().Seconds() || len(r.Violations) > 0 {
+		t.Errorf("got %+v, want calls and more billed time than that of one upstream", r)
+	}
+}
--- a/tools/emulator/report.go
+++ b/tools/emulator/report.go
@@ -28,6 +28,7 @@
 	Workspaces []ShareReport   `json:"workspaces"`
 	Codes      map[string]int  `json:"codes"` // refusals and failures by error code
 	Engines    EngineReport    `json:"engines"`
+	Scaling    *ScalingReport  `json:"scaling,omitempty"` // nil unless upstreams may be ordered
 	StoreCalls map[string]int  `json:"store_calls"`
 	Seconds    []SecondsReport `json:"seconds"`
 }
@@ -73,6 +74,14 @@
 	PromptsKept   int64 `json:"prompt_tokens_kept"`
 }
 
+// ScalingReport holds what was ordered and billed of services that may be scaled.
+type ScalingReport struct {
+	UpstreamSeconds float64 `json:"upstream_seconds"`
+	Calls           int     `json:"calls"`
+	// Violations are those of the rule that one instance at a time makes calls.
+	Violations []string `json:"violations"`
+}
+
 // SecondsReport holds the results of the requests that arrived in one second of
 // a run.
 type SecondsReport struct {
@@ -256,6 +265,9 @@
 	for _, path := range slices.Sorted(maps.Keys(r.StoreCalls)) {
 		fmt.Fprintf(&b, " %s %d;", path, r.StoreCalls[path])
 	}
+	if r.Scaling != nil {
+		fmt.Fprintf(&b, "\n\nScaled upstreams: %.0f s billed, %d calls, %d violations of the rule of one holder.", r.Scaling.UpstreamSeconds, r.Scaling.Calls, len(r.Scaling.Violations))
+	}
 	b.WriteString("\n\n![outcomes](outcomes.svg)\n![latency](latency.svg)\n![histogram](histogram.svg)\n")
 	return b.String()
 }
--- a/tools/emulator/scenario.go
+++ b/tools/emulator/scenario.go
@@ -43,6 +43,16 @@
 	Work duration.Duration `json:"work"`
 	// Engine configures model serving; nil for plain services.
 	Engine *Engine `json:"engine"`
+	// Scale lets the instances order upstreams. Default nil.
+	Scale *Scale `json:"scale"`
+}
+
+// Scale is the range in which the number of upstreams may be ordered, and the time from an
+// order to the registration of an upstream. The service begins with Upstreams.
+type Scale struct {
+	Minimum int               `json:"minimum"`
+	Maximum int               `json:"maximum"`
+	Boot    duration.Duration `json:"boot"`
 }
 
 // Engine describes upstreams that serve models.
@@ -272,6 +282,9 @@
 	if s.Upstreams < 1 || s.Slots < 1 || s.Work <= 0 {
 		c.Fail(path, "upstreams, slots and work must be above 0")
 	}
+	if r := s.Scale; r != nil && (s.Engine == nil || r.Minimum < 1 || s.Upstreams < r.Minimum || s.Upstreams > r.Maximum || r.Boot < 0) {
+		c.Fail(path+".scale", "needs an engine, a minimum above 0, upstreams within the range and a boot time that is not negative")
+	}
 	if e := s.Engine; e != nil && (e.Models < 1 || e.Places < 1 || e.LoadTime <= 0 || !(e.LoadsPerSecond > 0) || e.Events < 1) {
 		c.Fail(path+".engine", "models, places, load_time, loads_per_second and events must be above 0")
 	}
--- a/tools/emulator/world.go
+++ b/tools/emulator/world.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync"
 	"time"
@@ -42,6 +44,12 @@
 	unboundedTokens = 1 << 20
 	// dataCentre is the data centre of all instances and upstreams.
 	dataCentre = "north"
+	// callsPerS is the number of calls a second that the API accepts, leaseGap the time
+	// within which holders must not alternate there, and drainTime that from the entry of
+	// an upstream as draining to its end.
+	callsPerS = 50
+	leaseGap  = 3 * time.Second
+	drainTime = 3 * time.Second
 	// Host is the host name that callers send requests to.
 	Host = "emulator.example"
 )
@@ -53,7 +61,10 @@
 	store     *userplatform.Store
 	server    *http.Server
 	address   string
-	upstreams map[string]*userplatform.Upstream
+	upstreams map[string]*userplatform.Upstream // those of the start, by ID
+	api       *userplatform.API
+	apiServer *httptest.Server
+	scaling   *userplatform.Scaling
 
 	mu               sync.Mutex
 	nodes            []*instance // ready instances, oldest first
@@ -79,6 +90,7 @@
 	w.address = l.Addr().String()
 	w.server = &http.Server{Handler: w.store.Gate(), ReadHeaderTimeout: readyTimeout}
 	go w.server.Serve(l) //nolint:errcheck // returns after Stop.
+	w.startAPI()
 	if err := w.desiredState().Write(w.store); err != nil {
 		return w, err
 	}
@@ -109,11 +121,33 @@
 	for _, u := range w.upstreams {
 		u.Close()
 	}
+	if w.scaling != nil {
+		w.scaling.Close()
+		w.apiServer.Close()
+	}
 	if w.server != nil {
 		w.server.Close()
 	}
 }
 
+// startAPI starts the platform's API, which starts and drains upstreams as ordered.
+func (w *Deployment) startAPI() {
+	if !slices.ContainsFunc(w.scenario.Services, func(s Service) bool { return s.Scale != nil }) {
+		return
+	}
+	w.scaling = &userplatform.Scaling{Store: w.store, DrainTime: drainTime, New: func(service, zone string, n int) *userplatform.Upstream {
+		return newUpstream(w.scenario.service(service), fmt.Sprintf("%s-ordered-%d", service, n))
+	}}
+	for _, s := range w.scenario.Services {
+		if s.Scale != nil {
+			w.scaling.BootTime = max(w.scaling.BootTime, s.Scale.Boot.Std())
+		}
+	}
+	w.api = userplatform.NewAPI(leaseGap)
+	w.api.OnScale = w.scaling.Order
+	w.apiServer = httptest.NewServer(w.api.Gate())
+}
+
 // CallerAddresses returns the caller-facing addresses of the ready instances.
 func (w *Deployment) CallerAddresses() []string {
 	w.mu.Lock()
@@ -137,6 +171,9 @@
 		if s.Engine != nil {
 			service.Engine = s.Engine.engineLimit(s.Slots)
 		}
+		if s.Scale != nil {
+			service.Scale = &userplatform.Scale{Minimum: s.Scale.Minimum, Maximum: s.Scale.Maximum, BootS: s.Scale.Boot.Std().Seconds()}
+		}
 		d.Services = append(d.Services, service)
 	}
 	for _, k := range w.scenario.Kinds {
@@ -174,18 +211,24 @@
 
 func (k *Kind) pathPrefix() string { return "/" + k.Name + "/" }
 
-// startUpstream starts the k-th upstream of a service. The models that are
-// loaded at the start are distributed round robin over the upstreams.
-func (w *Deployment) startUpstream(s *Service, k int) error {
-	u := &userplatform.Upstream{
-		ID: upstreamName(s.Name, k), Service: s.Name, Zone: dataCentre, Slots: s.Slots, EventDuration: s.Work.Std(),
-	}
+// newUpstream returns an upstream of a service without models.
+func newUpstream(s *Service, id string) *userplatform.Upstream {
+	u := &userplatform.Upstream{ID: id, Service: s.Name, Zone: dataCentre, Slots: s.Slots, EventDuration: s.Work.Std()}
 	if e := s.Engine; e != nil {
 		u.Events = e.Events
 		u.Engine = &userplatform.Engine{
 			ModelCapacity: e.Places, AdapterSlots: e.AdapterSlots, LoadTime: e.LoadTime.Std(), Models: map[string][]string{},
 			Batch: userplatform.Batch{PrefillTokensPerMS: e.ReadPerMS, Slowdown: e.Slowdown, KVTokens: e.KVTokens, CacheTokens: e.CacheTokens},
 		}
+	}
+	return u
+}
+
+// startUpstream starts the k-th upstream of a service. The models that are
+// loaded at the start are distributed round robin over the upstreams.
+func (w *Deployment) startUpstream(s *Service, k int) error {
+	u := newUpstream(s, upstreamName(s.Name, k))
+	if e := s.Engine; e != nil {
 		for place := range e.Places {
 			if m := place*s.Upstreams + k; m < e.Models {
 				u.Engine.Models[fmt.Sprintf("m%d", m)] = nil
@@ -193,6 +236,9 @@
 		}
 	}
 	w.upstreams[u.ID] = u
+	if s.Scale != nil {
+		w.scaling.Add(u)
+	}
 	return oops.In("emulator").Wrapf(u.Start(w.store), "start %s", u.ID)
 }
 
@@ -207,6 +253,9 @@
 	if err != nil {
 		return err
 	}
+	if w.apiServer != nil {
+		settings.Duties = node.Duties{Address: w.apiServer.Listener.Addr().String(), List: []string{"autoscaling"}, CallsPerS: callsPerS}
+	}
 	i := &instance{name: name, node: node.New(settings, w.log), callerAddress: settings.CallerListen, readyAddress: settings.ReadyListen}
 	if err := i.node.Start(); err != nil {
 		return oops.In("emulator").Wrapf(err, "start %s", name)
@@ -253,7 +302,7 @@
 
 // engineWork returns the sum of the work counters of all engines.
 func (w *Deployment) engineWork() (sum userplatform.EngineCounters) {
-	for _, u := range w.upstreams {
+	for _, u := range w.allUpstreams() {
 		if u.Engine == nil {
 			continue
 		}
@@ -266,3 +315,29 @@
 	}
 	return sum
 }
+
+// allUpstreams returns the upstreams of the start and those that were ordered.
+func (w *Deployment) allUpstreams() []*userplatform.Upstream {
+	list := slices.Collect(maps.Values(w.upstreams))
+	if w.scaling == nil {
+		return list
+	}
+	for u := range w.scaling.All() {
+		if w.upstreams[u.ID] != u {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// scalingReport returns what was ordered and billed, nil if no upstreams may be ordered.
+func (w *Deployment) scalingReport() *ScalingReport {
+	if w.scaling == nil {
+		return nil
+	}
+	r := &ScalingReport{Calls: len(w.api.Calls()), Violations: w.api.Violations()}
+	for _, billed := range w.scaling.All() {
+		r.UpstreamSeconds += billed.Seconds()
+	}
+	return r
+}
