Order upstreams again that the platform has taken away

Upstreams that leave at short notice were ordered again only after twice the boot time and 10 s, as if they were still booting. Those that were in place and have been gone for 5 s are now ordered again with the same number. Which data centres are out of service is known to the decision also where no upstream is left; none are ordered again there.

The number of places of an engine was one too low where the sizes of models are no binary fractions: 3 models of equal size counted as 2. Without the new rules, autoscale.TestUpstreamsTakenAwayAreOrderedAgain and TestNothingIsOrderedWhereAllIsOut fail.

--- a/coordinator/scale.go
+++ b/coordinator/scale.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		in.Services[name] = autoscale.Service{
-			Scale: *service.Scale, Sites: sites(view, name), Places: usage.Places, PlacesPerUpstream: usage.PlacesPerEngine, Free: usage.Free,
+			Scale: *service.Scale, Sites: sites(view, name), Evacuated: view.Evacuated, Places: usage.Places, PlacesPerUpstream: usage.PlacesPerEngine, Free: usage.Free,
 			Requests: usage.Running + usage.WaitingForSlot, Slots: service.Engine.Slots, RefusedForSlot: usage.RefusedForSlot,
 			Waiting: usage.Waiting, Refused: usage.Refused, LoadsPerSecond: usage.LoadsPerSecond,
 		}
@@ -161,7 +161,6 @@
 	sites := map[string]autoscale.Site{}
 	for _, u := range view.ByService[service] {
 		site := sites[u.DataCentre]
-		site.Evacuated = view.Evacuated[u.DataCentre]
 		if d, departed := view.Departed[u.ID]; !u.Leaving && !(departed && d.Started == u.Started) {
 			site.Present++
 		}
--- a/decision/autoscale/autoscale.go
+++ b/decision/autoscale/autoscale.go
@@ -41,6 +41,10 @@
 	minRise = 3
 	// slotShare is the share of the slots that is used at most, so that bursts find room.
 	slotShare = 0.8
+	// lossTime is how long upstreams that were in place are gone until they are ordered
+	// again. One that has crashed is back, as a rule, after 2 to 3 s. An order of the number
+	// in force costs little and changes nothing if the platform replaces them by itself.
+	lossTime = 5 * time.Second
 	// slotTime is how long a refused request is taken to occupy a slot.
 	slotTime = 5 * time.Second
 	// minRefused is the number of refusals a second from which none are given up.
@@ -65,13 +69,13 @@
 	// Present is the number of registered upstreams that are not leaving, and Usable the
 	// number of those that requests may be sent to.
 	Present, Usable int
-	Evacuated       bool
 }
 
 // Service is the state of a service that may be scaled.
 type Service struct {
-	Scale fleet.Scale
-	Sites map[string]Site // by data centre
+	Scale     fleet.Scale
+	Sites     map[string]Site // by data centre
+	Evacuated map[string]bool // data centres out of service
 	// Places is the number of models, with replicas, whose demand pays for a place at an
 	// upstream, and PlacesPerUpstream how many an upstream holds. Free is the number of
 	// places without a model at the usable upstreams.
@@ -157,6 +161,7 @@
 	hold         time.Duration
 	calmSince    bootclock.Time
 	differsSince bootclock.Time // since when another number is in place than was ordered, 0 if not
+	reached      bool           // the ordered number has been in place since the last call
 	shortSince   bootclock.Time // since when fewer are usable than were ordered, 0 if not
 	wanted       int
 }
@@ -201,7 +206,7 @@
 		for _, dataCentre := range slices.Sorted(maps.Keys(state.sites)) {
 			s := state.sites[dataCentre]
 			s.decide(now, service)
-			if !s.due(now, service) || now.Before(d.nextCall) {
+			if !s.due(now, service, service.Evacuated[dataCentre]) || now.Before(d.nextCall) {
 				continue
 			}
 			d.nextCall = now.Add(d.interval)
@@ -253,6 +258,7 @@
 			s.wanted = s.ordered
 		}
 		s.known = s.known || settled
+		s.reached = s.reached || site.Present >= s.ordered
 		setSince(&s.differsSince, now, s.answered && site.Present != s.ordered)
 		setSince(&s.shortSince, now, s.answered && site.Usable < s.ordered)
 	}
@@ -324,7 +330,7 @@
 	rest := number
 	for _, dataCentre := range slices.Sorted(maps.Keys(s.sites)) {
 		site, present := s.sites[dataCentre], service.Sites[dataCentre]
-		if present.Evacuated {
+		if service.Evacuated[dataCentre] {
 			continue
 		}
 		inService = append(inService, dataCentre)
@@ -388,7 +394,7 @@
 }
 
 // due reports whether a call has to be made now.
-func (s *siteState) due(now bootclock.Time, service Service) bool {
+func (s *siteState) due(now bootclock.Time, service Service, evacuated bool) bool {
 	if s.inFlight || now.Before(s.nextCall) {
 		return false
 	}
@@ -399,7 +405,11 @@
 		s.reason = "repeat"
 		return true
 	}
-	if s.differsSince != 0 && now.Sub(s.differsSince) > arrivalTime(service) {
+	patience := arrivalTime(service)
+	if s.reached && s.shortSince != 0 {
+		patience = min(patience, lossTime)
+	}
+	if s.differsSince != 0 && now.Sub(s.differsSince) > patience && !evacuated {
 		s.reason, s.differsSince = "not_in_place", now
 		return true
 	}
@@ -421,7 +431,7 @@
 	if s.wanted != s.ordered {
 		s.differsSince, s.shortSince = 0, 0
 	}
-	s.ordered, s.answered, s.inFlight = s.wanted, false, true
+	s.ordered, s.answered, s.inFlight, s.reached = s.wanted, false, true, false
 	return Call{subject, s.ordered, before, s.reason}
 }
 
--- a/decision/autoscale/autoscale_test.go
+++ b/decision/autoscale/autoscale_test.go
@@ -168,6 +168,37 @@
 	}
 }
 
+// Guards against engines that the platform takes away for good, and replaces only when
+// they are ordered again: five of a data centre leave at short notice.
+func TestUpstreamsTakenAwayAreOrderedAgain(t *testing.T) {
+	s := newSim(t, constant(load{models: 150, requests: 300}))
+	s.run(time.Minute)
+	s.sites["b"].present, s.sites["b"].desired = 12, 12
+	s.run(time.Minute + lossTime + simScale.BootTime + time.Second)
+	if got := s.sites["b"].present; got != 17 || len(s.calls) != 1 {
+		t.Errorf("got %d engines in place after %d calls, want 17 after one", got, len(s.calls))
+	}
+	s.run(10 * time.Minute)
+	if len(s.calls) != 1 {
+		t.Errorf("got %d calls in all, want one", len(s.calls))
+	}
+}
+
+// Guards against a data centre whose upstreams end after it was taken out of service, and
+// that is forgotten to be out, or in which they are ordered again.
+func TestNothingIsOrderedWhereAllIsOut(t *testing.T) {
+	s := newSim(t, constant(load{models: 180}))
+	s.run(time.Minute)
+	s.sites["c"].evacuated, s.sites["c"].stuck = true, true
+	s.run(time.Minute + 10*time.Second)
+	s.sites["c"].present = 0
+	n := len(s.calls)
+	s.run(2 * time.Minute)
+	if a, b := s.sites["a"].desired, s.sites["b"].desired; a != 30 || b != 30 || len(s.calls) != n {
+		t.Errorf("got %d and %d upstreams with %d more calls, want 30 and 30 with none", a, b, len(s.calls)-n)
+	}
+}
+
 // Guards against a lasting loss of capacity: ten engines of one data centre don't come
 // back. The platform is told the number once more, the others take over the load, and what
 // they have ordered for it is given up after the loss has ended.
--- a/decision/autoscale/simulation_test.go
+++ b/decision/autoscale/simulation_test.go
@@ -70,7 +70,7 @@
 func (s *platformSim) input() Input {
 	l := s.load(s.at())
 	service := Service{
-		Scale: s.scale, Sites: map[string]Site{}, Places: l.models, PlacesPerUpstream: 3, Requests: l.requests, Slots: 12,
+		Scale: s.scale, Sites: map[string]Site{}, Evacuated: map[string]bool{}, Places: l.models, PlacesPerUpstream: 3, Requests: l.requests, Slots: 12,
 		Waiting: l.waiting, Refused: l.refused, RefusedForSlot: l.refused, LoadsPerSecond: s.loads,
 	}
 	for dataCentre, site := range s.sites {
@@ -78,7 +78,10 @@
 		if site.evacuated {
 			usable = 0
 		}
-		service.Sites[dataCentre] = Site{Present: site.present, Usable: usable, Evacuated: site.evacuated}
+		service.Evacuated[dataCentre] = site.evacuated
+		if site.present > 0 {
+			service.Sites[dataCentre] = Site{Present: site.present, Usable: usable}
+		}
 	}
 	return Input{Services: map[string]Service{simName: service}, Complete: !s.partial}
 }
--- a/decision/residency/usage.go
+++ b/decision/residency/usage.go
@@ -14,6 +14,8 @@
 	// place costs 0.65 / 3 units a second, a request brings 1 to 12.6. A single request
 	// that waits and then runs counts twice, which is 0.07, so it does not pay for one.
 	paysRate = 0.08
+	// roundingError is added to numbers of places before they are rounded down.
+	roundingError = 1e-6
 	// refusedHalfLife is the half-life of refusals for lack of capacity.
 	refusedHalfLife = 2 * time.Second
 )
@@ -55,15 +57,15 @@
 	p.refresh(now)
 	size, loadTime := 0.0, time.Duration(0)
 	for _, m := range s.Engine.Models {
-		size += m.WeightsMB / float64(len(s.Engine.Models))
+		size += m.WeightsMB
 		loadTime += m.LoadTime
 	}
-	loadTime /= time.Duration(len(s.Engine.Models))
+	size, loadTime = size/float64(len(s.Engine.Models)), loadTime/time.Duration(len(s.Engine.Models))
 	places := func(mb float64) int {
 		if size <= 0 {
 			return 0
 		}
-		return max(int(mb/size), 0)
+		return max(int(mb/size+roundingError), 0)
 	}
 	u.Usable, u.PlacesPerEngine = map[string]int{}, max(places(s.Engine.WeightsMB), 1)
 	u.LoadsPerSecond = storeShare * s.Engine.LoadsPerSecond
--- a/decision/residency/usage_test.go
+++ b/decision/residency/usage_test.go
@@ -64,6 +64,23 @@
 	}
 }
 
+// Guards against a place that is lost in the sum of sizes that binary fractions can't
+// represent.
+func TestUsageCountsPlacesOfOddSizes(t *testing.T) {
+	for i := range 200 {
+		size := 65099.99999999999 + float64(i)/10
+		p, registry, now := usagePlanner()
+		engine := registry.View().Config.Services[service].Engine
+		engine.WeightsMB = 3 * size
+		for _, m := range engine.Models {
+			m.WeightsMB = size
+		}
+		if u := usageOf(t, p, now); u.PlacesPerEngine != 3 {
+			t.Errorf("models of %g MB: got %d places in %g MB, want 3", size, u.PlacesPerEngine, engine.WeightsMB)
+		}
+	}
+}
+
 // Guards against a busy model that counts as one place though it needs further replicas,
 // and against requests that no slot is free for that are not seen.
 func TestUsageCountsReplicasAndSlots(t *testing.T) {
