--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -41,10 +41,16 @@
 	// usageSettle is how long after the begin of a term some instances may not be connected
 	// yet, or true time may rest on few clocks.
 	usageSettle = 2 * time.Second
+	// usageReadRetry is the pause before the saved state is read again after a failure.
+	usageReadRetry = 500 * time.Millisecond
 	// usageRetry is the pause before a report is sent again that was not accepted, and
 	// usageThrottled that after too many calls.
 	usageRetry     = 250 * time.Millisecond
 	usageThrottled = time.Second
+	// usageFinishTimeout bounds the last report or write of an instance that stops.
+	usageFinishTimeout = 300 * time.Millisecond
+	// usageStepInterval is the shortest time between two looks for what is due.
+	usageStepInterval = 40 * time.Millisecond
 	// maxUsageRow bounds the state in one row: 64 KiB with the encoding of the store.
 	maxUsageRow = 40 << 10
 )
@@ -55,6 +61,8 @@
 	// Held is the time from the receipt of the report whose time the heartbeat echoes.
 	Held    time.Duration `cbor:"2,keyasint,omitempty"`
 	Decided int64         `cbor:"3,keyasint,omitempty"` // windows before it have been decided
+	// Resend asks for a full report.
+	Resend bool `cbor:"4,keyasint,omitempty"`
 }
 
 // told is what an instance was last told.
@@ -73,7 +81,7 @@
 	loaded, kept, loading, saving, sending bool
 	era                                    int64 // of the store when the state was loaded
 	version                                int64 // of the row usageKey
-	nextSave, nextSend                     bootclock.Time
+	nextStep, nextLoad, nextSave, nextSend bootclock.Time
 	attempts                               int // to send the next report, in this term
 }
 
@@ -111,9 +119,10 @@
 	c.client.mu.Lock()
 	u.clocks = usage.NewClocks(c.client.clock)
 	c.client.mu.Unlock()
+	u.ledger.StartTerm()
 	u.told = map[string]told{}
 	u.loaded, u.kept, u.loading, u.saving, u.sending = false, false, false, false, false
-	u.nextSave, u.nextSend, u.attempts = 0, 0, 0
+	u.nextLoad, u.nextSave, u.nextSend, u.attempts = 0, 0, 0, 0
 }
 
 // RecordUsage implements gateway.Usage.
@@ -135,14 +144,18 @@
 	return l.counter.Report(now, l.clock, l.c.config.WallClock())
 }
 
+// usageDue reports whether a report of the requests that began is due.
+func (l *Client) usageDue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counter.Due(bootclock.Now(), l.clock, usageReportInterval)
+}
+
 // untilWindowReport returns the time until the report that follows the end of the current
 // window. The instances spread these reports.
 func (l *Client) untilWindowReport() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.counter == nil {
-		return maxReportInterval
-	}
 	spread := min(time.Duration(max(l.members, 1))*windowReportSpread, maxWindowReportSpread)
 	return l.counter.UntilEnd(bootclock.Now(), l.clock) + windowReportDelay + rand.N(spread)
 }
@@ -155,7 +168,7 @@
 }
 
 // applyUsageNews takes over what a heartbeat of the leader says. It returns the counts that
-// no leader had when it decided their windows. The caller holds mu.
+// no leader had confirmed when their windows were decided. The caller holds mu.
 func (l *Client) applyUsageNews(now bootclock.Time, message *heartbeat) []usage.WindowCounts {
 	if l.counter == nil {
 		return nil
@@ -170,6 +183,9 @@
 	if news.True != 0 && message.Echo != 0 {
 		l.clock.Sync(now, message.Token, news.True, now.Sub(message.Echo)-news.Held)
 	}
+	if news.Resend {
+		l.resetUsage()
+	}
 	return l.usageDecidedUpTo(news.Decided)
 }
 
@@ -188,7 +204,16 @@
 		for _, n := range w.Counts {
 			total += n
 		}
-		l.c.config.Log.WithFields(log.Fields{"window": w.Window, "requests": total}).Warn("usage counted too late: the window had been decided")
+		l.c.config.Log.WithFields(log.Fields{"window": w.Window, "requests": total}).Warn("usage may be missing: no leader had confirmed it before the window was decided")
+	}
+}
+
+// usageLinkChanged records that a link to an instance came up or went down. The caller holds
+// mu.
+func (c *Coordinator) usageLinkChanged(instance string) {
+	if c.usage.ledger != nil {
+		c.usage.ledger.RecordLinkChange(instance)
+		delete(c.usage.told, instance)
 	}
 }
 
@@ -219,20 +244,21 @@
 }
 
 // usageNewsFor returns what to tell an instance now, or nil. The caller holds mu.
-func (c *Coordinator) usageNewsFor(now bootclock.Time, instance string, report instanceReport) *usageNews {
+func (c *Coordinator) usageNewsFor(now bootclock.Time, id peer.Identity, report instanceReport) *usageNews {
 	u := &c.usage
 	if u.ledger == nil {
 		return nil
 	}
-	last, decided := u.told[instance], int64(0)
+	last, decided := u.told[id.Instance], int64(0)
 	if u.loaded {
 		decided = u.ledger.DecidedUpTo()
 	}
 	tellTime := report.received != 0 && now.Sub(last.at) >= usageNewsInterval
-	if !tellTime && decided <= last.decided {
+	resend := u.ledger.NeedsFull(usage.RunOf(id.Instance, id.Incarnation))
+	if !tellTime && decided <= last.decided && !resend {
 		return nil
 	}
-	news := &usageNews{Decided: decided}
+	news := &usageNews{Decided: decided, Resend: resend}
 	next := told{at: last.at, decided: max(decided, last.decided)}
 	c.client.mu.Lock()
 	if tellTime && c.client.clock.Synced() {
@@ -240,7 +266,7 @@
 		next.at = now
 	}
 	c.client.mu.Unlock()
-	u.told[instance] = next
+	u.told[id.Instance] = next
 	return news
 }
 
@@ -249,11 +275,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := &c.usage
-	if u.ledger == nil || !c.leading || !c.lease.Held(now) {
+	if u.ledger == nil || !c.leading || !c.lease.Held(now) || now.Before(u.nextStep) {
 		return
 	}
+	u.nextStep = now.Add(usageStepInterval)
 	token := c.lease.Token()
-	settled := now.Sub(c.leadingSince) >= usageSettle
+	// After another holder there is time until the first call.
+	settled := now.Sub(c.leadingSince) >= usageSettle && c.lease.ordersAt.Sub(now) < usageSaveInterval
 	at, known := c.trueTime(now, token, settled)
 	if !known {
 		return
@@ -268,11 +296,12 @@
 	}
 	switch {
 	case u.saving || u.loading:
+	case !u.loaded && now.Before(u.nextLoad):
 	case !u.loaded:
-		u.loading = true
+		u.loading, u.nextLoad = true, now.Add(usageReadRetry)
 		go c.loadUsage(token)
 	case settled:
-		decisions := u.ledger.Decide(at)
+		decisions := u.ledger.Decide(at, at-now.Sub(c.leadingSince))
 		if len(decisions) > 0 || u.ledger.Changed() && !now.Before(u.nextSave) {
 			c.saveUsage(now, decisions, token)
 		}
@@ -326,7 +355,9 @@
 		eraSince -= now.Sub(c.lease.eraSince)
 	}
 	value, version := joinUsage(page.Rows)
-	found := usage.Found{Value: value, Era: page.Era, EraSince: eraSince, Kept: u.kept, Announced: announced}
+	found := usage.Found{
+		Value: value, Era: page.Era, EraSince: eraSince, Began: at - now.Sub(c.leadingSince), Kept: u.kept, Announced: announced,
+	}
 	first, last, err := u.ledger.Load(at, found)
 	if err != nil {
 		c.config.Log.WithError(err).Error("usage in the store can't be decoded")
@@ -383,6 +414,7 @@
 		}
 	}
 	if len(decisions) > 0 {
+		u.nextStep = 0
 		c.client.mu.Lock()
 		late := c.client.usageDecidedUpTo(u.ledger.DecidedUpTo())
 		c.client.mu.Unlock()
@@ -476,6 +508,42 @@
 	c.config.Metrics.GetOrCreateCounter(`hibiscusyard_usage_reports_total{outcome="` + outcome + `"}`).Inc()
 	entry.Info("usage reported")
 	u.ledger.Accept(report.Window)
-	u.attempts = 0
+	u.attempts, u.nextStep = 0, 0
 	c.Notify()
 }
+
+// finishUsage passes on the last counts of an instance that stops: to the leader, or to the
+// store if it leads itself.
+func (c *Coordinator) finishUsage() {
+	l := c.client
+	if l.counter == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), usageFinishTimeout)
+	defer cancel()
+	now := bootclock.Now()
+	l.mu.Lock()
+	leader, final := l.leader, l.counter.Final(now, l.clock, c.config.WallClock())
+	l.mu.Unlock()
+	var err error
+	switch leader {
+	case "":
+		return
+	case c.config.Instance:
+		c.recordOwnUsage(final)
+		c.mu.Lock()
+		changes := splitUsage(c.usage.ledger.Encode(c.usage.era, nil), c.usage.version)
+		due := c.leading && c.usage.loaded && !c.usage.saving && c.lease.Held(now)
+		c.mu.Unlock()
+		if due {
+			_, err = c.config.Store.Commit(ctx, changes...)
+		}
+	default:
+		err = c.hub.Notify(ctx, leader, peer.KindDemandReport, instanceReport{
+			Sent: now, Versions: l.versions(), Weak: c.config.Weak, Uptime: bootclock.Since(c.started), Resigned: true, Usage: final,
+		})
+	}
+	if err != nil {
+		c.config.Log.WithError(err).Info("last usage not passed on")
+	}
+}
