--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -13,6 +13,7 @@
 // modelDemand counts this instance's requests for one model.
 type modelDemand struct {
 	arrived   int
+	refused   int                    // for lack of capacity, counted only where upstreams can be ordered
 	deadlines map[int]bootclock.Time // of waiting requests, by wait ID
 	running   map[string]int
 	adapters  map[string]int // running requests by adapter; 0 if only used since the last report
@@ -100,6 +101,16 @@
 	}
 }
 
+// RecordRefused implements gateway.Placement.
+func (l *Client) RecordRefused(service, model string) {
+	if !l.c.config.Duties.Has(DutyScaling) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.demandFor(service, model).refused++
+}
+
 // reportDemand reports the demand to the leader, regularly and on reportSoon, until ctx
 // ends.
 func (l *Client) reportDemand(ctx context.Context) {
@@ -160,7 +171,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for k, n := range l.demands {
-		d := residency.ModelDemand{Service: k.service, Model: k.model, Arrived: n.arrived, Waiting: len(n.deadlines), Running: map[string]int{}}
+		d := residency.ModelDemand{Service: k.service, Model: k.model, Arrived: n.arrived, Refused: n.refused, Waiting: len(n.deadlines), Running: map[string]int{}}
 		for _, deadline := range n.deadlines {
 			if left := deadline.Sub(now); d.UntilDeadline == 0 || left < d.UntilDeadline {
 				d.UntilDeadline = left
@@ -169,10 +180,10 @@
 		for id, running := range n.running {
 			d.Running[id] = running
 		}
-		if d.Arrived == 0 && d.Waiting == 0 && len(d.Running) == 0 {
+		if d.Arrived == 0 && d.Refused == 0 && d.Waiting == 0 && len(d.Running) == 0 {
 			continue
 		}
-		n.arrived = 0
+		n.arrived, n.refused = 0, 0
 		for id, running := range n.adapters {
 			d.Adapters = append(d.Adapters, id)
 			if running == 0 {
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/hibiscusyard/hibiscusyard/decision/autoscale"
 	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
 	"github.com/hibiscusyard/hibiscusyard/decision/quota"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
@@ -25,6 +26,7 @@
 	c.leading, c.planner, c.observedView = false, nil, nil
 	c.places.end()
 	c.places = nil
+	c.stopScaling()
 	c.client.clearLeader()
 	c.config.Log.WithFields(log.Fields{"reason": reason, "token": c.lease.Token()}).Info("leadership ended")
 }
@@ -49,9 +51,12 @@
 	}
 	var uncertain []*fleet.Upstream
 	var orders []residency.Order
+	var scaling []autoscale.Call
+	var scaled autoscale.Input
 	if c.lease.MayOrder(now) {
 		uncertain = c.planner.UpstreamsToQuery(now)
 		orders = c.planner.Plan(now)
+		scaling, scaled = c.planScaling(now)
 	}
 	token, announce := c.lease.Token(), c.announceTo
 	c.announceTo = nil
@@ -72,6 +77,9 @@
 	for _, o := range orders {
 		go c.sendOrder(ctx, o, token)
 	}
+	for _, call := range scaling {
+		go c.sendScale(ctx, call, scaled.Services[call.Service], token)
+	}
 }
 
 func (c *Coordinator) startLeading(now bootclock.Time) {
@@ -85,6 +93,7 @@
 	c.relayProgress = map[string]*relayProgress{}
 	c.startOrigins(now)
 	c.startUsage()
+	c.startScaling(now)
 	c.announceTo = c.client.peerAddresses()
 	c.client.startJudging(now)
 	c.sentCrashesAt = 0
--- a/decision/residency/planner.go
+++ b/decision/residency/planner.go
@@ -98,6 +98,12 @@
 		if n.Arrived > 0 {
 			p.demand(key{n.Service, n.Model}).rate.add(now, n.Arrived)
 		}
+		if n.Arrived+n.Refused > 0 {
+			p.demand(key{n.Service, n.Model}).steady.addOver(now, n.Arrived+n.Refused, steadyHalfLife)
+		}
+		if n.Refused > 0 {
+			p.demand(key{n.Service, n.Model}).refused.addOver(now, n.Refused, refusedHalfLife)
+		}
 		for id, running := range n.Running {
 			if h := p.hosts[id]; h != nil && running > 0 && h.models[n.Model] != nil {
 				h.models[n.Model].lastUsed = now
@@ -301,6 +307,11 @@
 			orders = p.loadOrEvict(now, orders, w, c)
 		}
 	}
+	for _, w := range p.modelsForFreePlaces(now) {
+		if c, ok := p.chooseFree(now, w); ok {
+			orders = p.loadOrEvict(now, orders, w, c)
+		}
+	}
 	if p.Prefetch {
 		for _, w := range p.modelsToPrefetch(now) {
 			if !p.mayPrefetch(now, p.view.Config.Services[w.service].Engine) {
--- a/decision/residency/totals.go
+++ b/decision/residency/totals.go
@@ -20,7 +20,9 @@
 
 // demand is the demand of all instances for one model.
 type demand struct {
-	rate rate
+	rate    rate
+	steady  rate // with steadyHalfLife, includes refused requests
+	refused rate // with refusedHalfLife
 	// excess is the rate of the requests that found no room at the replicas.
 	excess rate
 	since  bootclock.Time // since when requests have been waiting, 0 if none wait
