--- a/standin/userplatform/raw.go
+++ b/standin/userplatform/raw.go
@@ -9,9 +9,11 @@
 )
 
 // RawAnswer is an answer that an upstream writes as it stands, after it has run the
-// request. The connection ends with it.
+// request. The connection ends with it, unless Open is set.
 type RawAnswer struct {
 	Text string
+	// Open leaves the connection open until the caller closes it.
+	Open bool
 	// Endless is repeated after Text until the caller disconnects, with Pause between
 	// writes. Empty for none.
 	Endless string
@@ -58,6 +60,18 @@
 // endlessWriteBytes is the approximate size of one write of an endless response.
 const endlessWriteBytes = 32 << 10
 
+// sendOpen writes raw bytes and waits until the caller closes the connection.
+func sendOpen(w http.ResponseWriter, raw string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, raw); err == nil {
+		io.Copy(io.Discard, conn) //nolint:errcheck // ends with the connection.
+	}
+}
+
 // sendRaw writes raw bytes and closes the connection. If raw is empty, it resets
 // the connection instead.
 func sendRaw(w http.ResponseWriter, raw string) {
--- a/standin/userplatform/respond.go
+++ b/standin/userplatform/respond.go
@@ -23,6 +23,9 @@
 	if a, ok := u.nextRawAnswer(); ok && a.Endless != "" {
 		writeEndlessly(w, a.Text, a.Endless, a.Pause)
 		return
+	} else if ok && a.Open {
+		sendOpen(w, a.Text)
+		return
 	} else if ok {
 		sendRaw(w, a.Text)
 		return
