Take an invalid status for a failure of the upstream at once

Cause: net/http reads status lines leniently (spaces before the status, any three digits, any version), and connpool took all below 200 for interim responses, for as long as the caller waited. The product's own surface passed 600 and above on and failed by itself on 000 to 099.

Change: package statusline has the rule (HTTP/1.x, one space, three digits, 100 to 599, not 101), checked byte by byte before net/http reads a head: connpool in Receive, filter in the reads of its connections, also after interim responses. At most 4 of these pass, and after the first one the head of the response has to be complete within half of the time left. The attempt counts as one that may have run; orders have an unknown outcome, writes to the store an unknown effect.

Guards, each removed once, and what failed: - statuses up to 599: TestInvalidStatusIsNoResponse (600, 999) - 101: TestStartOfAnInvalidStatusLineIsEnough - three digits exactly: TestCheckerTakesAnyPieces - time after an interim response: TestInterimResponses; filter.TestInvalidStatusIsAFailureOfTheUpstream (504 instead of 502) - that the body has its time: TestBodyAfterAnInterimResponseHasItsTime; filter.TestReadsHaveTheirTimeAfterAnInterimResponse - number of interim responses: TestInterimResponses - check of later responses of a connection: filter.TestInvalidStatusOnAKeptConnection

FuzzReceive for 40 s: 218,211 executions, passed. With the race detector, statusline, connpool, filter, platform and gateway passed.

--- a/filter/conn.go
+++ b/filter/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/statusline"
 )
 
 const (
@@ -43,13 +44,37 @@
 	}
 }
 
-// upstreamConn calls onFirstWrite before the first write of each request. It
-// carries one request at a time.
+// upstreamConn calls onFirstWrite before the first write of each request, and checks the
+// status lines of the responses. It carries one request at a time.
 type upstreamConn struct {
 	net.Conn
 	mu           sync.Mutex
 	onFirstWrite func() // called before the first write, nil afterwards
 	closed       bool
+	head         statusline.Checker
+	deadline     time.Time // of the request, zero for none
+}
+
+func (c *upstreamConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.Complete() {
+		return n, err
+	}
+	before := c.head.Interim()
+	if err := c.head.Add(p[:n]); err != nil {
+		return 0, err
+	}
+	switch after := c.head.Interim(); {
+	case c.deadline.IsZero() || after == 0:
+	case c.head.Complete():
+		c.Conn.SetReadDeadline(time.Time{}) //nolint:errcheck // fails only if the connection is closed.
+	case before == 0:
+		left := time.Duration(float64(time.Until(c.deadline)) * statusline.InterimTimeShare)
+		c.Conn.SetReadDeadline(time.Now().Add(left)) //nolint:errcheck // as above.
+	}
+	return n, err
 }
 
 func (c *upstreamConn) Write(p []byte) (int, error) {
@@ -61,6 +86,7 @@
 	if c.onFirstWrite != nil {
 		c.onFirstWrite()
 		c.onFirstWrite = nil
+		c.head = statusline.Checker{}
 	}
 	c.mu.Unlock()
 	return c.Conn.Write(p)
@@ -69,12 +95,13 @@
 // tryConns holds the connections that the transport used for one try. The
 // transport moves to another connection only if nothing was written to the first.
 type tryConns struct {
-	attempt *verdict.Attempt
-	written atomic.Bool
-	mu      sync.Mutex
-	conns   []*upstreamConn
-	hasConn bool
-	reused  bool // the last connection was an idle one that had been used before
+	attempt  *verdict.Attempt
+	deadline time.Time // of the request, zero for none
+	written  atomic.Bool
+	mu       sync.Mutex
+	conns    []*upstreamConn
+	hasConn  bool
+	reused   bool // the last connection was an idle one that had been used before
 }
 
 func (t *tryConns) recordWrite() {
@@ -83,6 +110,7 @@
 }
 
 func (t *tryConns) trace(ctx context.Context) context.Context {
+	t.deadline, _ = ctx.Deadline()
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
 }
 
@@ -97,6 +125,7 @@
 	}
 	conn.mu.Lock()
 	conn.onFirstWrite = t.recordWrite
+	conn.deadline = t.deadline
 	conn.mu.Unlock()
 	t.conns = append(t.conns, conn)
 }
--- a/node/status_test.go
+++ b/node/status_test.go
@@ -26,14 +26,20 @@
 		"two spaces": "HTTP/1.1  200 OK", "tab": "HTTP/1.1\t200 OK", "two digits": "HTTP/1.1 20 OK", "four digits": "HTTP/1.1 0200 OK", "sign": "HTTP/1.1 -01 x",
 		"exponent": "HTTP/1.1 2e2 OK", "letters": "HTTP/1.1 abc x", "protocol": "ICY 200 OK", "version": "HTTP/2.0 200 OK",
 		"interim, then 000": interim + "HTTP/1.1 000 x", "interim, then two spaces": interim + "HTTP/1.1  200 OK", "interim, then a part": interim + "HTTP/1.1 102 Processing\r\nX-A: 1",
+		"interim, then nothing": interim, "interim without end, then nothing": "HTTP/1.1 102 Processing\r\nX-A: 1",
+		"interim, then a head without end and nothing": interim + "HTTP/1.1 200 OK\r\nX-A: 1\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newTestSystem(t, 1)
 			id := strings.ReplaceAll(name, " ", "-")
 			unsafe := request{id: id, path: "/signup/1", key: "committee-key", deadline: 6 * time.Second}
+			raw := rawResponse(line, id)
+			if strings.HasSuffix(name, "nothing") {
+				raw.Text = line
+			}
 			for _, u := range s.rotas {
-				u.AnswerRaw(rawResponse(line, id))
+				u.AnswerRaw(raw)
 			}
 			began := time.Now()
 			got := s.send(0, unsafe)
--- a/plumbing/connpool/conn.go
+++ b/plumbing/connpool/conn.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/statusline"
 )
 
 const (
@@ -30,8 +31,6 @@
 	maxMismatched = 2
 	// maxMismatchedBody bounds the body of such a response in bytes.
 	maxMismatchedBody = 1 << 20
-	// maxInterim bounds the number of 1xx responses before the final one.
-	maxInterim = 4
 	// maxHead bounds the bytes read up to the end of the response head, including
 	// interim and mismatched responses. Response heads typically have some
 	// hundred bytes; the platform allows callers 16 KiB.
@@ -102,6 +101,13 @@
 	keepAliveTimeout time.Duration // idle timeout announced by the other side, 0 if unknown
 	broken           bool
 	wrote            bool
+	deadline         time.Time // as set with SetDeadline
+}
+
+// SetDeadline sets the time at which reads and writes end.
+func (c *Conn) SetDeadline(deadline time.Time) error {
+	c.deadline = deadline
+	return c.Conn.SetDeadline(deadline)
 }
 
 // Close resets the connection. Bytes that the other side has not received are dropped: a
@@ -158,13 +164,50 @@
 	return err
 }
 
+// readHead reads the head of the next response, which may be an interim one. The time for
+// reads is shortened from the first of these on.
+func (c *Conn) readHead(request *http.Request, first bool) (*http.Response, error) {
+	for n := 1; n <= statusline.Length; {
+		if _, err := c.reader.Peek(n); errors.Is(err, io.EOF) {
+			return nil, io.ErrUnexpectedEOF
+		} else if err != nil {
+			return nil, err
+		}
+		n = min(c.reader.Buffered(), statusline.Length)
+		start, err := c.reader.Peek(n)
+		if err != nil {
+			return nil, err
+		}
+		if err := statusline.Check(start); err != nil {
+			return nil, err
+		}
+		if n == statusline.Length && first && statusline.IsInterim(start) {
+			if err := c.limitWait(); err != nil {
+				return nil, err
+			}
+		}
+		n++
+	}
+	return http.ReadResponse(c.reader, request)
+}
+
+// limitWait shortens the time for reads.
+func (c *Conn) limitWait() error {
+	if c.deadline.IsZero() {
+		return nil
+	}
+	left := time.Duration(float64(time.Until(c.deadline)) * statusline.InterimTimeShare)
+	return c.SetReadDeadline(time.Now().Add(left))
+}
+
 // Receive reads the head of the response. Responses whose idHeader contains
-// another ID are skipped, up to a limit. An empty idHeader disables the check.
+// another ID are skipped, up to a limit. An empty idHeader disables the check. After an
+// interim response, the response has to come within a share of the time left.
 func (c *Conn) Receive(method, idHeader, id string) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	c.limit.remaining = maxHead
-	for skipped := 0; ; {
-		response, err := http.ReadResponse(c.reader, request)
+	for skipped, interim := 0, 0; ; {
+		response, err := c.readHead(request, interim == 0)
 		if err != nil {
 			c.broken = true
 			if c.limit.remaining <= 0 {
@@ -173,9 +216,9 @@
 			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
-			if skipped++; skipped > maxInterim {
+			if interim++; interim > statusline.MaxInterim {
 				c.broken = true
-				return nil, fmt.Errorf("more than %d interim responses", maxInterim)
+				return nil, statusline.ErrTooManyInterim
 			}
 			continue
 		}
@@ -183,6 +226,12 @@
 		if idHeader == "" || got == "" || got == id {
 			c.recordKeepAlive(response)
 			c.LimitRead(maxResponse)
+			if interim > 0 {
+				if err := c.SetReadDeadline(c.deadline); err != nil {
+					c.broken = true
+					return nil, err
+				}
+			}
 			return response, nil
 		}
 		if skipped++; skipped > maxMismatched || response.ContentLength < 0 || response.ContentLength > maxMismatchedBody {
