Check the statuses of the product's engines like those of other upstreams

Cause: the client of the model repository protocol uses net/http's transport, which takes "HTTP/1.1 200 OK" and HTTP/2.0 for responses. An order with such an answer counted as done, or as refused with 409, although its outcome is unknown.

Change: statusline.Conn checks the heads of all responses of a connection. The time after an interim response is not bounded here: each call has its own.

--- a/plumbing/engine/engine.go
+++ b/plumbing/engine/engine.go
@@ -17,6 +17,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/hibiscusyard/hibiscusyard/plumbing/statusline"
 )
 
 // Headers of every engine response.
@@ -134,7 +136,7 @@
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         statusline.Dialer(&net.Dialer{Timeout: dialTimeout}),
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
 
--- a/plumbing/engine/engine_test.go
+++ b/plumbing/engine/engine_test.go
@@ -92,6 +92,38 @@
 	}
 }
 
+// Guards against an order that counts as carried out or refused after a status that is none
+// in HTTP: it may have been carried out.
+func TestInvalidStatusHasNoOutcome(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 x", "HTTP/1.1  200 OK", "HTTP/2.0 200 OK", "HTTP/1.1  409 Conflict", "HTTP/1.1 +40 x", "HTTP/1.1 600 x", "HTTP/1.1 101 x", "HTTP/1.1 102 x\r\n\r\nHTTP/1.1  200 OK"} {
+		var calls atomic.Int32
+		client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			conn, buffered, _ := w.(http.Hijacker).Hijack()
+			defer conn.Close()
+			// The first response is valid, and its connection is kept.
+			if calls.Add(1) == 1 {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				if _, err := http.ReadRequest(buffered.Reader); err != nil {
+					return
+				}
+			}
+			_, _ = io.WriteString(conn, line+"\r\nContent-Length: 0\r\n\r\n")
+		})
+		if got := client.Load(t.Context(), address, LoadOrder{Model: "m"}); got.Outcome != Done {
+			t.Errorf("%q: valid response: got %+v, want outcome done", line, got)
+		}
+		for _, conn := range []string{"kept", "new"} {
+			if got := client.Load(t.Context(), address, LoadOrder{Model: "m"}); got.Outcome != Unknown || got.Err == nil {
+				t.Errorf("%q on a %s connection: got %+v, want outcome unknown and an error", line, conn, got)
+			}
+		}
+		if n := calls.Load(); n != 2 {
+			t.Errorf("%q: %d connections, want 2: each call is sent once and the first connection is kept", line, n)
+		}
+	}
+}
+
 // Guards the decoding of the index, and against taking a response that is
 // malformed or lacks the incarnation for an empty engine.
 func TestIndex(t *testing.T) {
