Give up a usage report that the API refuses as invalid

Reports are sent in order, so that one which the API refuses for good would have held up all later ones. After five refusals in a row it is given up, with an error in the log. Retries of other failures back off from 250 ms to 2 s, so that a long outage writes less to the log.

--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -43,10 +44,14 @@
 	usageSettle = 2 * time.Second
 	// usageReadRetry is the pause before the saved state is read again after a failure.
 	usageReadRetry = 500 * time.Millisecond
-	// usageRetry is the pause before a report is sent again that was not accepted, and
-	// usageThrottled that after too many calls.
+	// usageRetry is the pause before a report is sent again that was not accepted, times the
+	// attempts so far, at most maxUsageRetry; usageThrottled is that after too many calls.
 	usageRetry     = 250 * time.Millisecond
+	maxUsageRetry  = 2 * time.Second
 	usageThrottled = time.Second
+	// maxUsageRefusals is the number of refusals as invalid in a row after which a report is
+	// given up, since it holds up those after it.
+	maxUsageRefusals = 5
 	// usageFinishTimeout bounds the last report or write of an instance that stops.
 	usageFinishTimeout = 300 * time.Millisecond
 	// usageStepInterval is the shortest time between two looks for what is due.
@@ -83,6 +88,7 @@
 	version                                int64 // of the row usageKey
 	nextStep, nextLoad, nextSave, nextSend bootclock.Time
 	attempts                               int // to send the next report, in this term
+	refusals                               int // of it as invalid, in a row
 }
 
 // initUsage prepares the usage reports if they are enabled.
@@ -122,7 +128,7 @@
 	u.ledger.StartTerm()
 	u.told = map[string]told{}
 	u.loaded, u.kept, u.loading, u.saving, u.sending = false, false, false, false, false
-	u.nextLoad, u.nextSave, u.nextSend, u.attempts = 0, 0, 0, 0
+	u.nextLoad, u.nextSave, u.nextSend, u.attempts, u.refusals = 0, 0, 0, 0, 0
 }
 
 // RecordUsage implements gateway.Usage.
@@ -492,23 +498,34 @@
 		"window": report.Window, "total": report.Total, "workspaces": report.Workspaces, "heard": report.Heard, "missing": report.Missing,
 		"after_ms": after.Milliseconds(), "attempts": u.attempts, "token": token, "outcome": result.String(),
 	})
-	if result != ports.DutyAccepted {
-		pause := usageRetry
+	if errors.Is(err, ports.ErrDutyRefused) {
+		u.refusals++
+	} else {
+		u.refusals = 0
+	}
+	outcome := "accepted"
+	switch late := c.config.Duties.UsageLate; {
+	case u.refusals >= maxUsageRefusals:
+		outcome = "refused"
+	case result != ports.DutyAccepted:
+		pause := min(time.Duration(u.attempts)*usageRetry, maxUsageRetry)
 		if result == ports.DutyThrottled {
 			pause = usageThrottled
 		}
 		u.nextSend = now.Add(pause)
 		entry.WithError(err).Info("usage not reported; retrying")
 		return
-	}
-	outcome := "accepted"
-	if late := c.config.Duties.UsageLate; late > 0 && after > late {
+	case late > 0 && after > late:
 		outcome = "late"
 	}
 	c.config.Metrics.GetOrCreateCounter(`hibiscusyard_usage_reports_total{outcome="` + outcome + `"}`).Inc()
-	entry.Info("usage reported")
+	if outcome == "refused" {
+		entry.WithError(err).Error("usage report given up: the platform refuses it")
+	} else {
+		entry.Info("usage reported")
+	}
 	u.ledger.Accept(report.Window)
-	u.attempts, u.nextStep = 0, 0
+	u.attempts, u.refusals, u.nextStep = 0, 0, 0
 	c.Notify()
 }
 
--- a/node/usage_test.go
+++ b/node/usage_test.go
@@ -444,6 +444,20 @@
 	}
 }
 
+// Guards against windows that are not reported any more because the API refuses an earlier
+// one as invalid.
+func TestRefusedReportHoldsUpNoOthers(t *testing.T) {
+	s := newUsageSystem(t, 2)
+	refused := usageWindowOf(time.Now()) + 2
+	s.api.Refuse(refused)
+	s.serveWindows(4, 0, 1)
+	s.reported()
+	if report, ok := s.api.Usage()[refused]; ok {
+		t.Errorf("window %d was accepted: %v", refused, report)
+	}
+	s.checkRule()
+}
+
 // Guards against rows and calls where usage is not enabled, although the API is there.
 func TestNoUsageIsReportedUnlessEnabled(t *testing.T) {
 	s := &usageSystem{api: userplatform.NewAPI(testLeaseGap)}
--- a/plumbing/ports/duty.go
+++ b/plumbing/ports/duty.go
@@ -1,5 +1,11 @@
 package ports
 
+import "errors"
+
+// ErrDutyRefused means that the platform's API refused a call as invalid, so that a repeat is
+// of no use.
+var ErrDutyRefused = errors.New("refused by the API")
+
 // DutyResult is what is known of a call to the platform's API.
 type DutyResult int
 
--- a/standin/userplatform/api.go
+++ b/standin/userplatform/api.go
@@ -50,6 +50,7 @@
 	bySubject  map[string][]DutyCall
 	usage      map[int64]*UsageReport
 	violations []string
+	refused    int64 // window whose reports are refused, 0 for none
 	gate       *standin.Gate
 }
 
@@ -67,6 +68,13 @@
 	return a
 }
 
+// Refuse makes the API refuse all reports of a window as invalid.
+func (a *API) Refuse(window int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refused = window
+}
+
 // Gate returns the HTTP handler of the API, which also applies the faults.
 func (a *API) Gate() *standin.Gate { return a.gate }
 
@@ -150,6 +158,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if report.Window == a.refused {
+		http.Error(w, "window refused", http.StatusBadRequest)
+		return
+	}
 	switch known := a.usage[report.Window]; {
 	case known == nil:
 		a.usage[report.Window] = &UsageReport{Counts: report.Counts, Holder: call.Holder, Token: call.Token, At: call.At}
