Ignore slow messages of a new leader about true time

The first message of a new leader set the clock of an instance however long it had been on its way; at impaired links the error was up to half of its round trip. Leaders go on with the time of the one before, so that a slow message is ignored for 10 s whoever sent it.

decision/usage and the tests of usage in coordinator passed.

--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -187,7 +187,7 @@
 		return nil
 	}
 	if news.True != 0 && message.Echo != 0 {
-		l.clock.Sync(now, message.Token, news.True, now.Sub(message.Echo)-news.Held)
+		l.clock.Sync(now, news.True, now.Sub(message.Echo)-news.Held)
 	}
 	if news.Resend {
 		l.resetUsage()
@@ -288,7 +288,7 @@
 	token := c.lease.Token()
 	// After another holder there is time until the first call.
 	settled := now.Sub(c.leadingSince) >= usageSettle && c.lease.ordersAt.Sub(now) < usageSaveInterval
-	at, known := c.trueTime(now, token, settled)
+	at, known := c.trueTime(now, settled)
 	if !known {
 		return
 	}
@@ -320,7 +320,7 @@
 
 // trueTime returns the leader's estimate of true time, which becomes that of this instance.
 // It is not known while it may rest on too few clocks. The caller holds mu.
-func (c *Coordinator) trueTime(now bootclock.Time, token uint64, settled bool) (time.Duration, bool) {
+func (c *Coordinator) trueTime(now bootclock.Time, settled bool) (time.Duration, bool) {
 	connected := map[string]bool{c.config.Instance: true}
 	for _, id := range c.hub.Connected() {
 		connected[id.Instance] = true
@@ -332,7 +332,7 @@
 	at := c.usage.clocks.At(now)
 	c.client.mu.Lock()
 	defer c.client.mu.Unlock()
-	c.client.clock.Sync(now, token, at, 0)
+	c.client.clock.Sync(now, at, 0)
 	return at, true
 }
 
--- a/decision/usage/clock.go
+++ b/decision/usage/clock.go
@@ -40,7 +40,6 @@
 type Clock struct {
 	offset    time.Duration
 	synced    bool
-	token     uint64
 	roundTrip time.Duration // of the messages that gave the offset
 	sampled   bootclock.Time
 }
@@ -59,17 +58,18 @@
 // Delay returns the estimated time that a message to the leader takes.
 func (c *Clock) Delay() time.Duration { return c.roundTrip / 2 }
 
-// Sync sets the clock from a message of the leader with the given token, which has
-// arrived now and gave the true time at which it was sent. The round trip includes the
-// message of this instance that the leader answered. A message that took longer than the
-// one before it is less exact, and is not used while that one is new.
-func (c *Clock) Sync(now bootclock.Time, token uint64, sent, roundTrip time.Duration) {
+// Sync sets the clock from a message of a leader, which has arrived now and gave the true
+// time at which it was sent. The round trip includes the message of this instance that the
+// leader answered. A message that took longer than the one before it is less exact, and is
+// not used while that one is new, also if another leader sent it: a leader goes on with the
+// time of the one before.
+func (c *Clock) Sync(now bootclock.Time, sent, roundTrip time.Duration) {
 	roundTrip = max(roundTrip, 0)
-	if c.synced && token == c.token && roundTrip > c.roundTrip+roundTripSlack && now.Sub(c.sampled) < sampleLife {
+	if c.synced && roundTrip > c.roundTrip+roundTripSlack && now.Sub(c.sampled) < sampleLife {
 		return
 	}
 	c.offset, c.synced = sent+roundTrip/2-time.Duration(now), true
-	c.token, c.roundTrip, c.sampled = token, roundTrip, now
+	c.roundTrip, c.sampled = roundTrip, now
 }
 
 // Clocks estimates true time on the leader from the wall clocks of the instances. Steps of
--- a/decision/usage/simulation_test.go
+++ b/decision/usage/simulation_test.go
@@ -229,7 +229,7 @@
 			m.counter.Confirm(echo)
 		}
 		if leader.clock.Synced() {
-			m.clock.Sync(s.bootclock(i), l.token, leader.clock.At(s.bootclock(l.machine)), 0)
+			m.clock.Sync(s.bootclock(i), leader.clock.At(s.bootclock(l.machine)), 0)
 		}
 		if l.kept && leader.ledger.DecidedUpTo() > m.announced {
 			m.announced = leader.ledger.DecidedUpTo()
@@ -260,7 +260,7 @@
 		return
 	}
 	at := l.clocks.At(s.bootclock(l.machine))
-	m.clock.Sync(s.bootclock(l.machine), l.token, at, 0)
+	m.clock.Sync(s.bootclock(l.machine), at, 0)
 	linked := map[string]usage.Run{m.name: m.run()}
 	for i, other := range s.machines {
 		if other.linked || i == l.machine {
--- a/decision/usage/usage_test.go
+++ b/decision/usage/usage_test.go
@@ -23,7 +23,7 @@
 // newCounter returns a counter and a clock that a leader has set.
 func newCounter() (*usage.Counter, *usage.Clock) {
 	clock := usage.NewClock(0, testBegin)
-	clock.Sync(0, 1, testBegin, 0)
+	clock.Sync(0, testBegin, 0)
 	return usage.NewCounter(0, simWindow), clock
 }
 
@@ -134,21 +134,21 @@
 	if at := clock.At(second(20)); at != trueAt(20) || clock.Synced() {
 		t.Errorf("without a leader: got %s, want %s", at, trueAt(20))
 	}
-	clock.Sync(second(21), 1, trueAt(20.99), 20*time.Millisecond)
+	clock.Sync(second(21), trueAt(20.99), 20*time.Millisecond)
 	if at := clock.At(second(30)); at != trueAt(30) || !clock.Synced() || clock.Delay() != 10*time.Millisecond {
 		t.Errorf("after a message: got %s and delay %s, want %s and 10ms", at, clock.Delay(), trueAt(30))
 	}
-	clock.Sync(second(22), 1, trueAt(21), time.Second)
+	clock.Sync(second(22), trueAt(21), time.Second)
 	if at := clock.At(second(30)); at != trueAt(30) {
 		t.Errorf("after a slow message: got %s, want %s", at, trueAt(30))
 	}
-	clock.Sync(second(40), 1, trueAt(40.5), time.Second)
+	clock.Sync(second(40), trueAt(40.5), time.Second)
 	if at := clock.At(second(50)); at != trueAt(51) {
 		t.Errorf("after slow messages alone for long: got %s, want %s", at, trueAt(51))
 	}
-	clock.Sync(second(41), 2, trueAt(41), 0)
+	clock.Sync(second(41), trueAt(41), 0)
 	if at := clock.At(second(50)); at != trueAt(50) {
-		t.Errorf("after a message of a new leader: got %s, want %s", at, trueAt(50))
+		t.Errorf("after a fast message: got %s, want %s", at, trueAt(50))
 	}
 }
 
@@ -171,7 +171,7 @@
 		"most for a moment": {[]time.Duration{hour, hour, 0}, 0},
 	} {
 		own := usage.NewClock(0, testBegin)
-		own.Sync(0, 1, testBegin, 0)
+		own.Sync(0, testBegin, 0)
 		clocks := usage.NewClocks(own)
 		for i, step := range tc.steps {
 			clocks.Record(fmt.Sprint(i), second(1), trueAt(1)+step)
@@ -181,7 +181,7 @@
 		}
 	}
 	own := usage.NewClock(0, testBegin)
-	own.Sync(0, 1, testBegin, 0)
+	own.Sync(0, testBegin, 0)
 	clocks := usage.NewClocks(own)
 	for i := range 3 {
 		clocks.Record(fmt.Sprint(i), second(1), trueAt(1)+hour)
