Report from the first leader on if that one ended before it saved anything

A leader that ended in its first seconds, before it had written the state, left the next one without a row, which then began with its own term and skipped the windows before it. Without a row nothing has been reported, so that the next leader now begins with the time at which this process first knew of a leader.

Found with the node tests of usage run three times in parallel with the race detector: TestCallWithoutAnswerIsRepeated and TestLeaderThatIsPartitionedOffLeavesNoCallBehind failed once each, in the same second, with the first one or two windows missing; that a leader had ended early is by reading.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -92,6 +92,8 @@
 	clock        *usage.Clock
 	counter      *usage.Counter
 	usageDecided int64
+	// leaderKnownSince is when this process first knew of a leader.
+	leaderKnownSince bootclock.Time
 }
 
 func newClient(c *Coordinator) *Client {
@@ -239,6 +241,9 @@
 		return false // the sender's term has ended
 	}
 	now := bootclock.Now()
+	if l.leaderKnownSince == 0 {
+		l.leaderKnownSince = now
+	}
 	if l.leader != from || token != l.token || l.lastContact == 0 {
 		l.leaderSince = now
 		l.reportOriginsSoon()
--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -362,7 +362,10 @@
 		return
 	}
 	c.client.mu.Lock()
-	at, announced := c.client.clock.At(now), c.client.usageDecided
+	at, announced, began := c.client.clock.At(now), c.client.usageDecided, c.leadingSince
+	if known := c.client.leaderKnownSince; known != 0 {
+		began = min(began, known) // an earlier leader may have ended before it saved anything
+	}
 	c.client.mu.Unlock()
 	eraSince := at
 	if c.lease.Era() == page.Era {
@@ -370,7 +373,7 @@
 	}
 	value, version := joinUsage(page.Rows)
 	found := usage.Found{
-		Value: value, Era: page.Era, EraSince: eraSince, Began: at - now.Sub(c.leadingSince), Kept: u.kept, Announced: announced,
+		Value: value, Era: page.Era, EraSince: eraSince, Began: at - now.Sub(began), Kept: u.kept, Announced: announced,
 	}
 	first, last, err := u.ledger.Load(at, found)
 	if err != nil {
--- a/decision/usage/saved.go
+++ b/decision/usage/saved.go
@@ -80,7 +80,8 @@
 	// which that era is known.
 	Era      int64
 	EraSince time.Duration
-	// Began is the true time at which the term began.
+	// Began is the true time from which a leader is known to have led, this one or an earlier
+	// one.
 	Began time.Duration
 	// Kept is set if this leader has read or written the state before in this term, so
 	// that nothing of it is lost if the store has lost it.
