--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -43,10 +44,14 @@
 	usageSettle = 2 * time.Second
 	// usageReadRetry is the pause before the saved state is read again after a failure.
 	usageReadRetry = 500 * time.Millisecond
-	// usageRetry is the pause before a report is sent again that was not accepted, and
-	// usageThrottled that after too many calls.
+	// usageRetry is the pause before a report is sent again that was not accepted, times the
+	// attempts so far, at most maxUsageRetry; usageThrottled is that after too many calls.
 	usageRetry     = 250 * time.Millisecond
+	maxUsageRetry  = 2 * time.Second
 	usageThrottled = time.Second
+	// maxUsageRefusals is the number of refusals as invalid in a row after which a report is
+	// given up, since it holds up those after it.
+	maxUsageRefusals = 5
 	// usageFinishTimeout bounds the last report or write of an instance that stops.
 	usageFinishTimeout = 300 * time.Millisecond
 	// usageStepInterval is the shortest time between two looks for what is due.
@@ -75,6 +80,7 @@
 type usageState struct {
 	ledger *usage.Ledger // nil if usage is not reported
 	clocks *usage.Clocks
+	token  uint64 // of the term
 	told   map[string]told
 	// loaded is set while the ledger has all that the store has, and kept once it has been
 	// so in this term.
@@ -83,6 +89,7 @@
 	version                                int64 // of the row usageKey
 	nextStep, nextLoad, nextSave, nextSend bootclock.Time
 	attempts                               int // to send the next report, in this term
+	refusals                               int // of it as invalid, in a row
 }
 
 // initUsage prepares the usage reports if they are enabled.
@@ -119,10 +126,11 @@
 	c.client.mu.Lock()
 	u.clocks = usage.NewClocks(c.client.clock)
 	c.client.mu.Unlock()
+	u.token = c.lease.Token()
 	u.ledger.StartTerm()
 	u.told = map[string]told{}
 	u.loaded, u.kept, u.loading, u.saving, u.sending = false, false, false, false, false
-	u.nextLoad, u.nextSave, u.nextSend, u.attempts = 0, 0, 0, 0
+	u.nextLoad, u.nextSave, u.nextSend, u.attempts, u.refusals = 0, 0, 0, 0, 0
 }
 
 // RecordUsage implements gateway.Usage.
@@ -181,7 +189,7 @@
 		return nil
 	}
 	if news.True != 0 && message.Echo != 0 {
-		l.clock.Sync(now, message.Token, news.True, now.Sub(message.Echo)-news.Held)
+		l.clock.Sync(now, news.True, now.Sub(message.Echo)-news.Held)
 	}
 	if news.Resend {
 		l.resetUsage()
@@ -280,9 +288,12 @@
 	}
 	u.nextStep = now.Add(usageStepInterval)
 	token := c.lease.Token()
+	if u.token != token {
+		c.startUsage() // a lease that had ended was taken again between two steps
+	}
 	// After another holder there is time until the first call.
 	settled := now.Sub(c.leadingSince) >= usageSettle && c.lease.ordersAt.Sub(now) < usageSaveInterval
-	at, known := c.trueTime(now, token, settled)
+	at, known := c.trueTime(now, settled)
 	if !known {
 		return
 	}
@@ -300,8 +311,11 @@
 	case !u.loaded:
 		u.loading, u.nextLoad = true, now.Add(usageReadRetry)
 		go c.loadUsage(token)
-	case settled:
-		decisions := u.ledger.Decide(at, at-now.Sub(c.leadingSince))
+	default:
+		var decisions []usage.Decision
+		if settled {
+			decisions = u.ledger.Decide(at, at-now.Sub(c.leadingSince))
+		}
 		if len(decisions) > 0 || u.ledger.Changed() && !now.Before(u.nextSave) {
 			c.saveUsage(now, decisions, token)
 		}
@@ -314,7 +328,7 @@
 
 // trueTime returns the leader's estimate of true time, which becomes that of this instance.
 // It is not known while it may rest on too few clocks. The caller holds mu.
-func (c *Coordinator) trueTime(now bootclock.Time, token uint64, settled bool) (time.Duration, bool) {
+func (c *Coordinator) trueTime(now bootclock.Time, settled bool) (time.Duration, bool) {
 	connected := map[string]bool{c.config.Instance: true}
 	for _, id := range c.hub.Connected() {
 		connected[id.Instance] = true
@@ -326,7 +340,7 @@
 	at := c.usage.clocks.At(now)
 	c.client.mu.Lock()
 	defer c.client.mu.Unlock()
-	c.client.clock.Sync(now, token, at, 0)
+	c.client.clock.Sync(now, at, 0)
 	return at, true
 }
 
@@ -348,7 +362,10 @@
 		return
 	}
 	c.client.mu.Lock()
-	at, announced := c.client.clock.At(now), c.client.usageDecided
+	at, announced, began := c.client.clock.At(now), c.client.usageDecided, c.leadingSince
+	if known := c.client.leaderKnownSince; known != 0 {
+		began = min(began, known) // an earlier leader may have ended before it saved anything
+	}
 	c.client.mu.Unlock()
 	eraSince := at
 	if c.lease.Era() == page.Era {
@@ -356,7 +373,7 @@
 	}
 	value, version := joinUsage(page.Rows)
 	found := usage.Found{
-		Value: value, Era: page.Era, EraSince: eraSince, Began: at - now.Sub(c.leadingSince), Kept: u.kept, Announced: announced,
+		Value: value, Era: page.Era, EraSince: eraSince, Began: at - now.Sub(began), Kept: u.kept, Announced: announced,
 	}
 	first, last, err := u.ledger.Load(at, found)
 	if err != nil {
@@ -492,23 +509,34 @@
 		"window": report.Window, "total": report.Total, "workspaces": report.Workspaces, "heard": report.Heard, "missing": report.Missing,
 		"after_ms": after.Milliseconds(), "attempts": u.attempts, "token": token, "outcome": result.String(),
 	})
-	if result != ports.DutyAccepted {
-		pause := usageRetry
+	if errors.Is(err, ports.ErrDutyRefused) {
+		u.refusals++
+	} else {
+		u.refusals = 0
+	}
+	outcome := "accepted"
+	switch late := c.config.Duties.UsageLate; {
+	case u.refusals >= maxUsageRefusals:
+		outcome = "refused"
+	case result != ports.DutyAccepted:
+		pause := min(time.Duration(u.attempts)*usageRetry, maxUsageRetry)
 		if result == ports.DutyThrottled {
 			pause = usageThrottled
 		}
 		u.nextSend = now.Add(pause)
 		entry.WithError(err).Info("usage not reported; retrying")
 		return
-	}
-	outcome := "accepted"
-	if late := c.config.Duties.UsageLate; late > 0 && after > late {
+	case late > 0 && after > late:
 		outcome = "late"
 	}
 	c.config.Metrics.GetOrCreateCounter(`hibiscusyard_usage_reports_total{outcome="` + outcome + `"}`).Inc()
-	entry.Info("usage reported")
+	if outcome == "refused" {
+		entry.WithError(err).Error("usage report given up: the platform refuses it")
+	} else {
+		entry.Info("usage reported")
+	}
 	u.ledger.Accept(report.Window)
-	u.attempts, u.nextStep = 0, 0
+	u.attempts, u.refusals, u.nextStep = 0, 0, 0
 	c.Notify()
 }
 
