Test that the process outlives a crowd of callers, failing

Callers beyond the operator's control can end a process by what they make it keep. test/flood runs hibiscusyard-front as a process with a small machine (64 MB, 256 descriptors) and a crowd of 160 clients (400 connections in one form), one form after the other. Crowd and bounds are fixed here.

--- a/standin/userplatform/respond.go
+++ b/standin/userplatform/respond.go
@@ -80,7 +80,8 @@
 		<-r.Context().Done()
 		return
 	}
-	fmt.Fprintf(w, "answer of %s to %s", u.ID, r.Header.Get(HeaderID))
+	answer := fmt.Sprintf("answer of %s to %s", u.ID, r.Header.Get(HeaderID))
+	io.WriteString(w, answer+strings.Repeat(".", max(u.AnswerBytes-len(answer), 0))) //nolint:errcheck // the caller may have disconnected.
 }
 
 // responseHead returns the header of a successful response whose body ends when
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -82,6 +82,8 @@
 	WarmUpDuration time.Duration
 	// Events is the number of events in a stream.
 	Events int
+	// AnswerBytes is the length of the answers of a plain upstream. Default: some bytes.
+	AnswerBytes int
 	Engine *Engine
 	// RefusalCopies determines whether refusals are written twice.
 	RefusalCopies RefusalCopy
--- /dev/null
+++ b/test/flood/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package flood
+
+const raceDetector = false
--- a/test/processtest/process.go
+++ b/test/processtest/process.go
@@ -74,8 +74,19 @@
 // the latest; its log is printed if the test has failed.
 func Start(t testing.TB, name, program string, args ...string) *Process {
 	t.Helper()
-	p := &Process{Name: name, t: t, done: make(chan struct{})}
-	p.cmd = exec.Command(Binary(t, program), args...)
+	return start(t, name, exec.Command(Binary(t, program), args...))
+}
+
+// StartLimited is Start with a limit on the open descriptors of the process.
+func StartLimited(t testing.TB, descriptors int, name, program string, args ...string) *Process {
+	t.Helper()
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors)
+	return start(t, name, exec.Command("/bin/sh", append([]string{"-c", script, Binary(t, program)}, args...)...))
+}
+
+func start(t testing.TB, name string, cmd *exec.Cmd) *Process {
+	t.Helper()
+	p := &Process{Name: name, t: t, cmd: cmd, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = &p.stdout, &p.stderr
 	if err := startProcess(p.cmd); err != nil {
 		t.Fatalf("start %s: %v", name, err)
@@ -127,6 +138,16 @@
 	return 0
 }
 
+// Descriptors returns the number of open descriptors of the process.
+func (p *Process) Descriptors() int {
+	p.t.Helper()
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return len(entries)
+}
+
 // Log returns the standard error output of the process so far.
 func (p *Process) Log() string { return p.stderr.String() }
 
