Admit bodies by memory, and bound what callers make an instance keep

Callers with large bodies that stop short ended a process: bodies had no bound together, no time limit, and their buffers and copies came on top. A refusal before the body was read left up to 256 KiB of it to net/http, which reads without a time limit; connections had no bound, so that 400 of them used up the descriptors.

Change: - decision/memory decides who may hold how much: pools for small and large holders, a group (workspace, key or address) at most what is still free, unfinished slow bodies given up first, a single body admitted at any size. ReadBody reserves as a body arrives, on both surfaces; what finds no room in 0.25 s is refused with 503 memory_full, Retry-After and verdict not_run. - Bodies on the platform's ingress have the time of their request. - Unread bodies: up to 16 KiB are read for at most 1 s, else the connection is closed after at most 0.5 s and 1 MiB. - Large bodies go to upstreams without a copy (writev). Responses are buffered beyond 16 KiB only if there is room. - max_connections: an idle connection, or the one whose request takes longest to arrive, is closed for a new one. - Time limits for the readiness, metrics, peer and admin servers.

--- a/decision/verdict/verdict.go
+++ b/decision/verdict/verdict.go
@@ -68,6 +68,7 @@
 	IdempotencyKeyReused  Reason = "idempotency_key_reused"
 	IdempotencyKeyInvalid Reason = "idempotency_key_invalid"
 	RequestInProgress     Reason = "request_in_progress"
+	MemoryFull            Reason = "memory_full" // of this instance
 	CallerGone            Reason = "caller_gone"
 	InternalError         Reason = "internal_error"
 )
@@ -106,6 +107,7 @@
 	IdempotencyKeyReused:  http.StatusUnprocessableEntity,
 	IdempotencyKeyInvalid: http.StatusBadRequest,
 	RequestInProgress:     http.StatusConflict,
+	MemoryFull:            http.StatusServiceUnavailable,
 	CallerGone:            499,
 	InternalError:         http.StatusInternalServerError,
 }
--- a/filter/handler.go
+++ b/filter/handler.go
@@ -23,9 +23,9 @@
 const writeTimeout = 30 * time.Second
 
 // NewHandler returns the HTTP handler that serves the requests of the surface
-// with the chain.
-func NewHandler(surface Surface, chain Next, logger log.Interface, set *metrics.Set) http.Handler {
-	return &request.Server[*Request]{Surface: surface, Chain: chain, Log: logger, Metrics: set}
+// with the chain, within the memory (nil for no bound).
+func NewHandler(surface Surface, chain Next, memory *request.Memory, logger log.Interface, set *metrics.Set) http.Handler {
+	return &request.Server[*Request]{Surface: surface, Chain: chain, Log: logger, Metrics: set, Memory: memory}
 }
 
 // Surface implements request.Surface for the OpenAI API and for plain services.
@@ -91,13 +91,23 @@
 	return err == nil && w.Send(fmt.Appendf(nil, "event: error\ndata: %s\n\n", data), true) == nil
 }
 
+// unreadTimeout bounds the time for which net/http reads the rest of a body after its
+// response.
+const unreadTimeout = time.Second
+
 // LimitWrites clears the write deadline set by the previous request on the
-// connection, and sets one for the writes after the handler has returned.
+// connection, and sets one for the writes after the handler has returned. It also bounds
+// the read of the rest of the body after that.
 func LimitWrites(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
-		control.SetWriteDeadline(time.Time{})                                     //nolint:errcheck // not every writer supports deadlines.
-		defer func() { control.SetWriteDeadline(time.Now().Add(writeTimeout)) }() //nolint:errcheck // as above.
+		control.SetWriteDeadline(time.Time{}) //nolint:errcheck // not every writer supports deadlines.
+		defer func() {
+			control.SetWriteDeadline(time.Now().Add(writeTimeout)) //nolint:errcheck // as above.
+			if r.ContentLength != 0 {
+				control.SetReadDeadline(time.Now().Add(unreadTimeout)) //nolint:errcheck // as above.
+			}
+		}()
 		next.ServeHTTP(w, r)
 	})
 }
--- a/filter/harness_test.go
+++ b/filter/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscusyard/hibiscusyard/decision/idempotency"
 	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/ports/portstest"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 )
 
 const waitTimeout = 20 * time.Second
@@ -137,7 +138,7 @@
 	e.route.SetMembers([]string{"i"})
 	store := &idempotency.Store{Table: e.table, Instance: "i", Incarnation: "x", NewToken: uuid.NewString, Now: time.Now,
 		IncarnationEnded: func(string, string) bool { return false }}
-	handler := NewHandler(Surface{WriteTimeout: 200 * time.Millisecond}, Chain(Identify{e}, Authorise{e}, Admit{e}, Claims{store}, e.route),
+	handler := NewHandler(Surface{WriteTimeout: 200 * time.Millisecond}, Chain(Identify{e}, Authorise{e}, Admit{e}, Claims{store}, e.route), request.NewMemory(256<<20, metrics.NewSet()),
 		&log.Logger{Handler: e.logs, Level: log.InfoLevel}, metrics.NewSet())
 	e.Server = httptest.NewServer(LimitWrites(handler))
 	t.Cleanup(e.Close)
--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -96,7 +98,11 @@
 
 // Serve implements Filter.
 func (ReadBody) Serve(ctx context.Context, r *Request, next Next) error {
-	if err := r.Request.ReadBody(r.View.Config.Limits.BodyBytes, 0); err != nil {
+	err := r.Request.ReadBody(r.View.Config.Limits.BodyBytes, max(r.TimeLeft(bootclock.Now()), time.Millisecond))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return verdict.New(verdict.DeadlineTooShort, "the body did not arrive before the deadline").WithCause(err)
+	}
+	if err != nil {
 		return err
 	}
 	if r.TimeLeft(bootclock.Now()) <= 0 {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -23,6 +23,8 @@
 	// maxBuffered is the size below which a response is buffered until it is
 	// complete, so that a failed one can still be replaced by a retry.
 	maxBuffered = 256 << 10
+	// minBuffered is the part of a response that is buffered whatever memory is left.
+	minBuffered = 16 << 10
 	// writeSlack is added to the deadline for the caller to read the response.
 	writeSlack = time.Second
 	// crashCheckTimeout bounds the check whether an upstream has crashed.
@@ -249,12 +251,26 @@
 		}
 	}
 	var buffered bytes.Buffer
-	n, err := io.Copy(&buffered, io.LimitReader(resp.Body, maxBuffered))
+	// The first bytes are buffered in any case; more only if there is memory for them.
+	n, err := io.Copy(&buffered, io.LimitReader(resp.Body, minBuffered))
+	hold := int64(maxBuffered)
+	if resp.ContentLength >= 0 {
+		hold = min(hold, resp.ContentLength)
+	}
+	long := n == minBuffered && !x.r.HoldResponse(hold)
+	if err == nil && n == minBuffered && !long {
+		if resp.ContentLength > n {
+			buffered.Grow(int(hold-n) + bytes.MinRead)
+		}
+		var more int64
+		more, err = io.Copy(&buffered, io.LimitReader(resp.Body, maxBuffered-minBuffered))
+		long = more == maxBuffered-minBuffered
+	}
 	if err != nil {
 		return x.failed(ctx, err, false)
 	}
 	x.observe.onFirst()
-	if n == maxBuffered {
+	if long {
 		return x.relayLarge(ctx, resp, &buffered)
 	}
 	x.writeHead(resp)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -36,10 +36,10 @@
 }
 
 // NewHandler returns a handler for callers that use the given dialect.
-func NewHandler(dialect Dialect, chain Next, logger log.Interface, set *metrics.Set) *Handler {
+func NewHandler(dialect Dialect, chain Next, memory *request.Memory, logger log.Interface, set *metrics.Set) *Handler {
 	h := &Handler{dialect: dialect, quit: make(chan struct{})}
 	h.ended, h.end = context.WithCancel(context.Background())
-	h.server = &request.Server[*Request]{Surface: h, Chain: chain, Log: logger, Metrics: set}
+	h.server = &request.Server[*Request]{Surface: h, Chain: chain, Log: logger, Metrics: set, Memory: memory}
 	return h
 }
 
--- a/instance.go
+++ b/instance.go
@@ -26,6 +26,7 @@
 	"github.com/hibiscusyard/hibiscusyard/plumbing/awsapi"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/ports"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/session"
 	"github.com/hibiscusyard/hibiscusyard/settings"
 )
@@ -249,10 +250,25 @@
 		Tables: i.catalog, TokenHash: i.settings.AdminTokenHash, Status: i.status,
 		Ready: i.notReady, Metrics: i.metrics, Log: i.log,
 	}
-	i.servers.admin = i.serveOn(i.listeners.admin, adminServer.Handler())
+	i.servers.admin = i.serveOn(i.listeners.admin, limitRequest(adminServer.Handler()))
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, i.hub)
-	i.servers.peer = i.serveOn(i.listeners.peer, mux)
+	i.servers.peer = i.serveOn(i.listeners.peer, limitRequest(mux))
+}
+
+// requestTimeout bounds the receipt of a request to the administration API or of one that
+// sets up a peer link.
+const requestTimeout = 30 * time.Second
+
+// limitRequest bounds the receipt of requests, also of what their handlers leave unread.
+// Peer links, which take the connection over, are not affected.
+func limitRequest(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			http.NewResponseController(w).SetReadDeadline(time.Now().Add(requestTimeout)) //nolint:errcheck // not every writer supports deadlines.
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (i *Instance) callerHandler() http.Handler {
@@ -263,7 +279,8 @@
 		filter.Claims{Store: i.claims},
 		i.route,
 	)
-	handler := filter.NewHandler(filter.Surface{MaxHeader: i.settings.MaxHeaderBytes}, chain, i.log, i.metrics)
+	memory := request.NewMemory(int64(i.settings.BodyMemoryMB)<<20, i.metrics)
+	handler := filter.NewHandler(filter.Surface{MaxHeader: i.settings.MaxHeaderBytes}, chain, memory, i.log, i.metrics)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", admin.ReadyHandler(i.notReady))
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/hibiscusyard/hibiscusyard/plumbing/connpool"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/duration"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/peer"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 )
 
 const (
@@ -44,6 +45,13 @@
 	// memoryShare is the share of the memory limit that is set as the Go runtime's
 	// soft memory limit.
 	memoryShare = 0.6
+	// bodyShare is the share of the memory limit for the bodies of requests and for
+	// buffered responses. The garbage of their growth comes on top, within memoryShare.
+	bodyShare = 0.2
+	// ownTimeout bounds requests and answers of the readiness and metrics endpoints, which are
+	// short, and the set-up of peer links. Monitoring systems ask once a minute or more often.
+	ownTimeout     = 10 * time.Second
+	ownIdleTimeout = 2 * time.Minute
 	// sweepInterval is the time between removals of old idle connections and of the
 	// history of removed upstreams.
 	sweepInterval = 2 * time.Second
@@ -165,9 +173,11 @@
 	filters := chain.New[*gateway.Request](
 		gateway.Identify{State: n.state, StaleAfter: stale},
 		gateway.ReadBody{},
+		markReceived{},
 		n.route,
 	)
-	return gateway.NewHandler(dialect, filters, n.log, n.metrics)
+	memory := request.NewMemory(int64(bodyShare*n.settings.MemoryMB*(1<<20)), n.metrics)
+	return gateway.NewHandler(dialect, filters, memory, n.log, n.metrics)
 }
 
 // Start binds the listeners and starts all background work. Callers are accepted
@@ -205,13 +215,13 @@
 	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+platform.ReadyPath, n.serveReady)
-	n.serve(readyListener, &http.Server{Handler: readyMux})
+	n.serve(readyListener, &http.Server{Handler: readyMux, ReadHeaderTimeout: readTimeout, ReadTimeout: ownTimeout, IdleTimeout: ownIdleTimeout, WriteTimeout: ownTimeout})
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	n.serve(metricsListener, &http.Server{Handler: metricsMux, ReadHeaderTimeout: readTimeout})
+	n.serve(metricsListener, &http.Server{Handler: metricsMux, ReadHeaderTimeout: readTimeout, ReadTimeout: ownTimeout, IdleTimeout: ownIdleTimeout, WriteTimeout: ownTimeout})
 	return peers, nil
 }
 
@@ -271,11 +281,11 @@
 	limits := n.state.View().Config.Limits
 	server := &http.Server{
 		Handler: n.handler, MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout: limits.IdleTimeout, ConnState: trackIdle, DisableGeneralOptionsHandler: true,
+		IdleTimeout: limits.IdleTimeout, ConnState: trackState, ConnContext: withConn, DisableGeneralOptionsHandler: true,
 	}
 	n.addServer(server)
 	idleTimeout := func() time.Duration { return n.state.View().Config.Limits.IdleTimeout }
-	err := server.Serve(&idleListener{Listener: n.callers, idleTimeout: idleTimeout})
+	err := server.Serve(newCallerListener(n.callers, maxConnections(n.settings), idleTimeout, n.log, n.metrics))
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		n.log.WithError(err).Error("caller listener failed")
 	}
@@ -292,7 +302,7 @@
 	n.hub = hub
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, hub)
-	n.serve(peers, &http.Server{Handler: mux, ReadHeaderTimeout: readTimeout})
+	n.serve(peers, &http.Server{Handler: mux, ReadHeaderTimeout: readTimeout, ReadTimeout: ownTimeout})
 	n.coord.Run(ctx)
 	hub.Close()
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -33,6 +33,10 @@
 	CPUShare float64 `json:"cpu_share"`
 	// LinkMbps is the bandwidth of the machine's link in Mbit/s. Required.
 	LinkMbps float64 `json:"link_mbps"`
+	// MaxConnections is the largest number of callers' connections at a time. Default 0: as
+	// many as fit in a quarter of MemoryMB with 40 KiB each, and in half of the descriptors
+	// of the process less 64; at least 16.
+	MaxConnections int `json:"max_connections"`
 	// LogLevel is "debug", "info", "warn" or "error". Default "info".
 	LogLevel string `json:"log_level"`
 	// StoreParallel is the initial limit of a leader on concurrent loads from the
@@ -131,6 +135,9 @@
 	default:
 		c.Fail("log_level", "unknown level %q", s.LogLevel)
 	}
+	if s.MaxConnections < 0 {
+		c.Fail("max_connections", "must not be negative")
+	}
 	if s.StoreParallel < 1 {
 		c.Fail("store_parallel", "must be at least 1")
 	}
--- a/plumbing/connpool/conn.go
+++ b/plumbing/connpool/conn.go
@@ -36,6 +36,9 @@
 	// interim and mismatched responses. Response heads typically have some
 	// hundred bytes; the platform allows callers 16 KiB.
 	maxHead = 64 << 10
+	// maxCopied is the length up to which the body of a request is copied behind its head.
+	// A copy of a large one costs more than a second buffer in the write.
+	maxCopied = 16 << 10
 	// maxRequests bounds the requests of one connection, whose IDs it remembers. One
 	// more connection for so many requests costs next to nothing.
 	maxRequests = 512
@@ -126,10 +129,16 @@
 // Wrote reports whether any byte of the current request may have been sent.
 func (c *Conn) Wrote() bool { return c.wrote }
 
-// Send writes the whole request with a single Write call.
+// Send writes the whole request with a single Write call, or a single writev if its body is
+// large.
 func (c *Conn) Send(r *Request) error {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	large := len(r.Body) > maxCopied
+	if large {
+		b.Grow(1024)
+	} else {
+		b.Grow(1024 + len(r.Body))
+	}
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -145,9 +154,18 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	c.wrote = true
-	n, err := c.Write(b.Bytes())
+	var n int64
+	var err error
+	if large {
+		buffers := net.Buffers{b.Bytes(), r.Body}
+		n, err = buffers.WriteTo(c.Conn)
+	} else {
+		b.Write(r.Body)
+		var written int
+		written, err = c.Write(b.Bytes())
+		n = int64(written)
+	}
 	if err != nil {
 		c.broken = true
 		if n == 0 && errors.Is(err, syscall.EPIPE) {
--- a/plumbing/connpool/connpool_test.go
+++ b/plumbing/connpool/connpool_test.go
@@ -202,3 +202,42 @@
 		t.Errorf("got %d connections, want 3: one for each time of the ID that came most often", len(used))
 	}
 }
+
+// Guards against a large body, which is written without a copy, that does not arrive as it
+// was sent.
+func TestLargeBodyArrivesWhole(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	got := make(chan []byte, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		got <- body
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") //nolint:errcheck // the call fails then.
+	}()
+	body := make([]byte, 1<<20)
+	for n := range body {
+		body[n] = byte(n * 7)
+	}
+	pool := connpool.New(connpool.Config{})
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if _, _, err := pool.Call(ctx, l.Addr().String(), &connpool.Request{Method: "POST", Target: "/", Host: "x", Body: body}); err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(<-got, body) {
+		t.Error("another body arrived")
+	}
+}
--- /dev/null
+++ b/plumbing/request/memory.go
@@ -0,0 +1,193 @@
+package request
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hibiscusyard/hibiscusyard/decision/memory"
+	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+)
+
+const (
+	// maxMemoryWait bounds the wait of a body for memory. Most bodies arrive and are
+	// answered within it.
+	maxMemoryWait = 250 * time.Millisecond
+	// memoryRetryAfter is the Retry-After of requests that are refused for lack of memory.
+	memoryRetryAfter = time.Second
+)
+
+// Memory bounds what the requests of an instance keep in memory. It is safe for concurrent
+// use. A nil Memory bounds nothing.
+type Memory struct {
+	mu      sync.Mutex
+	budget  *memory.Budget
+	changed chan struct{} // closed when memory is released; nil if nobody waits
+
+	waits, refusals, evictions, streamed *metrics.Counter
+}
+
+// NewMemory returns a bound of capacity bytes.
+func NewMemory(capacity int64, set *metrics.Set) *Memory {
+	m := &Memory{
+		budget:    memory.New(memory.Config{Capacity: capacity}),
+		waits:     set.NewCounter(`hibiscusyard_memory_waits_total`),
+		refusals:  set.NewCounter(`hibiscusyard_memory_refusals_total`),
+		evictions: set.NewCounter(`hibiscusyard_memory_evictions_total`),
+		streamed:  set.NewCounter(`hibiscusyard_memory_unbuffered_responses_total`),
+	}
+	for n, pool := range []string{"small", "large"} {
+		set.NewGauge(fmt.Sprintf(`hibiscusyard_memory_held_bytes{pool=%q}`, pool), func() float64 {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			small, large := m.budget.Used()
+			return float64([]int64{small, large}[n])
+		})
+	}
+	return m
+}
+
+// group identifies the caller of a request: its workspace, its key or its address.
+func (r *Request) group() string {
+	switch {
+	case r.WorkspaceName != "":
+		return r.WorkspaceName
+	case r.Key != "":
+		return r.Key
+	}
+	host, _, err := net.SplitHostPort(r.HTTP.RemoteAddr)
+	if err != nil {
+		return r.HTTP.RemoteAddr
+	}
+	return host
+}
+
+// begin records that the body of a request begins to arrive.
+func (m *Memory) begin(r *Request) {
+	if m == nil {
+		return
+	}
+	r.held.Group, r.held.Owner = r.group(), r
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.Begin(bootclock.Now(), &r.held)
+}
+
+// grow makes a request hold add bytes more, which it may have to wait for. received is the
+// length of the part of its body that has arrived.
+func (m *Memory) grow(ctx context.Context, r *Request, add, received int64) error {
+	if m == nil {
+		return nil
+	}
+	var timeout <-chan time.Time
+	for {
+		m.mu.Lock()
+		if m.budget.Grow(&r.held, add, received) {
+			m.mu.Unlock()
+			return nil
+		}
+		now := bootclock.Now()
+		for _, victim := range m.budget.Evict(now, &r.held, add) {
+			m.evictions.Inc()
+			victim.Owner.(*Request).interruptRead()
+		}
+		if m.changed == nil {
+			m.changed = make(chan struct{})
+		}
+		changed := m.changed
+		m.mu.Unlock()
+		if timeout == nil {
+			m.waits.Inc()
+			timer := time.NewTimer(maxMemoryWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			m.refusals.Inc()
+			return verdict.New(verdict.MemoryFull, "this instance has no room for the body now").WithRetryAfter(memoryRetryAfter)
+		case <-ctx.Done():
+			return verdict.New(verdict.CallerGone, "the caller closed the connection")
+		}
+	}
+}
+
+// shrink takes bytes from what a request holds.
+func (m *Memory) shrink(r *Request, n int64) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.Shrink(&r.held, n)
+	m.notify()
+}
+
+// complete records that the body of a request has arrived.
+func (m *Memory) complete(r *Request) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.Complete(&r.held)
+}
+
+// release takes everything from a request.
+func (m *Memory) release(r *Request) {
+	if m == nil || r.held.Owner == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.Release(&r.held)
+	m.notify()
+}
+
+// evicted reports whether the body of a request was given up while it was read.
+func (m *Memory) evicted(r *Request) bool {
+	if m == nil {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return r.held.Evicted()
+}
+
+func (m *Memory) notify() {
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
+}
+
+// HoldResponse reports whether n bytes of a response may be kept in memory until the
+// request ends. It does not wait.
+func (r *Request) HoldResponse(n int64) bool {
+	m := r.memory
+	if m == nil {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r.held.Owner == nil {
+		r.held.Group, r.held.Owner = r.group(), r
+	}
+	if m.budget.Grow(&r.held, n, 0) {
+		return true
+	}
+	m.streamed.Inc()
+	return false
+}
+
+// interruptRead makes the read of the body fail.
+func (r *Request) interruptRead() {
+	http.NewResponseController(r.Writer.ResponseWriter).SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // a broken connection ends the read too.
+}
--- a/plumbing/request/request.go
+++ b/plumbing/request/request.go
@@ -14,6 +14,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/hibiscusyard/hibiscusyard/decision/memory"
 	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
 )
@@ -68,6 +69,10 @@
 	Log       log.Interface
 
 	fingerprint string // empty until Fingerprint is called
+
+	memory   *Memory
+	held     memory.Holder
+	bodyRead bool // the body has been read completely
 }
 
 // fingerprintBytes is the length of a fingerprint, long enough that no two requests share
--- a/plumbing/request/server.go
+++ b/plumbing/request/server.go
@@ -34,6 +34,10 @@
 	Chain   chain.Next[R]
 	Log     log.Interface
 	Metrics *metrics.Set
+	// Memory bounds what requests keep in memory. Nil means no bound.
+	Memory *Memory
+
+	memoryLines LineLimiter
 }
 
 // ServeHTTP serves one request with an upstream's response or a refusal.
@@ -43,6 +47,8 @@
 	base := r.Base()
 	base.Arrived, base.HTTP = arrived, hr
 	base.Log = s.Log.WithField("request", base.ID)
+	base.memory = s.Memory
+	defer s.Memory.release(base)
 	if err == nil {
 		err = s.run(hr.Context(), r)
 	}
@@ -76,12 +82,10 @@
 	if err != nil {
 		refusal := verdict.From(err)
 		outcome = string(refusal.Reason)
-		logRefusal(r, refusal)
+		s.logRefusal(r, refusal)
 		switch {
 		case !r.Writer.Begun():
-			if err := s.Surface.Refuse(r.Writer, refusal); err != nil {
-				r.Log.WithError(err).Debug("refusal not written")
-			}
+			s.refuse(r, refusal)
 		case !r.Writer.Complete():
 			intact = s.Surface.Cut(r.Writer, refusal)
 		}
@@ -93,7 +97,22 @@
 	}
 }
 
-func logRefusal(r *Request, refusal *verdict.Refusal) {
+// refuse writes a refusal. The time for that and for what is unread of the body is bounded.
+func (s *Server[R]) refuse(r *Request, refusal *verdict.Refusal) {
+	s.Memory.release(r)
+	r.Body = nil
+	unread := r.limitUnread()
+	r.Writer.LimitWrite(refusalTimeout) //nolint:errcheck // a broken connection fails at the write.
+	if err := s.Surface.Refuse(r.Writer, refusal); err != nil {
+		r.Log.WithError(err).Debug("refusal not written")
+		return
+	}
+	if unread {
+		r.finishUnread()
+	}
+}
+
+func (s *Server[R]) logRefusal(r *Request, refusal *verdict.Refusal) {
 	fields := log.Fields{
 		"code": refusal.Reason, "verdict": refusal.Verdict().String(), "detail": refusal.Message,
 		"retry_after_ms": refusal.RetryAfter.Milliseconds(), "after_ms": bootclock.Since(r.Arrived).Milliseconds(),
@@ -112,5 +131,14 @@
 	if refusal.Cause != nil {
 		fields["cause"] = refusal.Cause.Error()
 	}
+	if refusal.Reason == verdict.MemoryFull {
+		ok, suppressed := s.memoryLines.Allow(bootclock.Now())
+		if !ok {
+			return
+		}
+		if suppressed > 0 {
+			fields["lines_suppressed"] = suppressed
+		}
+	}
 	r.Log.WithFields(fields).Info("request refused")
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,6 +40,8 @@
 	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
 	// MaxConnections bounds the number of open caller connections. Default 10000, range 1 to 1000000.
 	MaxConnections int `json:"max_connections,omitempty"`
+	// BodyMemoryMB bounds the memory for the bodies of requests in MiB. Default 256, range 16 to 65536. A single body is accepted in any case.
+	BodyMemoryMB int `json:"body_memory_mb,omitempty"`
 	// QueueLimit bounds the requests queued at this instance. Default 2000, range 1 to 100000.
 	QueueLimit int `json:"queue_limit,omitempty"`
 	// DrainDelay is the time at shutdown between reporting not ready and closing the first listener. Default 5s, range 0s to 5m.
@@ -88,6 +90,7 @@
 		LogLevel:       "info",
 		MaxHeaderBytes: 16 << 10,
 		MaxConnections: 10_000,
+		BodyMemoryMB:   256,
 		QueueLimit:     2_000,
 		DrainDelay:     duration.Duration(5 * time.Second),
 		DrainTimeout:   duration.Duration(2 * time.Minute),
--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -84,7 +84,7 @@
 	Events int
 	// AnswerBytes is the length of the answers of a plain upstream. Default: some bytes.
 	AnswerBytes int
-	Engine *Engine
+	Engine      *Engine
 	// RefusalCopies determines whether refusals are written twice.
 	RefusalCopies RefusalCopy
 
--- a/test/flood/flood_test.go
+++ b/test/flood/flood_test.go
@@ -239,13 +239,13 @@
 			last = err.Error()
 			continue
 		}
-		io.Copy(io.Discard, response.Body) //nolint:errcheck // the status is enough.
+		length, err := io.Copy(io.Discard, response.Body)
 		response.Body.Close()
-		if response.StatusCode == http.StatusOK {
+		if response.StatusCode == http.StatusOK && err == nil && length == answerBytes {
 			i.t.Logf("%s: served at attempt %d", when, attempts)
 			return
 		}
-		last = response.Status
+		last = fmt.Sprintf("%s, %d bytes, %v", response.Status, length, err)
 	}
 	i.t.Fatalf("%s: no request of another workspace was served in %d attempts within %s, the last: %s", when, attempts, processtest.WaitCap, last)
 }
