Bound the tables and the log queue that callers' names fill

Found in the review of what callers make a process keep: - Demand by model was kept for ever for each name that a request waited for, here and at the leader. It is recorded only for models of the service, and dropped when nothing waits or runs. - The table of successes (16,384 causes) kept IDs of prompt parts of any length, and with each the header it was cut from: up to 16 KiB each. It holds 4 MiB at most.

--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hibiscusyard/hibiscusyard/decision/fleet"
 	"github.com/hibiscusyard/hibiscusyard/decision/quarantine"
 	"github.com/hibiscusyard/hibiscusyard/decision/residency"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
@@ -39,6 +40,14 @@
 	return false
 }
 
+func hasModel(v *fleet.View, service, model string) bool {
+	if v.Config == nil {
+		return false
+	}
+	s := v.Config.Services[service]
+	return s != nil && s.Engine != nil && s.Engine.Models[model] != nil
+}
+
 // reportSoon triggers a demand report after demandBatchDelay.
 func (l *Client) reportSoon() {
 	select {
@@ -57,8 +66,12 @@
 	return n
 }
 
-// RecordWaiting implements gateway.Placement.
+// RecordWaiting implements gateway.Placement. Models that the service does not have are not
+// recorded: callers choose the names, and the leader keeps what it hears of.
 func (l *Client) RecordWaiting(service, model string, deadline bootclock.Time) func() {
+	if !hasModel(l.c.config.View(), service, model) {
+		return func() {}
+	}
 	l.mu.Lock()
 	n := l.demandFor(service, model)
 	l.nextWaitID++
@@ -153,6 +166,7 @@
 			r.Running[id] = running
 		}
 		if r.Arrived == 0 && r.Waiting == 0 && len(r.Running) == 0 {
+			delete(l.demands, k) // callers choose the names of models
 			continue
 		}
 		n.arrived = 0
--- a/decision/quarantine/success.go
+++ b/decision/quarantine/success.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+import (
+	"strings"
+
+	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
+)
 
 // maxSuccesses is the number of causes after which the older half of the successes is
 // dropped.
@@ -22,5 +26,9 @@
 	if s.recent == nil || len(s.recent) >= maxSuccesses {
 		s.recent, s.older = map[Cause]bootclock.Time{}, s.recent
 	}
-	s.recent[cause] = max(at, s.get(cause))
+	at = max(at, s.get(cause))
+	if _, known := s.recent[cause]; !known {
+		cause.ID = strings.Clone(cause.ID) // it may be a part of a long header
+	}
+	s.recent[cause] = at
 }
--- a/plumbing/logsink/logsink.go
+++ b/plumbing/logsink/logsink.go
@@ -13,6 +13,8 @@
 const (
 	// queueLines bounds the lines queued for a slow reader.
 	queueLines = 1024
+	// queueBytes bounds the bytes of these lines: callers choose a part of some.
+	queueBytes = 4 << 20
 	// batchBytes is the size from which a batch takes no more lines; a batch is
 	// written with one Write call.
 	batchBytes = 32 << 10
@@ -22,6 +24,7 @@
 type Sink struct {
 	out     io.Writer
 	lines   chan []byte
+	queued  atomic.Int64 // bytes in lines
 	dropped atomic.Uint64
 	total   atomic.Uint64
 	quit    chan struct{}
@@ -38,12 +41,17 @@
 
 // Write queues one line. It never blocks and never fails.
 func (s *Sink) Write(line []byte) (int, error) {
-	select {
-	case s.lines <- append([]byte(nil), line...):
-	default:
-		s.dropped.Add(1)
-		s.total.Add(1)
+	size := int64(len(line))
+	if s.queued.Add(size) <= queueBytes {
+		select {
+		case s.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	s.queued.Add(-size)
+	s.dropped.Add(1)
+	s.total.Add(1)
 	return len(line), nil
 }
 
@@ -64,6 +72,7 @@
 	for {
 		select {
 		case line := <-s.lines:
+			s.queued.Add(-int64(len(line)))
 			batch = s.collect(append(batch[:0], line...))
 		case <-s.quit:
 			for batch = s.collect(batch[:0]); len(batch) > 0; batch = s.collect(batch[:0]) {
@@ -81,6 +90,7 @@
 	for len(batch) < batchBytes {
 		select {
 		case line := <-s.lines:
+			s.queued.Add(-int64(len(line)))
 			batch = append(batch, line...)
 		default:
 			return batch
--- a/plumbing/logsink/logsink_test.go
+++ b/plumbing/logsink/logsink_test.go
@@ -79,3 +79,19 @@
 		t.Errorf("got %q, want \"before\" first and no \"after\"", out.String())
 	}
 }
+
+// Guards against long lines, of which callers choose a part, that fill the memory of a
+// process whose log is read slowly.
+func TestQueueIsBoundedInBytes(t *testing.T) {
+	out := &stalledWriter{release: make(chan struct{})}
+	sink := logsink.New(out)
+	line := append(bytes.Repeat([]byte("x"), 64<<10), '\n')
+	for range 500 {
+		sink.Write(line)
+	}
+	if kept := 500 - int(sink.Dropped()); kept < 10 || kept*len(line) > 8<<20 {
+		t.Errorf("%d lines of 64 KiB are kept", kept)
+	}
+	close(out.release)
+	sink.Close()
+}
