--- a/standin/userplatform/upstream.go
+++ b/standin/userplatform/upstream.go
@@ -82,7 +82,9 @@
 	WarmUpDuration time.Duration
 	// Events is the number of events in a stream.
 	Events int
-	Engine *Engine
+	// AnswerBytes is the length of the answers of a plain upstream. Default: some bytes.
+	AnswerBytes int
+	Engine      *Engine
 	// RefusalCopies determines whether refusals are written twice.
 	RefusalCopies RefusalCopy
 
