Add a check of routes and pools files before they are written

Cause: validate accepts tables in which an entry can never be used or a limit can never be met. Operators saw that only in refused requests.

Change: hibiscusyard check prints findings with file and line, then the differences from an instance or from other files, with the diff of the diff command. Catalog.Findings holds the analysis. It runs Validate and, on valid tables, looks entries up in the index of the request path. Documents that don't decode are findings (exit code 1); files or instances that can't be read give 2 (cli.ErrInput).

--- a/command/command.go
+++ b/command/command.go
@@ -27,6 +27,7 @@
 type options struct {
 	Serve    serveCommand    `command:"serve" description:"Run one instance until SIGTERM or SIGINT"`
 	Validate validateCommand `command:"validate" description:"Check settings, routes or pools files and report all errors"`
+	Check    checkCommand    `command:"check" description:"Report probable mistakes in routes and pools files, and what they would change"`
 	Routes   tableCommands   `command:"routes" description:"Read and edit the routes table"`
 	Pools    tableCommands   `command:"pools" description:"Read and edit the pools table"`
 	Status   statusCommand   `command:"status" description:"Show an instance, its members and the versions in force"`
@@ -37,7 +38,7 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	io := streams{out: stdout, err: stderr}
 	opts := &options{}
-	opts.Serve.streams, opts.Validate.streams, opts.Status.streams, opts.Version.streams = io, io, io, io
+	opts.Serve.streams, opts.Validate.streams, opts.Check.streams, opts.Status.streams, opts.Version.streams = io, io, io, io, io
 	opts.Routes.bind("routes", io)
 	opts.Pools.bind("pools", io)
 	code := cli.Run("hibiscusyard", opts, args, stdout, stderr)
--- a/decision/catalog/catalog_test.go
+++ b/decision/catalog/catalog_test.go
@@ -89,5 +89,10 @@
 			t.Error("tables changed after encoding and decoding")
 		}
 		catalog.NewIndex(c, "").ServiceRoute("/x/")
+		for _, f := range c.Findings() {
+			if f.Class == catalog.Invalid {
+				t.Errorf("valid tables: got finding %v", f)
+			}
+		}
 	})
 }
--- a/filter/chain_test.go
+++ b/filter/chain_test.go
@@ -130,6 +130,19 @@
 	}
 }
 
+// Guards against a check of bursts before an edit that assumes another cost than
+// admission reserves.
+func TestDefaultCostIsReserved(t *testing.T) {
+	chat, err := ParseChat([]byte(`{"model":"m","messages":[]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	route := &catalog.Route{Models: []string{"m"}, MaxOutput: 20}
+	if got, want := route.DefaultCost(), chat.TokensToReserve(route.MaxOutput); got != want {
+		t.Errorf("the smallest chat without a limit reserves %d tokens, DefaultCost is %d", want, got)
+	}
+}
+
 // Guards against bodies that make the parser panic, lack a model or reserve no
 // tokens.
 func FuzzParseChat(f *testing.F) {
--- a/plumbing/cli/cli.go
+++ b/plumbing/cli/cli.go
@@ -19,6 +19,10 @@
 // ErrUsage marks a usage error that go-flags does not detect.
 var ErrUsage = errors.New("wrong usage")
 
+// ErrInput marks input that can't be read, in programs that distinguish it from
+// findings in the input. It has the exit code of wrong usage.
+var ErrInput = errors.New("can't read the input")
+
 // NoArguments returns an error that wraps ErrUsage if args, the arguments that
 // are not options, is not empty.
 func NoArguments(args []string) error {
@@ -50,7 +54,7 @@
 	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
 		fmt.Fprintln(stdout, usage.Message)
 		return ExitOK
-	case errors.As(err, &usage), errors.Is(err, ErrUsage):
+	case errors.As(err, &usage), errors.Is(err, ErrUsage), errors.Is(err, ErrInput):
 		fmt.Fprintln(stderr, err)
 		return ExitUsage
 	default:
