Check the timeouts of routes against the drain timeout of the settings

Cause: a stopping instance aborts requests after drain_timeout. The settings document that it must not be below the longest timeout of a route, but nothing compared the two, which stand in different files.

Findings gets the drain timeout and reports longer timeouts of routes. Violated rules of the settings are findings with their line.

--- a/command/check.go
+++ b/command/check.go
@@ -7,29 +7,32 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/admin"
 	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
+	"github.com/hibiscusyard/hibiscusyard/settings"
 )
 
 type checkCommand struct {
 	streams
 	Routes        string `short:"r" long:"routes" value-name:"FILE" required:"yes" description:"routes table to check"`
 	Pools         string `short:"p" long:"pools" value-name:"FILE" required:"yes" description:"pools table to check"`
+	Settings      string `short:"s" long:"settings" value-name:"FILE" description:"settings of the instances, whose drain_timeout bounds the timeouts of routes"`
 	Against       string `long:"against" value-name:"URL" description:"administration address of any instance; shows the differences from the version in force"`
 	TokenFile     string `long:"token-file" value-name:"FILE" description:"file with the administration token for --against; default: the variable HIBISCUSYARD_ADMIN_TOKEN"`
 	AgainstRoutes string `long:"against-routes" value-name:"FILE" description:"routes table to show the differences from, together with --against-pools"`
 	AgainstPools  string `long:"against-pools" value-name:"FILE" description:"pools table to show the differences from"`
 }
 
-// tableFile is a file with a table to check.
-type tableFile struct {
-	table, path string
-	data        []byte
-	lines       map[string]int // line of each field by its path
-	malformed   bool
+// inputFile is a file with a document.
+type inputFile struct {
+	document, path string // document is "routes", "pools" or "settings"
+	data           []byte
+	lines          map[string]int // line of each field by its path
+	malformed      bool
 }
 
 // located is a line of output about a place in a file.
@@ -55,16 +58,20 @@
 	if (c.AgainstRoutes == "") != (c.AgainstPools == "") || (c.Against != "" && c.AgainstRoutes != "") {
 		return fmt.Errorf("%w: give either --against, or --against-routes and --against-pools, or none of them", cli.ErrUsage)
 	}
-	routes, errRoutes := readTable("routes", c.Routes)
-	pools, errPools := readTable("pools", c.Pools)
+	routes, errRoutes := readFile("routes", c.Routes)
+	pools, errPools := readFile("pools", c.Pools)
 	if err := errors.Join(errRoutes, errPools); err != nil {
 		return err
 	}
-	findings := findingsIn(routes, pools)
+	drain, findings, err := c.drainTimeout()
+	if err != nil {
+		return err
+	}
+	findings = append(findings, findingsIn(routes, pools, drain)...)
 	for _, f := range findings {
 		fmt.Fprintln(c.out, f)
 	}
-	for _, file := range []*tableFile{routes, pools} {
+	for _, file := range []*inputFile{routes, pools} {
 		if err := c.printDifferences(file); err != nil {
 			return err
 		}
@@ -75,20 +82,45 @@
 	return nil
 }
 
-func readTable(table, path string) (*tableFile, error) {
+func readFile(document, path string) (*inputFile, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", cli.ErrInput, err)
 	}
-	return &tableFile{table: table, path: path, data: data, lines: strictjson.Lines(data)}, nil
+	return &inputFile{document: document, path: path, data: data, lines: strictjson.Lines(data)}, nil
+}
+
+// drainTimeout returns the drain timeout of the settings file, 0 without one, or
+// the problems of the file as findings.
+func (c *checkCommand) drainTimeout() (time.Duration, []located, error) {
+	if c.Settings == "" {
+		return 0, nil, nil
+	}
+	file, err := readFile("settings", c.Settings)
+	if err != nil {
+		return 0, nil, err
+	}
+	s, err := settings.Load(file.data)
+	if err == nil {
+		return s.DrainTimeout.Std(), nil, nil
+	}
+	fields, ok := catalog.AsErrors(err)
+	if !ok {
+		return 0, []located{{path: file.path, text: fmt.Sprintf("%s: %v", catalog.Invalid, err)}}, nil
+	}
+	var list []located
+	for _, f := range fields {
+		list = append(list, file.locate(catalog.Finding{Class: catalog.Invalid, Path: f.Path, Message: f.Message}))
+	}
+	return 0, list, nil
 }
 
 // findingsIn returns the findings in both files in the order of their lines. A
 // file that does not decode is a finding itself; the tables are analysed only if
 // both decode.
-func findingsIn(routes, pools *tableFile) []located {
+func findingsIn(routes, pools *inputFile, drain time.Duration) []located {
 	var list []located
-	decode := func(f *tableFile, document any) {
+	decode := func(f *inputFile, document any) {
 		if err := strictjson.Decode(f.data, document); err != nil {
 			f.malformed = true
 			list = append(list, located{path: f.path, text: fmt.Sprintf("%s: %v", catalog.Invalid, err)})
@@ -103,12 +135,12 @@
 	}
 	tables := &catalog.Catalog{Routes: routesDocument.Routes, Pools: poolsDocument.Pools}
 	tables.ApplyDefaults()
-	for _, f := range tables.Findings() {
+	for _, f := range tables.Findings(drain) {
 		file := routes
-		if strings.HasPrefix(f.Path, pools.table) {
+		if strings.HasPrefix(f.Path, pools.document) {
 			file = pools
 		}
-		list = append(list, located{path: file.path, line: file.line(f.Path), text: fmt.Sprintf("%s: %s: %s", f.Class, f.Path, f.Message)})
+		list = append(list, file.locate(f))
 	}
 	slices.SortStableFunc(list, func(a, b located) int {
 		return cmp.Or(strings.Compare(a.path, b.path), cmp.Compare(a.line, b.line))
@@ -116,9 +148,13 @@
 	return list
 }
 
+func (f *inputFile) locate(finding catalog.Finding) located {
+	return located{path: f.path, line: f.line(finding.Path), text: fmt.Sprintf("%s: %s: %s", finding.Class, finding.Path, finding.Message)}
+}
+
 // line returns the line of a field or, if the document leaves the field out, of
 // the entry that it belongs to.
-func (f *tableFile) line(path string) int {
+func (f *inputFile) line(path string) int {
 	for path != "" {
 		if line := f.lines[path]; line > 0 {
 			return line
@@ -128,26 +164,26 @@
 	return 0
 }
 
-func (c *checkCommand) printDifferences(file *tableFile) error {
+func (c *checkCommand) printDifferences(file *inputFile) error {
 	if c.Against == "" && c.AgainstRoutes == "" {
 		return nil
 	}
-	document, source, err := c.inForce(file.table)
+	document, source, err := c.inForce(file.document)
 	if err != nil {
 		return err
 	}
-	before, err := decodeEntries(file.table, document)
+	before, err := decodeEntries(file.document, document)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", cli.ErrInput, source, err)
 	}
 	if file.malformed {
 		return nil
 	}
-	after, err := decodeEntries(file.table, file.data)
+	after, err := decodeEntries(file.document, file.data)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(c.out, "%s against %s\n", file.table, source)
+	fmt.Fprintf(c.out, "%s against %s\n", file.document, source)
 	for _, line := range diffEntries(before, after) {
 		fmt.Fprintln(c.out, line)
 	}
@@ -169,7 +205,7 @@
 	if table == "routes" {
 		path = c.AgainstRoutes
 	}
-	file, err := readTable(table, path)
+	file, err := readFile(table, path)
 	if err != nil {
 		return nil, "", err
 	}
--- a/decision/catalog/catalog_test.go
+++ b/decision/catalog/catalog_test.go
@@ -89,7 +89,7 @@
 			t.Error("tables changed after encoding and decoding")
 		}
 		catalog.NewIndex(c, "").ServiceRoute("/x/")
-		for _, f := range c.Findings() {
+		for _, f := range c.Findings(0) {
 			if f.Class == catalog.Invalid {
 				t.Errorf("valid tables: got finding %v", f)
 			}
--- a/decision/catalog/findings.go
+++ b/decision/catalog/findings.go
@@ -31,8 +31,9 @@
 // Findings returns the probable mistakes in the tables, whose defaults must have
 // been applied. Invalid tables give the violated validation rules only, because
 // the entries that an invalid one refers to would be reported as unreachable.
-func (c *Catalog) Findings() []Finding {
-	f := &finder{}
+// drain is the drain timeout of the instances, 0 if it is not known.
+func (c *Catalog) Findings(drain time.Duration) []Finding {
+	f := &finder{drain: drain}
 	if err := c.Validate(); err != nil {
 		list, _ := AsErrors(err)
 		for _, e := range list {
@@ -70,6 +71,7 @@
 
 type finder struct {
 	index    *Index
+	drain    time.Duration
 	findings []Finding
 }
 
@@ -152,8 +154,13 @@
 		w.Name, r.Name, cost, w.Burst)
 }
 
-// checkTimeout reports models that can't be loaded within the timeout of a request.
+// checkTimeout reports timeouts in which a model can't be loaded, and those that a
+// stopping instance does not wait for.
 func (f *finder) checkTimeout(at string, r *Route) {
+	if timeout := r.Timeout.Std(); f.drain > 0 && timeout > f.drain {
+		f.add(Contradiction, at+".timeout", "a stopping instance ends requests of route %q after %s (drain_timeout), before their timeout of %s",
+			r.Name, f.drain, timeout)
+	}
 	pool := f.index.Pool(r.Pool)
 	for _, name := range r.Models {
 		m := pool.Model(name)
--- a/decision/catalog/findings_test.go
+++ b/decision/catalog/findings_test.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 )
 
-// soundTables has no findings: its smallest limits are met exactly. Each %KEY
+// soundTables has no findings: its smallest limits are met exactly,
+// also with a drain timeout of 1m, the default of the timeouts of routes. Each %KEY
 // stands for the hash of a key.
 var soundTables = strings.ReplaceAll(`{"pools":[
   {"name":"e","kind":"engine",
@@ -54,6 +56,7 @@
 		"engine listed twice":         {"127.0.0.1:2", "127.0.0.1:1", catalog.Contradiction, "pools[0].upstreams[1].address", `"u"`},
 		"burst below default output":  {`"max_output":19`, `"max_output":20`, catalog.Contradiction, "routes[0].workspaces[0].burst", "21 tokens"},
 		"burst below a service call":  {`"request_tokens":20`, `"request_tokens":21`, catalog.Contradiction, "routes[1].workspaces[0].burst", "21 tokens"},
+		"timeout above the drain":     {`"prefix":"/signup/later/"`, `"prefix":"/signup/later/","timeout":"60.001s"`, catalog.Contradiction, "routes[2].timeout", "drain_timeout"},
 		"timeout below the load time": {`"timeout":"30s"`, `"timeout":"29s"`, catalog.Contradiction, "routes[0].timeout", "29s"},
 	} {
 		t.Run(mistake, func(t *testing.T) {
@@ -66,7 +69,7 @@
 				t.Fatal(err)
 			}
 			tables.ApplyDefaults()
-			got := tables.Findings()
+			got := tables.Findings(time.Minute)
 			switch {
 			case c.path == "":
 				if len(got) > 0 {
