Answer claims for places when the link of their instance breaks

An instance may send over an older link while the leader's newest one to it goes down. The leader then dropped the instance's waiting claims without an answer: the question waited until its caller's time was over, and its goroutine on the leader until the older link ended.

The leader now answers the dropped claims as not leading, so that the instance asks again.

--- a/coordinator/places.go
+++ b/coordinator/places.go
@@ -72,6 +72,17 @@
 	}
 }
 
+// forget drops what an instance runs, and its waiting claims. They are answered, since an older
+// link may still carry the answers when the newest one has gone down.
+func (p *places) forget(now bootclock.Time, instance string) {
+	for _, id := range p.ledger.Forget(now, instance) {
+		if ch := p.waiters[id]; ch != nil {
+			delete(p.waiters, id)
+			close(ch)
+		}
+	}
+}
+
 // recordOccupancy records what an instance runs at each upstream and how long work takes
 // there. The caller holds mu.
 func (c *Coordinator) recordOccupancy(now bootclock.Time, from string, demands []residency.ModelDemand, paces map[string]float64) {
--- a/coordinator/updates.go
+++ b/coordinator/updates.go
@@ -284,7 +284,7 @@
 	} else {
 		c.origins.losses.LinkDown(bootclock.Now(), id.Instance, id.Incarnation, c.hub.Linked(id.Instance))
 		if c.places != nil {
-			c.places.ledger.Forget(bootclock.Now(), id.Instance)
+			c.places.forget(bootclock.Now(), id.Instance)
 		}
 	}
 	c.mu.Unlock()
--- a/decision/admission/admission.go
+++ b/decision/admission/admission.go
@@ -183,10 +183,16 @@
 	}
 }
 
-// Forget drops what an instance has reported and its waiting claims.
-func (l *Ledger) Forget(now bootclock.Time, instance string) {
+// Forget drops what an instance has reported and its waiting claims, which it returns.
+func (l *Ledger) Forget(now bootclock.Time, instance string) (dropped []ID) {
 	l.RecordReport(now, instance, nil)
-	l.queue = slices.DeleteFunc(l.queue, func(w *waiting) bool { return w.Instance == instance })
+	l.queue = slices.DeleteFunc(l.queue, func(w *waiting) bool {
+		if w.Instance == instance {
+			dropped = append(dropped, w.id)
+		}
+		return w.Instance == instance
+	})
+	return dropped
 }
 
 // occupied returns the number of requests that run at the upstream or are on their way.
