Grant no places after the leader's term

Waiting claims were decided every 10 ms without a look at the lease. Where the loop that steps down was held up by the store, a leader granted places after its term, beside those of the next one.

The decision now ends the waiting claims once the lease is no longer held, and their instances ask the next leader. The new test got a grant after the term before and passes now, with the race detector too.

--- a/coordinator/places.go
+++ b/coordinator/places.go
@@ -67,6 +67,7 @@
 // end refuses to decide about the waiting claims: their instances ask the next leader.
 func (p *places) end() {
 	for id, ch := range p.waiters {
+		p.ledger.Cancel(id)
 		delete(p.waiters, id)
 		close(ch)
 	}
@@ -102,8 +103,13 @@
 	c.stepPlaces(now)
 }
 
-// stepPlaces decides about the waiting claims. The caller holds mu.
+// stepPlaces decides about the waiting claims, or ends them if the term has ended: the call
+// of stepDown may be delayed by the store. The caller holds mu.
 func (c *Coordinator) stepPlaces(now bootclock.Time) {
+	if !c.lease.Held(now) {
+		c.places.end()
+		return
+	}
 	for _, d := range c.places.ledger.Step(now) {
 		if ch := c.places.waiters[d.ID]; ch != nil {
 			delete(c.places.waiters, d.ID)
--- a/coordinator/places_test.go
+++ b/coordinator/places_test.go
@@ -72,3 +72,27 @@
 		t.Error("the claim of an instance whose link broke is not answered")
 	}
 }
+
+// Guards against places that are given after the term has ended: step may be blocked by the
+// store for longer, and another instance admits requests meanwhile.
+func TestNoPlacesAreGrantedAfterTheTerm(t *testing.T) {
+	c := newPlacesCoordinator(t, 300*time.Millisecond)
+	answer := ask(t, c, "a2")
+	held := func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.lease.Held(bootclock.Now())
+	}
+	for held() {
+		time.Sleep(time.Millisecond)
+	}
+	c.recordDemand("other", nil, nil) // the engine has room now
+	select {
+	case err := <-answer:
+		if !errors.Is(err, errNotLeading) {
+			t.Errorf("got %v after the term, want %v", err, errNotLeading)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the claim is not answered after the term")
+	}
+}
