Don't refuse for the gap of an old stall when slots are free

The expected wait was at least the mean gap between two grants, which only grants to waiting claims update. After an engine had stood still under callers with long patience, requests with less patience were refused at once whenever they came within a prompt's reading time of another one, and as none of them waited, the gap stayed.

Where slots are free for a claim and all before it, only the reading of the prompts counts now. The new test (stalls of 8 s, then a request with 1 s beside another one at an engine with two free slots) got a refusal with Retry-After 4 s before and gets a grant now.

--- a/decision/admission/admission.go
+++ b/decision/admission/admission.go
@@ -210,13 +210,19 @@
 	return time.Duration(float64(prompt) / prefillTokensPerMS / prefillShare * slow * float64(time.Millisecond))
 }
 
-// room reports whether the upstream takes one more request now.
-func (u *upstream) room(now bootclock.Time, c *Claim) bool {
+// free returns how many requests like a claim the upstream can run beside those it has, 0 or
+// less if none.
+func (u *upstream) free(now bootclock.Time, c *Claim) int {
 	limit := min(u.capacity.Slots, maxRunning)
 	if c.Tokens > 0 && u.capacity.KVTokens > 0 {
 		limit = min(limit, max(int(memoryShare*float64(u.capacity.KVTokens)/float64(c.Tokens)), 1))
 	}
-	return u.occupied(now) < limit && u.readUntil.Sub(now) <= prefillAhead
+	return limit - u.occupied(now)
+}
+
+// room reports whether the upstream takes one more request now.
+func (u *upstream) room(now bootclock.Time, c *Claim) bool {
+	return u.free(now, c) > 0 && u.readUntil.Sub(now) <= prefillAhead
 }
 
 // grant records a request that is sent to the upstream.
@@ -289,12 +295,17 @@
 	return n
 }
 
-// expectedWait estimates when a claim with the given number before it has its turn.
+// expectedWait estimates when a claim with the given number before it has its turn. Where
+// slots are free for all of them, only the prompts take time: the mean gap may be that of a
+// stall long ago.
 func (l *Ledger) expectedWait(now bootclock.Time, w *waiting, ahead int) time.Duration {
 	perSecond := 0.0
 	for _, id := range w.Upstreams {
 		if u := l.upstreams[id]; u != nil {
-			gap := max(u.gap, u.readTime(now, w.Prompt), time.Millisecond)
+			gap := max(u.readTime(now, w.Prompt), time.Millisecond)
+			if u.free(now, &w.Claim) <= ahead {
+				gap = max(gap, u.gap)
+			}
 			perSecond += float64(time.Second) / float64(gap)
 		}
 	}
--- a/decision/admission/admission_test.go
+++ b/decision/admission/admission_test.go
@@ -327,3 +327,30 @@
 		}
 	})
 }
+
+// Guards against refusals long after an engine stood still: the time between its grants then
+// says nothing of the next one once it has free slots.
+func TestStallIsForgottenOnceSlotsAreFree(t *testing.T) {
+	l, now := newTestLedger(2, "e"), start
+	for range 8 { // the engine stands still for 8 s between two requests
+		l.RecordReport(now, "b", map[string]int{"e": 2})
+		if _, _, decided := l.Ask(now, claim(now, 0, 10*time.Second, 10*time.Second, "e")); decided {
+			t.Fatal("decided without room")
+		}
+		now = now.Add(8 * time.Second)
+		l.RecordReport(now, "b", nil)
+		if got := l.Step(now); len(got) != 1 || got[0].Upstream != "e" {
+			t.Fatalf("decided %v, want a grant", got)
+		}
+	}
+	now = now.Add(10 * time.Second)
+	if _, d, _ := l.Ask(now, claim(now, 0, time.Second, time.Second, "e")); d.Upstream != "e" {
+		t.Fatalf("got %v from an idle engine, want a grant", d)
+	}
+	if _, d, decided := l.Ask(now, claim(now, 0, time.Second, time.Second, "e")); decided {
+		t.Fatalf("got %v, want a wait: the engine has a free slot and has read the first prompt in 62 ms", d)
+	}
+	if got := l.Step(now.Add(100 * ms)); len(got) != 1 || got[0].Upstream != "e" {
+		t.Errorf("decided %v, want a grant", got)
+	}
+}
