Let the soak report usage to an API that is slow or away

From seed 7000 on the stand-in of the platform's API runs beside the store, the leader reports windows of 1 s, and the API's answers are late or lost, or it hangs, refuses or closes connections at random times. After all faults a window that began after them has to be accepted, no violation may be recorded, and no scaling call may come.

Requests are not delayed before they take effect: the gate would let them take effect after their caller had cancelled them.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -75,6 +75,14 @@
 	seedWithVersions      = 6001
 )
 
+// firstSeedWithDuties is the first seed with which the leader also reports usage to the
+// platform's API, which is slow or away at times. seedWithDuties is one of them that is part
+// of each test.
+const (
+	firstSeedWithDuties = 7000
+	seedWithDuties      = 7001
+)
+
 const (
 	// crashPart is the part of prompts that crashes engines, and crashDowntime how long
 	// they are down then.
@@ -98,9 +106,10 @@
 // Guards the guarantees to callers under consecutive and overlapping faults:
 // kills, freezes and restarts of one or all instances, cut, silent and reset connections, a
 // store that fails, loses answers, drops its history or comes back from a copy, upstreams
-// that crash, fail, stall or send endless answers, and prompts that crash them. No process may use more memory than an instance has.
+// that crash, fail, stall or send endless answers, prompts that crash them, and an API of
+// the platform that is slow or away. No process may use more memory than an instance has.
 func TestSoak(t *testing.T) {
-	list := append([]uint64{seedWithLimits, seedWithCrashes, seedWithWords, seedWithVersions}, regressions...)
+	list := append([]uint64{seedWithLimits, seedWithCrashes, seedWithWords, seedWithVersions, seedWithDuties}, regressions...)
 	for i := range *seeds {
 		list = append(list, *first+uint64(i))
 	}
@@ -111,7 +120,7 @@
 
 func run(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
-	s, log, stop := newSystem(t, seed >= firstSeedWithVersions), &outcomeLog{}, make(chan struct{})
+	s, log, stop := newSystem(t, seed >= firstSeedWithVersions, seed >= firstSeedWithDuties), &outcomeLog{}, make(chan struct{})
 	s.faultKinds = 13
 	if seed >= firstSeedWithEndless {
 		s.faultKinds = 14
@@ -141,6 +150,13 @@
 		r := rand.New(rand.NewPCG(seed, uint64(n+1)))
 		group.Go(func() { s.client(n, r, log, stop) })
 	}
+	var disturbing sync.WaitGroup
+	undisturbed := make(chan struct{})
+	if s.duties != nil {
+		// A generator of its own keeps the other faults those of the seed.
+		r := rand.New(rand.NewPCG(seed, clients+1))
+		disturbing.Go(func() { s.disturb(r, undisturbed) })
+	}
 	end := time.Now().Add(time.Duration(*seconds) * time.Second)
 	var revoked time.Time
 	for time.Now().Before(end) {
@@ -150,12 +166,20 @@
 		s.injectFault(random)
 		s.wait(time.Duration(random.IntN(400)) * time.Millisecond)
 	}
+	close(undisturbed)
+	disturbing.Wait()
 	s.restore()
 	s.awaitRecovery()
+	if s.duties != nil {
+		s.awaitUsage()
+	}
 	s.checkMemory()
 	close(stop)
 	group.Wait()
 	s.check(log.all(), revoked)
+	if s.duties != nil {
+		s.checkDuties()
+	}
 }
 
 // revoke withdraws a workspace's key and returns the time at which the store had
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -46,10 +46,11 @@
 // system is the stand-in of the platform with its upstreams, and the instances,
 // which run as processes.
 type system struct {
-	faultKinds int    // number of kinds of faults that are drawn
-	crashPart  string // part of prompts that crashes engines, empty for none
-	crashPath  string // path of a request that crashes upstreams, empty for none
-	versions   bool   // engines have two software versions
+	faultKinds int     // number of kinds of faults that are drawn
+	crashPart  string  // part of prompts that crashes engines, empty for none
+	crashPath  string  // path of a request that crashes upstreams, empty for none
+	versions   bool    // engines have two software versions
+	duties     *duties // nil without calls to the platform's API
 	t          *testing.T
 	store      *userplatform.Store
 	members    []*member
@@ -63,7 +64,7 @@
 	started   int // engines and plain upstreams that have been started
 }
 
-func newSystem(t *testing.T, versions bool) *system {
+func newSystem(t *testing.T, versions, withDuties bool) *system {
 	t.Helper()
 	s := &system{t: t, versions: versions, store: userplatform.NewStore(), retired: map[string]bool{}}
 	server := httptest.NewServer(s.store.Gate())
@@ -71,6 +72,9 @@
 	if err := userplatform.Sample().Write(s.store); err != nil {
 		t.Fatal(err)
 	}
+	if withDuties {
+		s.startDuties()
+	}
 	for range engines {
 		s.addEngine()
 	}
@@ -176,6 +180,9 @@
 	}
 	settings.MemoryMB, settings.CPUShare = 284, 0.4
 	settings.Bounds.LeaseMS, settings.Bounds.RevokeMS, settings.Bounds.GraceS = leaseMS, revokeMS, graceS
+	if s.duties != nil {
+		s.duties.configure(&settings)
+	}
 	m.callers, m.ready = settings.CallerListen, settings.ReadyListen
 	data, err := json.Marshal(settings)
 	if err != nil {
