--- a/coordinator/places.go
+++ b/coordinator/places.go
@@ -67,11 +67,23 @@
 // end refuses to decide about the waiting claims: their instances ask the next leader.
 func (p *places) end() {
 	for id, ch := range p.waiters {
+		p.ledger.Cancel(id)
 		delete(p.waiters, id)
 		close(ch)
 	}
 }
 
+// forget drops what an instance runs, and its waiting claims. They are answered, since an older
+// link may still carry the answers when the newest one has gone down.
+func (p *places) forget(now bootclock.Time, instance string) {
+	for _, id := range p.ledger.Forget(now, instance) {
+		if ch := p.waiters[id]; ch != nil {
+			delete(p.waiters, id)
+			close(ch)
+		}
+	}
+}
+
 // recordOccupancy records what an instance runs at each upstream and how long work takes
 // there. The caller holds mu.
 func (c *Coordinator) recordOccupancy(now bootclock.Time, from string, demands []residency.ModelDemand, paces map[string]float64) {
@@ -91,8 +103,13 @@
 	c.stepPlaces(now)
 }
 
-// stepPlaces decides about the waiting claims. The caller holds mu.
+// stepPlaces decides about the waiting claims, or ends them if the term has ended: the call
+// of stepDown may be delayed by the store. The caller holds mu.
 func (c *Coordinator) stepPlaces(now bootclock.Time) {
+	if !c.lease.Held(now) {
+		c.places.end()
+		return
+	}
 	for _, d := range c.places.ledger.Step(now) {
 		if ch := c.places.waiters[d.ID]; ch != nil {
 			delete(c.places.waiters, d.ID)
