Let the emulator report usage

Cause: the emulator played the scaling duty, but no usage reports. Change: usage_window in a scenario; the report compares the accepted windows with what the upstreams ran. Measured: the package's tests pass with the race detector; the new one got accepted windows and no violation.

--- a/tools/emulator/command.go
+++ b/tools/emulator/command.go
@@ -118,6 +118,6 @@
 	p := NewPlan(s, seed)
 	results := w.Play(ctx, p, progress)
 	report := NewReport(s, p, results, w.engineWork(), w.store.Calls())
-	report.Scaling = w.scalingReport()
+	report.Scaling, report.Usage = w.scalingReport(), w.usageReport()
 	return report, report.Write(folder)
 }
--- a/tools/emulator/emulator_test.go
+++ b/tools/emulator/emulator_test.go
@@ -151,3 +151,17 @@
 		t.Errorf("got %+v, want calls and more billed time than that of one upstream", r)
 	}
 }
+
+// Guards against a scenario whose instances report no usage, or report what did not run.
+func TestScenarioReportsUsage(t *testing.T) {
+	s := readScenario(t, "growth.json")
+	s.Duration, s.UsageWindow, s.Bursts, s.Faults = duration.Duration(6*time.Second), duration.Duration(time.Second), nil, nil
+	s.Services[0].Scale = nil
+	report, err := run(t.Context(), s, 7, t.TempDir(), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := report.Usage; r == nil || r.Windows == 0 || r.Reported == 0 || r.Reported > r.Ran || len(r.Violations) > 0 {
+		t.Errorf("got %+v, want accepted windows with no more than what ran", r)
+	}
+}
--- a/tools/emulator/report.go
+++ b/tools/emulator/report.go
@@ -29,6 +29,7 @@
 	Codes      map[string]int  `json:"codes"` // refusals and failures by error code
 	Engines    EngineReport    `json:"engines"`
 	Scaling    *ScalingReport  `json:"scaling,omitempty"` // nil unless upstreams may be ordered
+	Usage      *UsageReport    `json:"usage,omitempty"`   // nil unless usage is reported
 	StoreCalls map[string]int  `json:"store_calls"`
 	Seconds    []SecondsReport `json:"seconds"`
 }
@@ -74,6 +75,17 @@
 	PromptsKept   int64 `json:"prompt_tokens_kept"`
 }
 
+// UsageReport holds the usage reports that the platform's API has accepted, and the
+// requests that upstreams have run.
+type UsageReport struct {
+	Windows  int   `json:"windows"`
+	Reported int64 `json:"reported"`
+	Ran      int64 `json:"ran"`
+	// Violations are those of the rules that a window has one report and that one instance
+	// at a time makes calls.
+	Violations []string `json:"violations"`
+}
+
 // ScalingReport holds what was ordered and billed of services that may be scaled.
 type ScalingReport struct {
 	UpstreamSeconds float64 `json:"upstream_seconds"`
@@ -265,6 +277,9 @@
 	for _, path := range slices.Sorted(maps.Keys(r.StoreCalls)) {
 		fmt.Fprintf(&b, " %s %d;", path, r.StoreCalls[path])
 	}
+	if r.Usage != nil {
+		fmt.Fprintf(&b, "\n\nUsage: %d windows accepted with %d of %d requests, %d violations.", r.Usage.Windows, r.Usage.Reported, r.Usage.Ran, len(r.Usage.Violations))
+	}
 	if r.Scaling != nil {
 		fmt.Fprintf(&b, "\n\nScaled upstreams: %.0f s billed, %d calls, %d violations of the rule of one holder.", r.Scaling.UpstreamSeconds, r.Scaling.Calls, len(r.Scaling.Violations))
 	}
--- a/tools/emulator/scenario.go
+++ b/tools/emulator/scenario.go
@@ -24,7 +24,11 @@
 	// Duration is the period in which requests arrive. Required, at most 1 h.
 	Duration duration.Duration `json:"duration"`
 	// Instances is the number of instances of the product. Default 2.
-	Instances  int         `json:"instances"`
+	Instances int `json:"instances"`
+	// UsageWindow is the length of the windows in which the instances report usage to the
+	// platform's API. Default 0: no reports.
+	UsageWindow duration.Duration `json:"usage_window"`
+
 	Services   []Service   `json:"services"`
 	Workspaces []Workspace `json:"workspaces"`
 	Kinds      []Kind      `json:"kinds"`
--- a/tools/emulator/world.go
+++ b/tools/emulator/world.go
@@ -123,6 +123,8 @@
 	}
 	if w.scaling != nil {
 		w.scaling.Close()
+	}
+	if w.apiServer != nil {
 		w.apiServer.Close()
 	}
 	if w.server != nil {
@@ -130,9 +132,16 @@
 	}
 }
 
-// startAPI starts the platform's API, which starts and drains upstreams as ordered.
+// startAPI starts the platform's API, which accepts usage reports, and starts and drains
+// upstreams as ordered, if the scenario has one of these duties.
 func (w *Deployment) startAPI() {
-	if !slices.ContainsFunc(w.scenario.Services, func(s Service) bool { return s.Scale != nil }) {
+	scaled := slices.ContainsFunc(w.scenario.Services, func(s Service) bool { return s.Scale != nil })
+	if !scaled && w.scenario.UsageWindow <= 0 {
+		return
+	}
+	w.api = userplatform.NewAPI(leaseGap)
+	w.apiServer = httptest.NewServer(w.api.Gate())
+	if !scaled {
 		return
 	}
 	w.scaling = &userplatform.Scaling{Store: w.store, DrainTime: drainTime, New: func(service, zone string, n int) *userplatform.Upstream {
@@ -143,9 +152,19 @@
 			w.scaling.BootTime = max(w.scaling.BootTime, s.Scale.Boot.Std())
 		}
 	}
-	w.api = userplatform.NewAPI(leaseGap)
 	w.api.OnScale = w.scaling.Order
-	w.apiServer = httptest.NewServer(w.api.Gate())
+}
+
+// duties returns the duties of the instances.
+func (w *Deployment) duties() []string {
+	var list []string
+	if w.scaling != nil {
+		list = append(list, "autoscaling")
+	}
+	if w.scenario.UsageWindow > 0 {
+		list = append(list, "usage_reporting")
+	}
+	return list
 }
 
 // CallerAddresses returns the caller-facing addresses of the ready instances.
@@ -254,7 +273,9 @@
 		return err
 	}
 	if w.apiServer != nil {
-		settings.Duties = node.Duties{Address: w.apiServer.Listener.Addr().String(), List: []string{"autoscaling"}, CallsPerS: callsPerS}
+		settings.Duties = node.Duties{Address: w.apiServer.Listener.Addr().String(), List: w.duties(), CallsPerS: callsPerS}
+		window := w.scenario.UsageWindow.Std().Seconds()
+		settings.Bounds.UsageWindowS, settings.Bounds.UsageLateS = window, 2*window
 	}
 	i := &instance{name: name, node: node.New(settings, w.log), callerAddress: settings.CallerListen, readyAddress: settings.ReadyListen}
 	if err := i.node.Start(); err != nil {
@@ -341,3 +362,22 @@
 	}
 	return r
 }
+
+// usageReport compares the accepted usage reports with what the upstreams have run, nil if
+// no usage is reported.
+func (w *Deployment) usageReport() *UsageReport {
+	if w.scenario.UsageWindow <= 0 {
+		return nil
+	}
+	r := &UsageReport{Violations: w.api.Violations()}
+	for _, report := range w.api.Usage() {
+		r.Windows++
+		for _, n := range report.Counts {
+			r.Reported += n
+		}
+	}
+	for _, n := range userplatform.CountRuns(w.allUpstreams()...) {
+		r.Ran += n
+	}
+	return r
+}
