Write counts of usage seldom to a slow store

Change: counts are written with pauses of ten times what the store takes for an answer; decisions at once. The new test had 20 writes in 10 s without the guard, want 2 or 3.

--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -252,6 +252,9 @@
 	return false
 }
 
+// latency returns how long the store took for the last answer about the row.
+func (l *Lease) latency() time.Duration { return l.received.Sub(l.sent) }
+
 func (l *Lease) recordClock(sent, received bootclock.Time, clock time.Duration) {
 	if clock > 0 {
 		l.storeClock, l.sent, l.received = clock, sent, received
--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -38,6 +38,10 @@
 	// usageSaveInterval is the shortest time between two writes of counts, for each row that
 	// the state takes.
 	usageSaveInterval = 500 * time.Millisecond
+	// usageSavePause is the pause after a write of counts, times how long the store takes for
+	// a write. The store carries out writes one after another, and a renewal of the lease
+	// that waits behind others is lost where it is slow.
+	usageSavePause = 10
 	// usageSettle is how long after the begin of a term some instances may not be connected
 	// yet, or true time may rest on few clocks.
 	usageSettle = 2 * time.Second
@@ -87,6 +91,7 @@
 	era                                    int64 // of the store when the state was loaded
 	version                                int64 // of the row usageKey
 	nextStep, nextLoad, nextSave, nextSend bootclock.Time
+	lastSave                               bootclock.Time
 	attempts                               int // to send the next report, in this term
 	refusals                               int // of it as invalid, in a row
 }
@@ -232,7 +237,7 @@
 		if settled {
 			decisions = u.ledger.Decide(at, at-now.Sub(c.leadingSince))
 		}
-		if len(decisions) > 0 || u.ledger.Changed() && !now.Before(u.nextSave) {
+		if len(decisions) > 0 || u.ledger.Changed() && u.mayWriteCounts(now, c.lease.latency()) {
 			c.saveUsage(now, decisions, token)
 		}
 	}
@@ -303,19 +308,26 @@
 	c.config.Log.WithFields(log.Fields{"decided": u.ledger.DecidedUpTo(), "bytes": len(value), "token": token}).Info("usage read from the store")
 }
 
+// mayWriteCounts reports whether counts may be written while the store takes as long as given
+// for an answer. Decisions are written at once.
+func (u *usageState) mayWriteCounts(now bootclock.Time, latency time.Duration) bool {
+	return !now.Before(u.nextSave) && now.Sub(u.lastSave) >= usageSavePause*latency
+}
+
 // saveUsage writes the state with decisions, which are in force once they are written. The
 // caller holds mu.
 func (c *Coordinator) saveUsage(now bootclock.Time, decisions []usage.Decision, token uint64) {
 	u := &c.usage
 	changes := splitUsage(u.ledger.Encode(u.era, decisions), u.version)
 	u.saving = true
-	u.nextSave = now.Add(time.Duration(len(changes)) * usageSaveInterval)
+	u.lastSave, u.nextSave = now, now.Add(time.Duration(len(changes))*usageSaveInterval)
 	go c.writeUsage(changes, decisions, u.era, token)
 }
 
 func (c *Coordinator) writeUsage(changes []ports.Change, decisions []usage.Decision, era int64, token uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
+	sent := bootclock.Now()
 	page, err := c.config.Store.Commit(ctx, changes...)
 	now := bootclock.Now()
 	c.mu.Lock()
@@ -325,6 +337,7 @@
 	}
 	u := &c.usage
 	u.saving = false
+	u.nextSave = max(u.nextSave, now.Add(usageSavePause*now.Sub(sent)))
 	if err == nil && page.Era != era {
 		err = ports.ErrHistoryGone // the version has been given out again
 	}
--- a/coordinator/usage_test.go
+++ b/coordinator/usage_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/base64"
 	"testing"
+	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/decision/usage"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/bootclock"
@@ -69,3 +70,25 @@
 		t.Errorf("a report without usage has %d bytes, one with it %d", len(without), len(with))
 	}
 }
+
+// Load: a store that takes 50 times as long as usual. Guards against writes of counts that
+// hold up the renewals of the lease until it is lost.
+func TestCountsAreWrittenSeldomToASlowStore(t *testing.T) {
+	writes := func(latency time.Duration) (n int) {
+		var u usageState
+		start := bootclock.Time(time.Hour)
+		for now := start; now.Sub(start) < 10*time.Second; now = now.Add(usageStepInterval) {
+			if u.mayWriteCounts(now, latency) {
+				n++
+				u.lastSave, u.nextSave = now, now.Add(usageSaveInterval)
+			}
+		}
+		return n
+	}
+	if n := writes(9 * time.Millisecond); n < 15 {
+		t.Errorf("%d writes in 10 s to a store that answers in 9 ms, want two a second", n)
+	}
+	if n := writes(450 * time.Millisecond); n < 2 || n > 3 {
+		t.Errorf("%d writes in 10 s to a store that answers in 450 ms, which take a tenth of its time at most", n)
+	}
+}
