Accept settings without duties whose calls a second are 0

Cause: calls_per_s was checked although no duty was enabled. Change: the check applies to an API that is named.

--- a/node/settings.go
+++ b/node/settings.go
@@ -188,9 +188,9 @@
 		if _, err := netip.ParseAddrPort(s.Duties.Address); err != nil {
 			c.Fail("duties.address", "must be an IP address with a port, not %q", s.Duties.Address)
 		}
-	}
-	if !(s.Duties.CallsPerS > 0) {
-		c.Fail("duties.calls_per_s", "must be above 0")
+		if !(s.Duties.CallsPerS > 0) {
+			c.Fail("duties.calls_per_s", "must be above 0")
+		}
 	}
 	if s.MaxConnections < 0 {
 		c.Fail("max_connections", "must not be negative")
