--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -29,6 +29,18 @@
 	return response, err
 }
 
+// waitForLeader waits until something has changed, at most tick: a link to the leader that
+// is up again is no change.
+func waitForLeader(ctx context.Context, changed <-chan struct{}) {
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
 // handleCall returns the handler of a call that f answers.
 func handleCall[Q, A any](f func(context.Context, Q) (A, error)) peer.Handler {
 	return func(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
@@ -85,12 +97,6 @@
 		case ctx.Err() != nil || !bootclock.Now().Before(giveUpAt):
 			return verdict.New(verdict.NotReady, "the limit of workspace %s can't be checked", w.Name).WithRetryAfter(noLeaderRetry).WithCause(err)
 		}
-		timer := time.NewTimer(tick)
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		case <-timer.C:
-		}
-		timer.Stop()
+		waitForLeader(ctx, changed)
 	}
 }
--- a/coordinator/places.go
+++ b/coordinator/places.go
@@ -205,13 +205,7 @@
 		if err == nil || ctx.Err() != nil || !bootclock.Now().Before(giveUpAt) {
 			return response.Upstream, response.RetryAfter, err
 		}
-		timer := time.NewTimer(tick)
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		case <-timer.C:
-		}
-		timer.Stop()
+		waitForLeader(ctx, changed)
 	}
 }
 
--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/apex/log"
@@ -374,46 +373,6 @@
 	c.config.Metrics.GetOrCreateCounter(`hibiscusyard_usage_reports_total{outcome="skipped"}`).Add(int(last - first + 1))
 }
 
-// splitUsage returns the rows of the state. The one with the condition comes last, so that
-// the version of the transaction is its version.
-func splitUsage(value []byte, version int64) []ports.Change {
-	var changes []ports.Change
-	first := value[:min(len(value), maxUsageRow)]
-	for rest, i := value[len(first):], 1; len(rest) > 0; i++ {
-		part := rest[:min(len(rest), maxUsageRow)]
-		rest = rest[len(part):]
-		changes = append(changes, ports.Change{Table: UsageTable, Key: partKey(i), Value: part, Unconditional: true})
-	}
-	head := append([]byte{byte(len(changes))}, first...)
-	return append(changes, ports.Change{Table: UsageTable, Key: usageKey, Value: head, ExpectedVersion: version})
-}
-
-func partKey(i int) string { return fmt.Sprintf("part/%03d", i) }
-
-// joinUsage returns the state in the rows, nil if there is none, and the version of the
-// row usageKey.
-func joinUsage(rows []ports.VersionedRow) (value []byte, version int64) {
-	parts := map[string][]byte{}
-	for _, r := range rows {
-		if r.Table != UsageTable || r.Deleted {
-			continue
-		}
-		parts[r.Key] = r.Value
-		if r.Key == usageKey {
-			version = r.Version
-		}
-	}
-	head := parts[usageKey]
-	if len(head) == 0 {
-		return nil, version
-	}
-	value = append(value, head[1:]...)
-	for i := 1; i <= int(head[0]); i++ {
-		value = append(value, parts[partKey(i)]...)
-	}
-	return value, version
-}
-
 // sendUsage sends one report and records the result.
 func (c *Coordinator) sendUsage(ctx context.Context, report usage.Decided, token uint64) {
 	result, err := c.sendDuty(ctx, token, DutyUsage, func(ctx context.Context) (ports.DutyResult, error) {
