Add review case 8: an answer without length that a crash cuts looks complete

The end of the connection is taken for the end of a body without length and chunks, also if the worker has crashed. Change: review/8 and the workers of the harness, which run as processes.

--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -30,6 +30,10 @@
 var cases = map[string]func(*run) error{}
 
 func main() {
+	if len(os.Args) == 3 && os.Args[1] == "worker" {
+		fmt.Fprintln(os.Stderr, serveEngine(os.Args[2]))
+		os.Exit(2)
+	}
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE DAEMON RECORD")
 		os.Exit(2)
@@ -62,6 +66,7 @@
 	server    *http.Server
 	storeAt   string
 	upstreams []*userplatform.Upstream
+	workers   []*worker
 }
 
 // instance is one process of the product.
@@ -121,6 +126,10 @@
 	for _, u := range r.upstreams {
 		u.Close()
 	}
+	for _, w := range r.workers {
+		w.command.Process.Kill() //nolint:errcheck // it may have ended.
+		w.command.Wait()         //nolint:errcheck // it was killed.
+	}
 	if r.server != nil {
 		r.server.Close()
 	}
