--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -49,6 +49,19 @@
 	models   map[string]bool
 	sequence int
 	running  int
+	orders   []order
+}
+
+// order is an order that a worker has received.
+type order struct {
+	At        time.Time `json:"at"`
+	Operation string    `json:"operation"`
+	Model     string    `json:"model"`
+	Adapter   string    `json:"adapter"`
+	Expected  *int      `json:"expected"`
+	Holder    string    `json:"holder"`
+	Token     uint64    `json:"fencingToken"`
+	Status    int       `json:"status"`
 }
 
 // serveEngine runs the worker with the ID until the process ends. It writes its address to
@@ -76,6 +89,8 @@
 		e.report(w)
 	case "/order":
 		e.order(w, r)
+	case "/orders":
+		e.listOrders(w)
 	case "/signup/1":
 		e.plain(w, r)
 	default:
@@ -99,30 +114,36 @@
 
 // order carries an order for a model out at once.
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
-	var order struct {
-		Operation, Model, Adapter string
-		Expected                  *int
-	}
-	if json.NewDecoder(r.Body).Decode(&order) != nil || order.Adapter != "" {
+	o := order{At: time.Now()}
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Adapter != "" {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	switch load := order.Operation == "load"; {
-	case order.Expected != nil && *order.Expected != e.sequence:
-		w.WriteHeader(http.StatusConflict)
-	case load == e.models[order.Model]:
-		w.WriteHeader(http.StatusOK)
+	switch load := o.Operation == "load"; {
+	case o.Expected != nil && *o.Expected != e.sequence:
+		o.Status = http.StatusConflict
+	case load == e.models[o.Model]:
+		o.Status = http.StatusOK
 	default:
+		o.Status = http.StatusAccepted
 		e.sequence++
 		if load {
-			e.models[order.Model] = true
+			e.models[o.Model] = true
 		} else {
-			delete(e.models, order.Model)
+			delete(e.models, o.Model)
 		}
-		w.WriteHeader(http.StatusAccepted)
 	}
+	e.orders = append(e.orders, o)
+	w.WriteHeader(o.Status)
+}
+
+// listOrders answers the run's question for the orders so far.
+func (e *engine) listOrders(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	json.NewEncoder(w).Encode(e.orders) //nolint:errcheck // the caller may have left.
 }
 
 // count counts a request that runs, until done is called.
@@ -261,15 +282,28 @@
 
 // running returns the number of requests that the worker runs.
 func (w *worker) running() int {
+	var report struct{ Running int }
+	w.ask("/report", &report)
+	return report.Running
+}
+
+// orders returns the orders that the worker has received.
+func (w *worker) orders() []order {
+	var list []order
+	w.ask("/orders", &list)
+	return list
+}
+
+// ask decodes the answer of the worker to a question of the run.
+func (w *worker) ask(path string, answer any) {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + w.address + "/report")
+	response, err := client.Get("http://" + w.address + path)
 	if err != nil {
-		return 0
+		w.run.notef("%s of %s: %v", path, w.id, err)
+		return
 	}
 	defer response.Body.Close()
-	var report struct{ Running int }
-	json.NewDecoder(response.Body).Decode(&report) //nolint:errcheck // 0 then.
-	return report.Running
+	json.NewDecoder(response.Body).Decode(answer) //nolint:errcheck // it stays empty then.
 }
 
 // crash ends the process of the worker.
