--- a/review/harness-2/holder.go
+++ b/review/harness-2/holder.go
@@ -40,7 +40,8 @@
 		return err
 	}
 	before, stop := context.WithTimeout(context.Background(), demandTime)
-	r.askForModels(before, leader, w)
+	models := modelNames(desired)
+	r.askForModels(before, leader, models...)
 	stop()
 	list := w.orders()
 	if len(list) == 0 {
@@ -62,14 +63,13 @@
 		r.notef("%s at %s comes in its place", name, next.settings.PeerListen)
 	}
 	after, stop := context.WithTimeout(context.Background(), demandTime)
-	r.askForModels(after, next, w)
+	r.askForModels(after, next, models...)
 	stop()
 	return r.judgeTurns(w.orders(), removed)
 }
 
-// askForModels asks for the models in turn until ctx ends. The worker holds two of three.
-func (r *run) askForModels(ctx context.Context, i *instance, w *worker) {
-	models := desiredModels()
+// askForModels asks for the models in turn until ctx ends.
+func (r *run) askForModels(ctx context.Context, i *instance, models ...string) {
 	for n := 0; ctx.Err() == nil; n++ {
 		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.settings.CallerListen+"/drafts/1", strings.NewReader("draft"))
 		if err != nil {
@@ -96,9 +96,10 @@
 	}
 }
 
-func desiredModels() []string {
+// modelNames returns the names of the models in a desired state.
+func modelNames(d userplatform.Desired) []string {
 	var names []string
-	for _, m := range userplatform.Sample().Services[0].Engine.Models {
+	for _, m := range d.Services[0].Engine.Models {
 		names = append(names, m.Name)
 	}
 	return names
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -127,8 +127,7 @@
 		u.Close()
 	}
 	for _, w := range r.workers {
-		w.command.Process.Kill() //nolint:errcheck // it may have ended.
-		w.command.Wait()         //nolint:errcheck // it was killed.
+		w.kill()
 	}
 	if r.server != nil {
 		r.server.Close()
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -27,6 +27,18 @@
 	lapse     = 3 * heartbeat
 )
 
+const (
+	// weightsMB is what a model worker holds, and modelMB the size of each model, as in
+	// userplatform.Sample.
+	weightsMB = 210
+	modelMB   = 100
+	// overcommitted is the exit code of a worker that crashes because it was ordered to load
+	// more than it holds.
+	overcommitted = 3
+	// loadTime is loadS of each model.
+	loadTime = 200 * time.Millisecond
+)
+
 // workerModel is a model in a report or an entry of a worker.
 type workerModel struct {
 	Name     string   `json:"name"`
@@ -47,6 +59,7 @@
 
 	mu       sync.Mutex
 	models   map[string]bool
+	loading  string // empty unless a load is under way
 	sequence int
 	running  int
 	orders   []order
@@ -107,12 +120,12 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(map[string]any{ //nolint:errcheck // the caller may have left.
-		"stage": "both", "models": list, "busy": false, "sequence": e.sequence, "waiting": 0, "running": e.running,
+		"stage": "both", "models": list, "busy": e.loading != "", "sequence": e.sequence, "waiting": 0, "running": e.running,
 		"kvCacheUsed": 0, "kvCacheTotal": 100000, "handles": 0,
 	})
 }
 
-// order carries an order for a model out at once.
+// order carries an order for a model out: an unload at once, a load in loadTime.
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
 	o := order{At: time.Now()}
 	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Adapter != "" {
@@ -122,15 +135,19 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch load := o.Operation == "load"; {
-	case o.Expected != nil && *o.Expected != e.sequence:
+	case o.Expected != nil && *o.Expected != e.sequence || e.loading != "":
 		o.Status = http.StatusConflict
 	case load == e.models[o.Model]:
 		o.Status = http.StatusOK
+	case load && float64(len(e.models)+1)*modelMB > weightsMB:
+		fmt.Fprintf(os.Stderr, "%s is ordered to load %s beside %v\n", e.id, o.Model, e.models)
+		os.Exit(overcommitted)
 	default:
 		o.Status = http.StatusAccepted
 		e.sequence++
 		if load {
-			e.models[o.Model] = true
+			e.loading = o.Model
+			time.AfterFunc(loadTime, e.finishLoad)
 		} else {
 			delete(e.models, o.Model)
 		}
@@ -139,6 +156,12 @@
 	w.WriteHeader(o.Status)
 }
 
+func (e *engine) finishLoad() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.models[e.loading], e.loading = true, ""
+}
+
 // listOrders answers the run's question for the orders so far.
 func (e *engine) listOrders(w http.ResponseWriter) {
 	e.mu.Lock()
@@ -219,8 +242,7 @@
 	address string
 	command *exec.Cmd
 	born    int64
-	stop    chan struct{}
-	stopped sync.WaitGroup
+	ended   chan struct{}
 }
 
 // startWorker starts a worker of a service and keeps its entry in the store.
@@ -229,7 +251,8 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{run: r, id: id, service: service, command: exec.Command(own, "worker", id), born: time.Now().UnixMilli(), stop: make(chan struct{})}
+	w := &worker{run: r, id: id, service: service, command: exec.Command(own, "worker", id), born: time.Now().UnixMilli(), ended: make(chan struct{})}
+	w.command.Stderr = noteWriter{r}
 	out, err := w.command.StdoutPipe()
 	if err != nil {
 		return nil, err
@@ -246,10 +269,24 @@
 	w.address = strings.TrimSpace(string(line[:n]))
 	r.notef("worker %s started at %s, process %d", id, w.address, w.command.Process.Pid)
 	w.write(1)
-	w.stopped.Go(w.beat)
+	go func() {
+		w.command.Wait() //nolint:errcheck // its state is read afterwards.
+		r.notef("worker %s has ended: %v", id, w.command.ProcessState)
+		close(w.ended)
+	}()
+	go w.beat()
 	return w, nil
 }
 
+// noteWriter writes what a worker says to the record.
+type noteWriter struct{ run *run }
+
+// Write implements io.Writer.
+func (n noteWriter) Write(text []byte) (int, error) {
+	n.run.notef("%s", strings.TrimSpace(string(text)))
+	return len(text), nil
+}
+
 // write writes the entry of the worker.
 func (w *worker) write(sequence int) {
 	entry := map[string]any{
@@ -257,7 +294,11 @@
 		"coldRemainingMs": 0, "sequence": sequence, "born": w.born,
 	}
 	if w.service == "engine" {
-		entry["models"] = []workerModel{{Name: "notices", Version: 1, Adapters: []string{}}}
+		var report struct{ Models []workerModel }
+		if w.ask("/report", &report) != nil {
+			return
+		}
+		entry["models"] = report.Models
 	}
 	w.run.store.Put("servers", w.id, entry) //nolint:errcheck // the value is encodable.
 }
@@ -269,7 +310,7 @@
 	defer ticker.Stop()
 	for sequence := 2; ; sequence++ {
 		select {
-		case <-w.stop:
+		case <-w.ended:
 			time.Sleep(lapse)
 			w.run.store.Delete("servers", w.id)
 			w.run.notef("entry of worker %s removed", w.id)
@@ -283,33 +324,46 @@
 // running returns the number of requests that the worker runs.
 func (w *worker) running() int {
 	var report struct{ Running int }
-	w.ask("/report", &report)
+	w.ask("/report", &report) //nolint:errcheck // 0 then.
 	return report.Running
 }
 
 // orders returns the orders that the worker has received.
 func (w *worker) orders() []order {
 	var list []order
-	w.ask("/orders", &list)
+	w.ask("/orders", &list) //nolint:errcheck // empty then.
 	return list
 }
 
 // ask decodes the answer of the worker to a question of the run.
-func (w *worker) ask(path string, answer any) {
+func (w *worker) ask(path string, answer any) error {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + w.address + path)
 	if err != nil {
-		w.run.notef("%s of %s: %v", path, w.id, err)
-		return
+		return err
 	}
 	defer response.Body.Close()
-	json.NewDecoder(response.Body).Decode(answer) //nolint:errcheck // it stays empty then.
+	return json.NewDecoder(response.Body).Decode(answer)
 }
 
 // crash ends the process of the worker.
 func (w *worker) crash() {
 	w.run.notef("worker %s crashes", w.id)
-	w.command.Process.Signal(syscall.SIGKILL) //nolint:errcheck // it has not been waited for.
-	w.command.Wait()                          //nolint:errcheck // it was killed.
-	close(w.stop)
+	w.kill()
+}
+
+// kill ends the process of the worker and waits until it is gone.
+func (w *worker) kill() {
+	w.command.Process.Signal(syscall.SIGKILL) //nolint:errcheck // it may have ended.
+	<-w.ended
+}
+
+// exitCode returns the exit code of the worker, -1 while it runs or if it was killed.
+func (w *worker) exitCode() int {
+	select {
+	case <-w.ended:
+		return w.command.ProcessState.ExitCode()
+	default:
+		return -1
+	}
 }
