--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -222,13 +222,16 @@
 		return
 	}
 	defer conn.Close()
-	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signature-of-%s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n",
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signature-of-%s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n",
 		userplatform.HeaderID, r.Header.Get(userplatform.HeaderID), userplatform.HeaderSignature, e.id)
+	if _, err := io.WriteString(conn, head); err != nil {
+		return
+	}
 	for n, piece := range plainPieces {
 		if n > 0 {
 			time.Sleep(plainPause)
 		}
-		if _, err = io.WriteString(conn, piece); err != nil {
+		if _, err := io.WriteString(conn, piece); err != nil {
 			return
 		}
 	}
