Put connections and heads into the account of memory

What callers saw: with clients that send legal heads of many short fields, parts of a prompt or options, and keep the request open, the process was killed for its memory, and everybody's requests with it.

Cause: net/http parses a head before any filter runs, and what it becomes (a map entry, a slice and strings a field) is several times its bytes. The account counted bodies and buffered responses; a connection was taken for 40 KiB whatever its head.

Change: the listener counts each head as its bytes arrive, before net/http parses them, by bytes, fields and elements of lists. Heads have a fifth of the part of memory for connections; for a head without room connections with larger ones are closed, else its own. When the request is admitted, its head moves to the account of its group, where it may be refused with 503 memory_full. A head that net/http has in its buffer behind another request is assumed to be the densest. The decisions are in decision/memory, the listener in plumbing/request, so that the product's own surface can use it too. A connection is taken for 28 KiB without its head.

Why it works: nothing of a head is kept without room, and a large head gives way to a smaller one, so that ordinary heads always find room. The only head is admitted at any cost; TestExpensiveHeadIsServedInCalm shows that.

--- a/node/node.go
+++ b/node/node.go
@@ -82,6 +82,7 @@
 	hub      *peer.Hub
 	handler  *gateway.Handler
 	route    *gateway.Route
+	memory   *request.Memory
 	draining atomic.Bool
 
 	callers net.Listener
@@ -180,17 +181,16 @@
 	filters := chain.New[*gateway.Request](
 		gateway.Identify{State: n.state, StaleAfter: stale},
 		gateway.ReadBody{},
-		markReceived{},
 		n.route,
 	)
-	memory := request.NewMemory(int64(bodyShare*n.settings.MemoryMB*(1<<20)), n.metrics)
-	return gateway.NewHandler(dialect, filters, memory, n.log, n.metrics)
+	n.memory = request.NewMemory(int64(bodyShare*float64(n.settings.memoryBytes())), n.metrics)
+	return gateway.NewHandler(dialect, filters, n.memory, n.log, n.metrics)
 }
 
 // Start binds the listeners and starts all background work. Callers are accepted
 // once the first desired state has been read.
 func (n *Node) Start() error {
-	debug.SetMemoryLimit(int64(memoryShare * n.settings.MemoryMB * (1 << 20)))
+	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.memoryBytes())))
 	peers, err := n.listen()
 	if err != nil {
 		return err
@@ -288,11 +288,15 @@
 	limits := n.state.View().Config.Limits
 	server := &http.Server{
 		Handler: n.handler, MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout: limits.IdleTimeout, ConnState: trackState, ConnContext: withConn, DisableGeneralOptionsHandler: true,
+		IdleTimeout: limits.IdleTimeout, DisableGeneralOptionsHandler: true,
 	}
 	n.addServer(server)
-	idleTimeout := func() time.Duration { return n.state.View().Config.Limits.IdleTimeout }
-	err := server.Serve(newCallerListener(n.callers, maxConnections(n.settings), idleTimeout, n.log, n.metrics))
+	listener := n.memory.Listen(n.callers, request.ListenerConfig{
+		Machine: n.settings.memoryBytes(), Limit: n.settings.maxConnections(), Log: n.log, Metrics: n.metrics,
+		IdleTimeout: func() time.Duration { return n.state.View().Config.Limits.IdleTimeout },
+	})
+	listener.Attach(server)
+	err := server.Serve(listener)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		n.log.WithError(err).Error("caller listener failed")
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/hibiscusyard/hibiscusyard/plumbing/request"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 )
 
@@ -35,7 +36,7 @@
 	// LinkMbps is the bandwidth of the machine's link in Mbit/s. Required.
 	LinkMbps float64 `json:"link_mbps"`
 	// MaxConnections is the largest number of callers' connections at a time. Default 0: as
-	// many as fit in a quarter of MemoryMB with 40 KiB each, and in half of the descriptors
+	// many as fit in a fifth of MemoryMB with 28 KiB each, and in half of the descriptors
 	// of the process less 64; at least 16.
 	MaxConnections int `json:"max_connections"`
 	// LogLevel is "debug", "info", "warn" or "error". Default "info".
@@ -128,6 +129,17 @@
 	UsageLateS   float64 `json:"usage_late_s"`
 }
 
+// memoryBytes returns the memory that the process may use.
+func (s *Settings) memoryBytes() int64 { return int64(s.MemoryMB * (1 << 20)) }
+
+// maxConnections returns the limit on callers' connections.
+func (s *Settings) maxConnections() int {
+	if s.MaxConnections > 0 {
+		return s.MaxConnections
+	}
+	return request.MaxConnections(s.memoryBytes())
+}
+
 // wallTime returns the wall-clock time since the start of 1970.
 func (s *Settings) wallTime() time.Duration {
 	now := time.Now
--- a/plumbing/request/body.go
+++ b/plumbing/request/body.go
@@ -20,23 +20,26 @@
 	bufferGrowth = 4
 )
 
-// ReadBody reads the whole body into r.Body before the request is sent, so that
-// an upstream never receives a partial request when the caller disconnects. A
-// limit (in bytes) or a timeout of 0 means no bound. The memory for it is taken from
-// Server.Memory as the body arrives.
+// ReadBody admits the request and reads the whole body into r.Body before the request is
+// sent, so that an upstream never receives a partial request when the caller disconnects. A
+// limit (in bytes) or a timeout of 0 means no bound. The memory for the head, and for the
+// body as it arrives, is taken from Server.Memory.
 func (r *Request) ReadBody(limit int64, timeout time.Duration) error {
 	length := r.HTTP.ContentLength
 	if limit > 0 && length > limit {
 		return tooLarge(limit)
 	}
+	if err := r.memory.admit(r); err != nil {
+		return err
+	}
 	if length == 0 {
+		r.memory.complete(r)
 		return nil
 	}
 	body := r.HTTP.Body
 	if limit > 0 && length < 0 {
 		body = http.MaxBytesReader(r.Writer.ResponseWriter, body, limit)
 	}
-	r.memory.begin(r)
 	if timeout > 0 {
 		defer r.limitRead(timeout)()
 	}
@@ -48,7 +51,7 @@
 		data, err = r.readUnknown(body)
 	}
 	if err != nil {
-		r.memory.release(r)
+		r.memory.releaseBody(r)
 		return r.bodyRefusal(err, limit, timeout)
 	}
 	r.memory.complete(r)
--- a/plumbing/request/memory.go
+++ b/plumbing/request/memory.go
@@ -23,17 +23,19 @@
 	memoryRetryAfter = time.Second
 )
 
-// Memory bounds what the requests of an instance keep in memory. It is safe for concurrent
-// use. A nil Memory bounds nothing.
+// Memory bounds what callers make an instance keep in memory: connections, heads, bodies
+// and buffered responses. It is safe for concurrent use. A nil Memory bounds nothing.
 type Memory struct {
 	mu      sync.Mutex
 	budget  *memory.Budget
 	changed chan struct{} // closed when memory is released; nil if nobody waits
+	// connections is the account of callers' connections, nil before Listen.
+	connections *memory.Connections
 
 	waits, refusals, evictions, streamed *metrics.Counter
 }
 
-// NewMemory returns a bound of capacity bytes.
+// NewMemory returns a bound of capacity bytes for requests that have been admitted.
 func NewMemory(capacity int64, set *metrics.Set) *Memory {
 	m := &Memory{
 		budget:    memory.New(memory.Config{Capacity: capacity}),
@@ -68,15 +70,25 @@
 	return host
 }
 
-// begin records that the body of a request begins to arrive.
-func (m *Memory) begin(r *Request) {
+// admit puts the head of a request into the account of its group, out of that of its
+// connection, and records that its body begins to arrive.
+func (m *Memory) admit(r *Request) error {
 	if m == nil {
-		return
+		return nil
 	}
 	r.held.Group, r.held.Owner = r.group(), r
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.budget.Begin(bootclock.Now(), &r.held)
+	m.mu.Unlock()
+	cost := headOf(r.HTTP).Cost()
+	if err := m.grow(r.HTTP.Context(), r, cost, 0); err != nil {
+		return err
+	}
+	r.headCost = cost
+	if c := r.conn(); c != nil {
+		c.releaseHead()
+	}
+	return nil
 }
 
 // grow makes a request hold add bytes more, which it may have to wait for. received is the
@@ -112,7 +124,7 @@
 		case <-changed:
 		case <-timeout:
 			m.refusals.Inc()
-			return verdict.New(verdict.MemoryFull, "this instance has no room for the body now").WithRetryAfter(memoryRetryAfter)
+			return verdict.New(verdict.MemoryFull, "this instance has no room for the request now").WithRetryAfter(memoryRetryAfter)
 		case <-ctx.Done():
 			return verdict.New(verdict.CallerGone, "the caller closed the connection")
 		}
@@ -132,12 +144,26 @@
 
 // complete records that the body of a request has arrived.
 func (m *Memory) complete(r *Request) {
+	if m != nil {
+		m.mu.Lock()
+		m.budget.Complete(&r.held)
+		m.mu.Unlock()
+	}
+	if c := r.conn(); c != nil {
+		c.setPhase(memory.Received)
+	}
+}
+
+// releaseBody takes everything but its head from a request.
+func (m *Memory) releaseBody(r *Request) {
 	if m == nil {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.budget.Complete(&r.held)
+	m.budget.Shrink(&r.held, r.held.Size()-r.headCost)
+	m.notify()
 }
 
 // release takes everything from a request.
--- a/plumbing/request/request.go
+++ b/plumbing/request/request.go
@@ -72,7 +72,8 @@
 
 	memory   *Memory
 	held     memory.Holder
-	bodyRead bool // the body has been read completely
+	headCost int64 // part of held
+	bodyRead bool  // the body has been read completely
 }
 
 // fingerprintBytes is the length of a fingerprint, long enough that no two requests share
--- a/plumbing/request/server.go
+++ b/plumbing/request/server.go
@@ -99,7 +99,7 @@
 
 // refuse writes a refusal. The time for that and for what is unread of the body is bounded.
 func (s *Server[R]) refuse(r *Request, refusal *verdict.Refusal) {
-	s.Memory.release(r)
+	s.Memory.releaseBody(r)
 	r.Body = nil
 	unread := r.limitUnread()
 	r.Writer.LimitWrite(refusalTimeout) //nolint:errcheck // a broken connection fails at the write.
--- a/test/flood/heads_test.go
+++ b/test/flood/heads_test.go
@@ -1,11 +1,14 @@
 package flood
 
 import (
+	"bufio"
 	"fmt"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hibiscusyard/hibiscusyard/standin/userplatform"
 )
@@ -48,6 +51,24 @@
 	}
 }
 
+// Guards against bounds that refuse a single request within the limits.
+func TestExpensiveHeadIsServedInCalm(t *testing.T) {
+	i := newInstance(t, manyConnections)
+	for _, fields := range []string{fields(headBytes, false), fields(headBytes, true), promptParts(headBytes), connectionOptions(headBytes)} {
+		conn, err := net.Dial("tcp", i.callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		i.send(conn, head("POST", "/signup/1", "calm")+fields+"Content-Length: 1\r\n\r\nb")
+		conn.SetReadDeadline(time.Now().Add(clientTimeout)) //nolint:errcheck // the read fails then.
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Errorf("head with %.20q...: %v, %v", fields, response, err)
+		}
+	}
+}
+
 // fields returns short fields with a total length of at most n bytes, which have different
 // names or all the same.
 func fields(n int, different bool) string {
