Serve callers of the own surface through the accounted listener

What callers saw: 480 clients with legal heads of many short fields took an instance of 80 MB to 174 MiB, 160 with heads that don't end to 210 MiB. With max_connections clients that begin a body, or as many as there are descriptors, nobody else got an answer until a connection ended.

Cause: the surface bounded connections by a number alone. Its listener let new ones wait at that number, took no notice of descriptors, and no account held what connections and heads take.

Change: the listener of the users' platform accepts callers here too. It counts connections and heads, derives a limit from memory and descriptors beside max_connections, and closes another connection for a new one. The new setting memory_mb is the memory of the process, five times body_memory_mb by default; the daemon sets the runtime's soft limit from it. limitConnections is gone.

Why it works: as on the users' platform nothing is kept without room, and a connection whose request has not been received gives way to a new one.

--- a/command/command.go
+++ b/command/command.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/apex/log"
@@ -58,6 +59,10 @@
 	return nil
 }
 
+// runtimeShare is the share of a machine's memory that is the soft limit of the Go runtime;
+// the code of the program and what the collector has not freed yet come on top.
+const runtimeShare = 0.6
+
 type serveCommand struct {
 	streams
 	Settings string `short:"s" long:"settings" value-name:"FILE" required:"yes" description:"JSON settings of the instance"`
@@ -78,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(runtimeShare * float64(s.MemoryBytes())))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
--- a/instance.go
+++ b/instance.go
@@ -229,13 +229,16 @@
 // headers are read, so that the filter chain can refuse them with a verdict.
 const headerLimitFactor = 4
 
-func (i *Instance) serveOn(l net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{
+func (i *Instance) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		// The filter chain refuses headers above the setting with a verdict; above
 		// headerLimitFactor times the setting, net/http stops reading.
 		Handler: handler, MaxHeaderBytes: headerLimitFactor * i.settings.MaxHeaderBytes,
 		ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
 	}
+}
+
+func (i *Instance) serveOn(l net.Listener, server *http.Server) *http.Server {
 	go func() {
 		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			i.log.WithError(err).Error("listener failed")
@@ -245,15 +248,27 @@
 }
 
 func (i *Instance) serve() {
-	i.servers.caller = i.serveOn(limitConnections(i.listeners.caller, i.settings.MaxConnections), i.callerHandler())
+	i.serveCallers()
 	adminServer := &admin.Server{
 		Tables: i.catalog, TokenHash: i.settings.AdminTokenHash, Status: i.status,
 		Ready: i.notReady, Metrics: i.metrics, Log: i.log,
 	}
-	i.servers.admin = i.serveOn(i.listeners.admin, limitRequest(adminServer.Handler()))
+	i.servers.admin = i.serveOn(i.listeners.admin, i.newServer(limitRequest(adminServer.Handler())))
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, i.hub)
-	i.servers.peer = i.serveOn(i.listeners.peer, limitRequest(mux))
+	i.servers.peer = i.serveOn(i.listeners.peer, i.newServer(limitRequest(mux)))
+}
+
+// serveCallers serves callers with all that they make the instance keep in one account.
+func (i *Instance) serveCallers() {
+	memory := request.NewMemory(int64(i.settings.BodyMemoryMB)<<20, i.metrics)
+	machine := i.settings.MemoryBytes()
+	listener := memory.Listen(i.listeners.caller, request.ListenerConfig{
+		Machine: machine, Limit: min(i.settings.MaxConnections, request.MaxConnections(machine)), Log: i.log, Metrics: i.metrics,
+	})
+	server := i.newServer(i.callerHandler(memory))
+	listener.Attach(server)
+	i.servers.caller = i.serveOn(listener, server)
 }
 
 // requestTimeout bounds the receipt of a request to the administration API or of one that
@@ -271,7 +286,7 @@
 	})
 }
 
-func (i *Instance) callerHandler() http.Handler {
+func (i *Instance) callerHandler(memory *request.Memory) http.Handler {
 	chain := filter.Chain(
 		filter.Identify{Catalog: i.catalog},
 		filter.Authorise{Catalog: i.catalog},
@@ -279,7 +294,6 @@
 		filter.Claims{Store: i.claims},
 		i.route,
 	)
-	memory := request.NewMemory(int64(i.settings.BodyMemoryMB)<<20, i.metrics)
 	handler := filter.NewHandler(filter.Surface{MaxHeader: i.settings.MaxHeaderBytes}, chain, memory, i.log, i.metrics)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,9 +38,11 @@
 	LogLevel string `json:"log_level,omitempty"`
 	// MaxHeaderBytes bounds the headers of a request in bytes. Default 16384, range 1024 to 1048576.
 	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
-	// MaxConnections bounds the number of open caller connections. Default 10000, range 1 to 1000000.
+	// MemoryMB is the memory that the process may use in MiB. A quarter of it is for callers' connections and the heads of requests. Default 0: five times BodyMemoryMB; else at least twice BodyMemoryMB.
+	MemoryMB int `json:"memory_mb,omitempty"`
+	// MaxConnections bounds the number of open caller connections; a fifth of MemoryMB with 28 KiB each, and half of the descriptors of the process less 64, bound it too. At the bound another connection is closed for a new one. Default 10000, range 1 to 1000000.
 	MaxConnections int `json:"max_connections,omitempty"`
-	// BodyMemoryMB bounds the memory for the bodies of requests in MiB. Default 256, range 16 to 65536. A single body is accepted in any case.
+	// BodyMemoryMB bounds the memory for admitted requests, with their heads, bodies and buffered responses, in MiB. Default 256, range 16 to 65536. A single request is accepted in any case.
 	BodyMemoryMB int `json:"body_memory_mb,omitempty"`
 	// QueueLimit bounds the requests queued at this instance. Default 2000, range 1 to 100000.
 	QueueLimit int `json:"queue_limit,omitempty"`
@@ -104,6 +106,17 @@
 	}
 }
 
+// machineFactor is the multiple of BodyMemoryMB that a process may use in all.
+const machineFactor = 5
+
+// MemoryBytes returns the memory that the process may use.
+func (s *Settings) MemoryBytes() int64 {
+	if s.MemoryMB > 0 {
+		return int64(s.MemoryMB) << 20
+	}
+	return machineFactor * int64(s.BodyMemoryMB) << 20
+}
+
 // Load decodes settings strictly over the defaults and validates them.
 func Load(data []byte) (*Settings, error) {
 	s := Default()
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -47,6 +47,9 @@
 	c.number("max_header_bytes", s.MaxHeaderBytes, 1<<10, 1<<20)
 	c.number("max_connections", s.MaxConnections, 1, 1_000_000)
 	c.number("body_memory_mb", s.BodyMemoryMB, 16, 65_536)
+	if s.MemoryMB != 0 && s.MemoryMB < 2*s.BodyMemoryMB {
+		c.fail("memory_mb", "must be 0 or at least twice body_memory_mb (%d)", s.BodyMemoryMB)
+	}
 	c.number("queue_limit", s.QueueLimit, 1, 100_000)
 	c.duration("drain_delay", s.DrainDelay, 0, 5*time.Minute)
 	c.duration("drain_timeout", s.DrainTimeout, time.Second, time.Hour)
--- a/shutdown.go
+++ b/shutdown.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
-	"golang.org/x/sync/semaphore"
 )
 
 // requestCounter counts the callers' requests in flight.
@@ -75,36 +72,3 @@
 		i.log.WithField("claims", unswept).Warn("storing the ends of claims failed")
 	}
 }
-
-// limitedListener bounds the number of open connections; further ones wait in
-// the listen backlog of the operating system.
-type limitedListener struct {
-	net.Listener
-	slots *semaphore.Weighted
-}
-
-func limitConnections(l net.Listener, limit int) net.Listener {
-	return &limitedListener{Listener: l, slots: semaphore.NewWeighted(int64(limit))}
-}
-
-func (l *limitedListener) Accept() (net.Conn, error) {
-	if err := l.slots.Acquire(context.Background(), 1); err != nil {
-		return nil, err
-	}
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		l.slots.Release(1)
-		return nil, err
-	}
-	return &limitedConn{Conn: conn, release: sync.OnceFunc(func() { l.slots.Release(1) })}, nil
-}
-
-type limitedConn struct {
-	net.Conn
-	release func()
-}
-
-func (c *limitedConn) Close() error {
-	defer c.release()
-	return c.Conn.Close()
-}
