Parse chats without copies, with memory from the account

What callers saw: 160 chats of 1 MiB with short fields took an instance of 80 MB to 95 to 112 MiB.

Cause: the parse kept a copy of the messages for as long as the request lives, the decoder that checks names of fields copied the body and each value, and its map of names took several times the bytes of short fields. None of it was in an account.

Change: the names are checked on the body itself, with a hash for each field; the messages share the body's memory; the parse takes twice the length of the body from the account while it runs. Refusals repeat at most 128 characters of a model's name.

Why it works: a chat takes its body, and for the parse at most as much as the account has granted.

--- a/filter/chat.go
+++ b/filter/chat.go
@@ -6,18 +6,17 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 )
 
 // Chat holds the fields of a chat completion request that the chain uses. The
 // body is forwarded unchanged.
 type Chat struct {
-	Model               string          `json:"model"`
-	Messages            json.RawMessage `json:"messages"`
-	Stream              bool            `json:"stream"`
-	N                   int             `json:"n"`
-	MaxTokens           *int64          `json:"max_tokens"`
-	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
+	Model               string
+	Messages            []byte // a list in JSON
+	Stream              bool
+	N                   int
+	MaxTokens           *int64
+	MaxCompletionTokens *int64
 }
 
 // bytesPerToken is a low estimate of the length of a token, so that admission
@@ -30,15 +29,37 @@
 	maxChoices = 128
 )
 
-// ParseChat parses and validates the body of a chat completion request.
+// ParseChat parses and validates the body of a chat completion request. The messages share
+// the memory of the body.
 func ParseChat(body []byte) (*Chat, error) {
-	var c Chat
-	if err := json.Unmarshal(body, &c); err != nil {
+	if err := json.Unmarshal(body, &struct{}{}); err != nil { // checks the syntax without copying
 		return nil, err
 	}
-	if err := checkFieldNames(body); err != nil {
+	var c Chat
+	targets := map[string]any{
+		"model": &c.Model, "stream": &c.Stream, "n": &c.N, "max_tokens": &c.MaxTokens, "max_completion_tokens": &c.MaxCompletionTokens,
+	}
+	var names nameSet
+	err := eachField(body, func(name, value []byte) error {
+		names.add(name)
+		if string(name) == "messages" {
+			c.Messages = value
+			return nil
+		}
+		if target := targets[string(name)]; target != nil {
+			return json.Unmarshal(value, target)
+		}
+		if slices.ContainsFunc(chatFields, func(field []byte) bool { return bytes.EqualFold(field, name) }) {
+			return fmt.Errorf("field %q stands in another case", name)
+		}
+		return nil
+	})
+	if err != nil {
 		return nil, err
 	}
+	if names.hasDuplicates() {
+		return nil, errors.New("a field stands twice")
+	}
 	switch {
 	case c.Model == "":
 		return nil, errors.New("model must be set")
@@ -52,34 +73,15 @@
 	return &c, nil
 }
 
-var chatFields = []string{"model", "messages", "stream", "n", "max_tokens", "max_completion_tokens"}
+// parseFactor is the multiple of a body that its parse takes in memory: a hash for each of
+// its fields, in a slice that grows.
+const parseFactor = 2
 
-// checkFieldNames rejects bodies that this parser and that of an engine could
-// interpret differently: duplicate field names, and known field names in another
-// case. Otherwise a request could be authorised for one model and run on another.
-func checkFieldNames(body []byte) error {
-	dec := json.NewDecoder(bytes.NewReader(body))
-	if start, err := dec.Token(); err != nil || start != json.Delim('{') {
-		return errors.New("the body must be an object")
-	}
-	seen := map[string]bool{}
-	for dec.More() {
-		token, err := dec.Token()
-		if err != nil {
-			return err
-		}
-		name, ok := token.(string)
-		known := slices.ContainsFunc(chatFields, func(field string) bool { return strings.EqualFold(field, name) })
-		if !ok || seen[name] || (known && !slices.Contains(chatFields, name)) {
-			return fmt.Errorf("field %q stands twice or in another case", name)
-		}
-		seen[name] = true
-		var value json.RawMessage
-		if err := dec.Decode(&value); err != nil {
-			return err
-		}
-	}
-	return nil
+// chatFields are the fields that the chain uses. Engines may interpret duplicates of a
+// field, and these names in another case, differently: a request could be authorised for
+// one model and run on another.
+var chatFields = [][]byte{
+	[]byte("model"), []byte("messages"), []byte("stream"), []byte("n"), []byte("max_tokens"), []byte("max_completion_tokens"),
 }
 
 // outputLimit returns the requested limit of output tokens of one choice, or
--- a/filter/identify.go
+++ b/filter/identify.go
@@ -99,13 +99,13 @@
 	if err := r.ReadBody(limit, bodyTimeout); err != nil {
 		return err
 	}
-	chat, err := ParseChat(r.Body)
+	chat, err := r.parseChat()
 	if err != nil {
-		return verdict.New(verdict.BadRequest, "malformed request: %v", err)
+		return err
 	}
 	route := r.Index.ModelRoute(chat.Model)
 	if route == nil {
-		return verdict.New(verdict.UnknownModel, "no route serves model %q", chat.Model)
+		return verdict.New(verdict.UnknownModel, "no route serves model %.*q", maxQuotedName, chat.Model)
 	}
 	if int64(len(r.Body)) > route.MaxBody {
 		return verdict.New(verdict.BodyTooLarge, "the body exceeds %d bytes", route.MaxBody)
@@ -115,6 +115,23 @@
 	return nil
 }
 
+// maxQuotedName bounds what refusals and the log repeat of a name that a caller has sent.
+const maxQuotedName = 128
+
+// parseChat parses the body with the memory that this takes.
+func (r *Request) parseChat() (*Chat, error) {
+	need := parseFactor * int64(len(r.Body))
+	if err := r.Hold(r.HTTP.Context(), need); err != nil {
+		return nil, err
+	}
+	defer r.Drop(need)
+	chat, err := ParseChat(r.Body)
+	if err != nil {
+		return nil, verdict.New(verdict.BadRequest, "malformed request: %.*s", 2*maxQuotedName, err)
+	}
+	return chat, nil
+}
+
 // bearerKey returns the caller's key, or "" without one.
 func bearerKey(header http.Header) (string, error) {
 	values := header.Values("Authorization")
--- a/test/flood/own_test.go
+++ b/test/flood/own_test.go
@@ -58,6 +58,7 @@
 		{"connections up to the descriptors", ownFewDescriptors, ownManyConnections, connections, sendOwn(crowdKey, "/signup/1", "", largeBody, bodyBytes-1)},
 		{"chats of many fields", ownMachine, ownManyConnections, crowd, sendOwn(crowdKey, "/v1/chat/completions", "", chatOfManyFields(), 0)},
 		{"chats for a model that is not loaded", ownMachine, ownManyConnections, crowd, sendOwn(crowdKey, "/v1/chat/completions", "", longChat(unloadedModel), 0)},
+		{"chats for a model of a long name", ownMachine, ownManyConnections, crowd, sendOwn(crowdKey, "/v1/chat/completions", "", shortChat(strings.Repeat("m", bodyBytes-128)), 0)},
 		{"answers of models that are not read", ownMachine, ownManyConnections, crowd, sendOwn(crowdKey, "/v1/chat/completions", "", shortChat(loadedModel), 0)},
 		{"answers of calls with different keys", ownMachine, ownManyConnections, crowd, callOnce(false)},
 		{"answers of calls that ran earlier", ownMachine, ownManyConnections, crowd, callOnce(true)},
