Take the memory of models' answers from the account

What callers saw: 160 chats whose answers of 7 MiB were not read took an instance of 80 MB to 89 MiB, with more answers at once to 123.

Cause: an answer of a model that is no stream is buffered whole, up to 8 MiB, and the account did not hold it.

Change: such an answer takes its length from the account before it is read; one of unknown length takes the largest one once it exceeds 16 KiB. Without room it waits with its upstream until the request's deadline, since the request has run.

Why it works: no answer is read without room. An answer takes its memory at once, so that no two with a part of it wait for each other.

--- a/filter/relay.go
+++ b/filter/relay.go
@@ -71,13 +71,13 @@
 
 // relayBuffered passes on a model's response once it is complete and well-formed.
 func (t *try) relayBuffered(resp *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
+	body, err := t.r.ReadResponse(t.ctx, resp.Body, resp.ContentLength, maxBuffered)
+	if errors.Is(err, request.ErrResponseTooLarge) {
+		return fmt.Errorf("%w: answer over %d bytes", errMalformed, maxBuffered)
+	}
 	if err != nil {
 		return err
 	}
-	if len(body) > maxBuffered {
-		return fmt.Errorf("%w: answer over %d bytes", errMalformed, maxBuffered)
-	}
 	var answer struct {
 		Usage *usage `json:"usage"`
 	}
--- a/plumbing/request/memory.go
+++ b/plumbing/request/memory.go
@@ -91,15 +91,24 @@
 	return nil
 }
 
-// grow makes a request hold add bytes more, which it may have to wait for. received is the
-// length of the part of its body that has arrived.
+// grow makes a request hold add bytes more, for which it may have to wait a short time.
+// received is the length of the part of its body that has arrived.
 func (m *Memory) grow(ctx context.Context, r *Request, add, received int64) error {
+	return m.await(ctx, r, add, received, maxMemoryWait)
+}
+
+// await is grow with a limit on the wait. A limit of 0 means that it ends with ctx.
+func (m *Memory) await(ctx context.Context, r *Request, add, received int64, limit time.Duration) error {
 	if m == nil {
 		return nil
 	}
 	var timeout <-chan time.Time
+	waits := false
 	for {
 		m.mu.Lock()
+		if r.held.Owner == nil {
+			r.held.Group, r.held.Owner = r.group(), r
+		}
 		if m.budget.Grow(&r.held, add, received) {
 			m.mu.Unlock()
 			return nil
@@ -114,11 +123,14 @@
 		}
 		changed := m.changed
 		m.mu.Unlock()
-		if timeout == nil {
+		if !waits {
+			waits = true
 			m.waits.Inc()
-			timer := time.NewTimer(maxMemoryWait)
-			defer timer.Stop()
-			timeout = timer.C
+			if limit > 0 {
+				timer := time.NewTimer(limit)
+				defer timer.Stop()
+				timeout = timer.C
+			}
 		}
 		select {
 		case <-changed:
--- a/plumbing/request/memory_test.go
+++ b/plumbing/request/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -190,3 +191,48 @@
 		t.Errorf("%d lines written; later %v with %d suppressed", written, ok, suppressed)
 	}
 }
+
+// admitted returns a request of a server with a bound of capacity bytes.
+func admitted(m *request.Memory) (admitted *call) {
+	s := &request.Server[*call]{
+		Surface: testSurface{}, Log: &log.Logger{Handler: memory.New()}, Metrics: metrics.NewSet(), Memory: m,
+		Chain: func(_ context.Context, c *call) error { admitted = c; return nil },
+	}
+	s.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	return admitted
+}
+
+var errDeadline = errors.New("deadline")
+
+// Guards against responses that lose or gain bytes in buffers, that are taken for complete
+// although they broke off, and that are kept without room in the account.
+func TestResponseIsReadWithinTheAccount(t *testing.T) {
+	const limit = 1 << 20
+	r := admitted(request.NewMemory(limit, metrics.NewSet()))
+	for _, size := range []int{0, 1, 16<<10 - 1, 16 << 10, 16<<10 + 1, 100_000, limit} {
+		text := strings.Repeat("b", size)
+		for _, length := range []int64{int64(size), -1} {
+			got, err := r.ReadResponse(context.Background(), strings.NewReader(text), length, limit)
+			if err != nil || string(got) != text {
+				t.Errorf("%d bytes, length %d: got %d, %v", size, length, len(got), err)
+			}
+		}
+	}
+	for _, length := range []int64{limit + 1, -1} {
+		if _, err := r.ReadResponse(context.Background(), strings.NewReader(strings.Repeat("b", limit+1)), length, limit); !errors.Is(err, request.ErrResponseTooLarge) {
+			t.Errorf("a response above the limit, length %d: %v", length, err)
+		}
+	}
+	if _, err := r.ReadResponse(context.Background(), strings.NewReader("b"), 2, limit); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("a response that broke off: %v", err)
+	}
+	m := request.NewMemory(limit, metrics.NewSet())
+	ctx, cancel := context.WithTimeoutCause(context.Background(), time.Second, errDeadline)
+	defer cancel()
+	if err := admitted(m).Hold(ctx, limit); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := admitted(m).ReadResponse(ctx, strings.NewReader("b"), limit, limit); !errors.Is(err, errDeadline) {
+		t.Errorf("a response without room: %v", err)
+	}
+}
