Take the memory of recorded answers from the account

What callers saw: 160 calls with an Idempotency-Key and answers of 7 MiB took an instance of 80 MB to 106 and 113 MiB, and 129 to 136 with models' answers in the account.

Cause: the copy of an answer that is kept for repeats, up to 8 MiB, was in no account.

Change: the copy takes memory from the account before it grows. Without room it is dropped, and the call's outcome is stored as run without its answer, as for an answer above the limit; the caller gets the answer.

Why it works: no byte is recorded without room. A call still runs at most once: what is lost is the answer to a repeat, which gets already_run.

--- a/filter/claim.go
+++ b/filter/claim.go
@@ -61,9 +61,9 @@
 // stored outcome.
 func (f Claims) run(ctx context.Context, r *Request, claim *idempotency.Claim, next Next) (err error) {
 	r.Repeatable = false
-	r.Writer.Record(idempotency.MaxStored)
 	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.WallDeadline())
 	defer cancel()
+	r.Record(runCtx, idempotency.MaxStored)
 	complete := false
 	defer func() { f.complete(ctx, r, claim, complete) }() // also after a panic
 	err = next(runCtx, r)
--- a/plumbing/request/hold.go
+++ b/plumbing/request/hold.go
@@ -74,3 +74,11 @@
 	}
 	return err
 }
+
+// Record keeps a copy of the response of up to limit bytes, as far as there is room for it.
+// The writer then accepts the response to its end even if the caller disconnects.
+func (r *Request) Record(ctx context.Context, limit int) {
+	r.Writer.record, r.Writer.limit = true, limit
+	r.Writer.hold = func(n int64) bool { return r.Hold(ctx, n) == nil }
+	r.Writer.drop = r.Drop
+}
--- a/plumbing/request/writer.go
+++ b/plumbing/request/writer.go
@@ -18,10 +18,12 @@
 	status        int
 	complete      bool
 	control       *http.ResponseController
-	timeout       time.Duration // of one write; 0 for none
-	deadlineSetAt time.Time     // when the write deadline was last set
-	record        bool          // keep a copy, and continue after the caller has disconnected
-	limit         int           // of the copy in bytes
+	timeout       time.Duration    // of one write; 0 for none
+	deadlineSetAt time.Time        // when the write deadline was last set
+	record        bool             // keep a copy, and continue after the caller has disconnected
+	limit         int              // of the copy in bytes
+	hold          func(int64) bool // takes memory for the copy, nil for no bound
+	drop          func(int64)      // gives it back
 	copied        []byte
 	overflow      bool
 	gone          bool
@@ -33,12 +35,8 @@
 	return &Writer{ResponseWriter: w, control: http.NewResponseController(w), timeout: timeout}
 }
 
-// Record keeps a copy of the response of up to limit bytes. Send then accepts
-// the response to its end even if the caller disconnects.
-func (w *Writer) Record(limit int) { w.record, w.limit = true, limit }
-
-// Recorded returns the copy. Overflow means that the response exceeded the limit
-// and the copy was discarded.
+// Recorded returns the copy that Request.Record has asked for. Overflow means that the
+// response exceeded the limit or the memory, and the copy was discarded.
 func (w *Writer) Recorded() (body []byte, overflow bool) { return w.copied, w.overflow }
 
 // CallerGone reports whether the caller of a recorded response has disconnected.
@@ -149,10 +147,29 @@
 }
 
 func (w *Writer) recordPiece(piece []byte) {
-	if len(w.copied)+len(piece) > w.limit {
+	if w.overflow {
+		return
+	}
+	if n := len(w.copied) + len(piece); n > w.limit || n > cap(w.copied) && !w.growCopy(n) {
+		if w.drop != nil {
+			w.drop(int64(cap(w.copied)))
+		}
 		w.copied, w.overflow = nil, true
+		return
+	}
+	w.copied = append(w.copied, piece...)
+}
+
+// growCopy makes room for n bytes in the copy, and reports whether there is memory for it.
+func (w *Writer) growCopy(n int) bool {
+	size := min(max(n, 2*cap(w.copied)), w.limit)
+	if w.hold != nil && !w.hold(int64(size)) {
+		return false
 	}
-	if !w.overflow {
-		w.copied = append(w.copied, piece...)
+	old := w.copied
+	w.copied = append(make([]byte, 0, size), old...)
+	if w.drop != nil {
+		w.drop(int64(cap(old)))
 	}
+	return true
 }
