Take the memory of stored answers from the account before they are read

What callers saw: 160 repeats of one call with a stored answer of 7 MiB took an instance of 80 MB to 1,744 MiB.

Cause: each repeat reads the stored answer into memory, through a buffer that grows, before it writes it to a caller that may not read. It was in no account.

Change: the claim takes the length of the stored answer from the account before the object is read; it is recorded with the outcome, and for older outcomes the longest one is assumed. Without room the repeat is refused with 503 memory_full, verdict may_have_run and Retry-After 1 s. The object is read into a buffer of its length.

Why it works: only as many stored answers are in memory as the account has room for, and a refused repeat can come again.

--- a/decision/idempotency/claim.go
+++ b/decision/idempotency/claim.go
@@ -63,8 +63,10 @@
 	Headers map[string]string `json:"headers,omitempty"`
 	// Body is set for bodies up to MaxInline bytes.
 	Body []byte `json:"body,omitempty"`
-	// Object is the key of a larger body in the object store.
+	// Object is the key of a larger body in the object store, and Length its length in bytes,
+	// 0 if it is not known.
 	Object string `json:"object,omitempty"`
+	Length int64  `json:"length,omitempty"`
 	// Lost is set if the request ran but the response body was not stored.
 	Lost bool `json:"lost,omitempty"`
 }
--- a/decision/idempotency/store.go
+++ b/decision/idempotency/store.go
@@ -21,6 +21,8 @@
 	// tableRetryAfter is the Retry-After while the table or the object store is
 	// unreachable.
 	tableRetryAfter = 2 * time.Second
+	// memoryRetryAfter is the Retry-After while there is no room for a stored body.
+	memoryRetryAfter = time.Second
 	// maxAbandoned bounds the number of remembered claims that were abandoned
 	// because the table did not answer. A claim beyond the bound stays running in
 	// the table, so that repeats are refused, which is safe.
@@ -65,6 +67,21 @@
 type Request struct {
 	Workspace, Route, Key string
 	Digest                string
+	// Reserve takes memory for a stored body before it is read. Nil means no bound.
+	Reserve func(ctx context.Context, bytes int64) error
+}
+
+// reserve takes memory for the body of an outcome.
+func (r Request) reserve(ctx context.Context, o *Outcome) error {
+	switch {
+	case r.Reserve == nil:
+		return nil
+	case o.Object == "":
+		return r.Reserve(ctx, int64(len(o.Body)))
+	case o.Length == 0:
+		return r.Reserve(ctx, MaxStored)
+	}
+	return r.Reserve(ctx, o.Length)
 }
 
 // Claim permits forwarding one request once.
@@ -86,14 +103,14 @@
 		return nil, nil, refuseMayHaveRun(verdict.RequestInProgress, "a request with this Idempotency-Key is running").WithRetryAfter(activeRetryAfter)
 	}
 	if d, known := s.decideUnsaved(key, r.Digest); known {
-		return s.resolve(ctx, d)
+		return s.resolve(ctx, r, d)
 	}
 	row := Row{State: Running, Instance: s.Instance, Incarnation: s.Incarnation, Digest: r.Digest, Started: s.Now().UTC()}
 	// Most keys are new, so the first attempt writes without reading.
 	decision := Decision{Action: Take}
 	for range maxClaimTries {
 		if decision.Action != Take {
-			return s.resolve(ctx, decision)
+			return s.resolve(ctx, r, decision)
 		}
 		row.Token = s.NewToken()
 		claim := &Claim{key: key, row: row, revision: decision.Revision + 1}
@@ -180,10 +197,13 @@
 // resolve turns a decision against forwarding into an outcome or a refusal.
 // None of these refusals has the verdict not_run, because the earlier request
 // may have run.
-func (s *Store) resolve(ctx context.Context, d Decision) (*Claim, *Outcome, *verdict.Refusal) {
+func (s *Store) resolve(ctx context.Context, r Request, d Decision) (*Claim, *Outcome, *verdict.Refusal) {
 	switch d.Action {
 	case Replay:
 		outcome := *d.Outcome
+		if err := r.reserve(ctx, &outcome); err != nil {
+			return nil, nil, refuseMayHaveRun(verdict.MemoryFull, "the request has run; this instance has no room for its answer now").WithRetryAfter(memoryRetryAfter).WithCause(err)
+		}
 		if outcome.Object == "" {
 			return nil, &outcome, nil
 		}
@@ -242,7 +262,7 @@
 		return outcome
 	}
 	kept := *outcome
-	kept.Body, kept.Object = nil, "outcome/"+RequestDigest("", "", outcome.Body)
+	kept.Body, kept.Object, kept.Length = nil, "outcome/"+RequestDigest("", "", outcome.Body), int64(len(outcome.Body))
 	if len(outcome.Body) > MaxStored || s.Objects.Put(ctx, kept.Object, outcome.Body) != nil {
 		kept.Object, kept.Lost = "", true
 	}
--- a/filter/claim.go
+++ b/filter/claim.go
@@ -48,7 +48,8 @@
 	defer cancel()
 	claim, outcome, refusal := f.Store.Claim(ctx, idempotency.Request{
 		Workspace: r.Workspace.Name, Route: r.Route.Name, Key: key,
-		Digest: idempotency.RequestDigest(r.HTTP.Method, r.HTTP.URL.RequestURI(), r.Body),
+		Digest:  idempotency.RequestDigest(r.HTTP.Method, r.HTTP.URL.RequestURI(), r.Body),
+		Reserve: r.Hold,
 	})
 	if refusal != nil {
 		return nil, nil, refusal
--- a/plumbing/awsapi/s3.go
+++ b/plumbing/awsapi/s3.go
@@ -60,14 +60,15 @@
 		return nil, c.classifyRead("get object "+key, err)
 	}
 	defer out.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(out.Body, maxObject+1))
-	if err != nil {
+	length := min(max(aws.ToInt64(out.ContentLength), 0), maxObject)
+	data := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead)) // does not grow if the length is right
+	if _, err := data.ReadFrom(io.LimitReader(out.Body, maxObject+1)); err != nil {
 		return nil, c.classify("get object "+key, err)
 	}
-	if len(data) > maxObject {
+	if data.Len() > maxObject {
 		return nil, fmt.Errorf("get object %s: larger than %d bytes", key, maxObject)
 	}
-	return data, nil
+	return data.Bytes(), nil
 }
 
 // Size implements ports.WeightStore.
