Write lists of models within a time limit, and entry by entry

What callers saw: 480 clients that ask for a list of 1,000 models again and again and read nothing took an instance of 80 MB to 175 and 190 MiB, and their connections were still open after 60 s. With connections and heads in the account the memory was bounded (53 and 55 MiB), the time was not.

Cause: the write deadline was cleared before each handler, and the list is served outside the chain, which sets its own. The list was built and encoded whole, and kept while the caller did not read.

Change: each handler begins with the deadline of 30 s that holds after it; the chain sets its own as before. The list is written entry by entry.

Why it works: a write to a caller that does not read fails in time, and what is kept meanwhile is the server's buffer.

Evidence: two new forms of TestOwnSurfaceOutlivesACrowd.

--- a/filter/handler.go
+++ b/filter/handler.go
@@ -95,13 +95,13 @@
 // response.
 const unreadTimeout = time.Second
 
-// LimitWrites clears the write deadline set by the previous request on the
-// connection, and sets one for the writes after the handler has returned. It also bounds
-// the read of the rest of the body after that.
+// LimitWrites sets a write deadline for handlers that set none of their own, and another
+// one for the writes after the handler has returned. It also bounds the read of the rest of
+// the body after that.
 func LimitWrites(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
-		control.SetWriteDeadline(time.Time{}) //nolint:errcheck // not every writer supports deadlines.
+		control.SetWriteDeadline(time.Now().Add(writeTimeout)) //nolint:errcheck // not every writer supports deadlines.
 		defer func() {
 			control.SetWriteDeadline(time.Now().Add(writeTimeout)) //nolint:errcheck // as above.
 			if r.ContentLength != 0 {
--- a/filter/models.go
+++ b/filter/models.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -9,11 +10,6 @@
 	"github.com/hibiscusyard/hibiscusyard/decision/verdict"
 )
 
-type modelList struct {
-	Object string       `json:"object"`
-	Data   []modelEntry `json:"data"`
-}
-
 type modelEntry struct {
 	ID      string `json:"id"`
 	Object  string `json:"object"`
@@ -23,18 +19,34 @@
 // Models serves the list of models that the caller may use.
 type Models struct{ Catalog Catalog }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. The list is written entry by entry, so that it is not
+// kept for callers that do not read.
 func (m Models) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	list, err := m.list(hr)
+	names, err := m.names(hr)
 	if err != nil {
 		writeRefusal(w, verdict.From(err)) //nolint:errcheck // the caller may have gone.
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(list) //nolint:errcheck // the caller may have gone.
+	separator := `{"object":"list","data":[`
+	for _, name := range names {
+		entry, err := json.Marshal(modelEntry{ID: name, Object: "model", OwnedBy: "hibiscusyard"})
+		if err != nil {
+			panic(http.ErrAbortHandler) // no partial list may look complete
+		}
+		if _, err := io.WriteString(w, separator+string(entry)); err != nil {
+			return // the caller has gone
+		}
+		separator = ","
+	}
+	if len(names) == 0 {
+		io.WriteString(w, separator) //nolint:errcheck // the caller may have gone.
+	}
+	io.WriteString(w, "]}\n") //nolint:errcheck // as above.
 }
 
-func (m Models) list(hr *http.Request) (*modelList, error) {
+// names returns the names of the models that the caller may use.
+func (m Models) names(hr *http.Request) ([]string, error) {
 	index, _ := m.Catalog.Current()
 	if index == nil {
 		return nil, verdict.New(verdict.NotReady, "this instance holds no catalogue yet")
@@ -53,9 +65,5 @@
 			return nil, verdict.New(verdict.ConfigurationStale, "this instance can't prove that its catalogue is current")
 		}
 	}
-	list := &modelList{Object: "list", Data: []modelEntry{}}
-	for _, name := range index.ModelsFor(hash) {
-		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "hibiscusyard"})
-	}
-	return list, nil
+	return index.ModelsFor(hash), nil
 }
--- a/test/flood/own_test.go
+++ b/test/flood/own_test.go
@@ -60,13 +60,16 @@
 		{"chats for a model that is not loaded", ownMachine, ownManyConnections, crowd, sendOwn(crowdKey, "/v1/chat/completions", "", longChat(unloadedModel), 0)},
 		{"chats for a model of a long name", ownMachine, ownManyConnections, crowd, sendOwn(crowdKey, "/v1/chat/completions", "", shortChat(strings.Repeat("m", bodyBytes-128)), 0)},
 		{"answers of models that are not read", ownMachine, ownManyConnections, crowd, sendOwn(crowdKey, "/v1/chat/completions", "", shortChat(loadedModel), 0)},
+		{"long answers that are not read", ownMachine, ownManyConnections, headCrowd, sendOwn(crowdKey, reportPath, "", "", 0)},
+		{"lists of models that are not read", ownMachine, ownManyConnections, headCrowd, listModels(0)},
+		{"lists of models one after another", ownMachine, ownManyConnections, headCrowd, listModels(dripInterval)},
 		{"answers of calls with different keys", ownMachine, ownManyConnections, crowd, callOnce(false)},
 		{"answers of calls that ran earlier", ownMachine, ownManyConnections, crowd, callOnce(true)},
 	} {
 		t.Run(form.name, func(t *testing.T) {
 			i := newOwnInstance(t, form.machine, form.connections)
 			// This surface keeps the idle connection of a client that it has answered for two minutes.
-			i.keepsIdle = strings.HasPrefix(form.name, "answers") || strings.HasPrefix(form.name, "chats")
+			i.keepsIdle = strings.Contains(form.name, "answers") || strings.HasPrefix(form.name, "chats")
 			i.outlive(form.clients, form.client)
 		})
 	}
@@ -82,28 +85,36 @@
 	settings.BodyMemoryMB, settings.MaxConnections = ownBodyMemoryMB, maxConnections
 	process := fleet.Start(settings)
 	service := processtest.StartStandin(t, "service", "service")
-	models := newLongAnswers()
+	engine := newLongAnswers()
 	t.Cleanup(func() {
-		models.CloseClientConnections() // orders to load the model go on for long
-		models.Close()
+		engine.CloseClientConnections() // orders to load the model go on for long
+		engine.Close()
 	})
+	names := []string{loadedModel, unloadedModel}
+	for n := len(names); n < listedModels; n++ {
+		names = append(names, fmt.Sprintf("model-%d-%s", n, strings.Repeat("n", 32)))
+	}
+	var models []catalog.Model
+	for _, name := range names {
+		models = append(models, catalog.Model{Name: name, MemoryMB: 800})
+	}
 	workspace := func(name, key string) catalog.Workspace {
 		return catalog.Workspace{Name: name, Keys: []string{catalog.HashKey(key)}, Rate: 1e9, Burst: 1e9}
 	}
 	workspaces := []catalog.Workspace{workspace("crowd", crowdKey), workspace("other", otherKey)}
 	process.MustPut("pools", admin.PoolsDocument{Pools: []catalog.Pool{
 		{Name: "signup", Kind: catalog.Service, Upstreams: []catalog.Upstream{{Name: "signup-1", Address: service.Address, DataCentre: "east"}}},
-		{Name: "reports", Kind: catalog.Service, Upstreams: []catalog.Upstream{{Name: "reports-1", Address: models.Listener.Addr().String(), DataCentre: "east"}}},
+		{Name: "reports", Kind: catalog.Service, Upstreams: []catalog.Upstream{{Name: "reports-1", Address: engine.Listener.Addr().String(), DataCentre: "east"}}},
 		{
 			Name: "drafting", Kind: catalog.Engine,
-			Upstreams: []catalog.Upstream{{Name: "engine-1", Address: models.Listener.Addr().String(), DataCentre: "east", MemoryMB: 16000}},
-			Models:    []catalog.Model{{Name: loadedModel, MemoryMB: 800}, {Name: unloadedModel, MemoryMB: 800}},
+			Upstreams: []catalog.Upstream{{Name: "engine-1", Address: engine.Listener.Addr().String(), DataCentre: "east", MemoryMB: 16000}},
+			Models:    models,
 		},
 	}})
 	process.MustPut("routes", admin.RoutesDocument{Routes: []catalog.Route{
 		{Name: "signup", Pool: "signup", Prefix: "/signup/", Workspaces: workspaces},
 		{Name: "reports", Pool: "reports", Prefix: "/reports/", Workspaces: workspaces, Timeout: duration.Duration(20 * time.Second)},
-		{Name: "drafting", Pool: "drafting", Models: []string{loadedModel, unloadedModel}, Workspaces: workspaces, Timeout: duration.Duration(20 * time.Second)},
+		{Name: "drafting", Pool: "drafting", Models: names, Workspaces: workspaces, Timeout: duration.Duration(20 * time.Second)},
 	}})
 	i := &instance{t: t, limits: machine, process: process.Process, callers: process.Caller}
 	i.served = func(status int, _ int64) bool { return status == http.StatusOK }
@@ -162,6 +173,31 @@
 	}
 }
 
+// listings is the number of lists of models that a client asks for, more than fit into what
+// the system keeps for a connection, and listedModels the number of models in each.
+const listings, listedModels = 60, 1000
+
+// listModels returns a client that asks for the list of models again and again, at an
+// interval or at once, and reads nothing.
+func listModels(interval time.Duration) client {
+	request := "GET /v1/models HTTP/1.1\r\nHost: own.example\r\nAuthorization: Bearer " + crowdKey + "\r\n\r\n"
+	return func(i *instance, _ int, conn net.Conn) {
+		conn.(*net.TCPConn).SetReadBuffer(4 << 10) //nolint:errcheck // the system keeps more of the answers then.
+		if interval == 0 {
+			i.send(conn, strings.Repeat(request, listings))
+			return
+		}
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for range listings {
+			<-ticker.C
+			if !i.send(conn, request) {
+				return
+			}
+		}
+	}
+}
+
 // reportPath is the path of calls with long answers.
 const reportPath = "/reports/1"
 
