--- a/filter/models_test.go
+++ b/filter/models_test.go
@@ -24,6 +24,8 @@
 	return r.ResponseRecorder.Write(p)
 }
 
+func (r *deadlineRecorder) WriteString(s string) (int, error) { return r.Write([]byte(s)) }
+
 type fixedCatalog struct{ index *catalog.Index }
 
 func (c fixedCatalog) Current() (*catalog.Index, <-chan struct{}) { return c.index, nil }
