Queue the log lines of the own surface's daemon

What callers saw: 160 clients whose requests are refused stopped the instance as soon as the reader of its log did not keep up: nobody else got an answer within 60 s.

Cause: the daemon wrote each line to its log in the goroutine that logs, and all wait for a pipe that is full (64 KiB, some 200 lines).

Change: its lines go through logsink, as those of the daemon for the users' platform do: a bounded queue that drops lines and states their number.

Why it works: logging does not wait for the reader.

--- a/command/command.go
+++ b/command/command.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscusyard/hibiscusyard/admin"
 	"github.com/hibiscusyard/hibiscusyard/decision/catalog"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/cli"
+	"github.com/hibiscusyard/hibiscusyard/plumbing/logsink"
 	"github.com/hibiscusyard/hibiscusyard/plumbing/strictjson"
 	"github.com/hibiscusyard/hibiscusyard/settings"
 )
@@ -78,7 +79,9 @@
 	if err != nil {
 		return err
 	}
-	logger := &log.Logger{Handler: apexjson.New(c.err), Level: log.MustParseLevel(s.LogLevel)}
+	sink := logsink.New(c.err)
+	defer sink.Close()
+	logger := &log.Logger{Handler: apexjson.New(sink), Level: log.MustParseLevel(s.LogLevel)}
 	instance, err := hibiscusyard.New(*s, logger)
 	if err != nil {
 		return err
--- a/test/flood/own_test.go
+++ b/test/flood/own_test.go
@@ -1,6 +1,7 @@
 package flood
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -67,7 +68,9 @@
 		{"answers of calls that ran earlier", ownMachine, ownManyConnections, crowd, callOnce(true)},
 	} {
 		t.Run(form.name, func(t *testing.T) {
-			i := newOwnInstance(t, form.machine, form.connections)
+			fleet := processtest.NewFleet(t)
+			fleet.Descriptors = form.machine.descriptorLimit
+			i := newOwnInstance(t, fleet, form.machine, form.connections)
 			// This surface keeps the idle connection of a client that it has answered for two minutes.
 			i.keepsIdle = strings.Contains(form.name, "answers") || strings.HasPrefix(form.name, "chats")
 			i.outlive(form.clients, form.client)
@@ -75,12 +78,37 @@
 	}
 }
 
+// refusedRequests is the number of requests of each client that are refused, and logged.
+const refusedRequests = 100
+
+// Guards against callers that stop an instance by what it logs about them, if the reader of
+// the log does not keep up.
+func TestOwnSurfaceOutlivesAnUnreadLog(t *testing.T) {
+	fleet := processtest.NewFleet(t)
+	fleet.LogUnread = true
+	i := newOwnInstance(t, fleet, ownMachine, ownManyConnections)
+	i.keepsIdle = true
+	request := "GET /unknown HTTP/1.1\r\nHost: own.example\r\n\r\n"
+	i.outlive(crowd, func(i *instance, _ int, conn net.Conn) {
+		answers := bufio.NewReader(conn)
+		conn.SetReadDeadline(time.Now().Add(clientTimeout)) //nolint:errcheck // the read fails then.
+		for range refusedRequests {
+			if !i.send(conn, request) {
+				return
+			}
+			response, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, response.Body) //nolint:errcheck // the next read fails.
+		}
+	})
+}
+
 // newOwnInstance starts an instance of the product's own surface with a plain service and
 // an engine.
-func newOwnInstance(t *testing.T, machine limits, maxConnections int) *instance {
+func newOwnInstance(t *testing.T, fleet *processtest.Fleet, machine limits, maxConnections int) *instance {
 	t.Helper()
-	fleet := processtest.NewFleet(t)
-	fleet.Descriptors = machine.descriptorLimit
 	settings := fleet.Settings("entry-1", "east")
 	settings.BodyMemoryMB, settings.MaxConnections = ownBodyMemoryMB, maxConnections
 	process := fleet.Start(settings)
--- a/test/processtest/fleet.go
+++ b/test/processtest/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -34,6 +35,8 @@
 	Table, Objects, List *Standin
 	// Descriptors limits the open descriptors of each instance. 0 means no limit of the test's own.
 	Descriptors int
+	// LogUnread leaves the log of each instance in a pipe that nobody reads.
+	LogUnread bool
 
 	t testing.TB
 }
@@ -104,6 +107,9 @@
 
 func (f *Fleet) launch(s settings.Settings) *Instance {
 	f.t.Helper()
+	if f.LogUnread {
+		s.CallerListen, s.AdminListen, s.PeerListen = freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
+	}
 	data, err := json.Marshal(s)
 	if err != nil {
 		f.t.Fatal(err)
@@ -113,16 +119,40 @@
 		f.t.Fatal(err)
 	}
 	i := &Instance{Settings: s}
-	if f.Descriptors > 0 {
-		i.Process = StartLimited(f.t, f.Descriptors, s.Instance, "hibiscusyard", "serve", "--settings", path)
-	} else {
-		i.Process = Start(f.t, s.Instance, "hibiscusyard", "serve", "--settings", path)
+	args := []string{"serve", "--settings", path}
+	switch {
+	case f.LogUnread:
+		i.Process = StartUnread(f.t, s.Instance, "hibiscusyard", args...)
+		i.Caller, i.Admin, i.Peer = s.CallerListen, s.AdminListen, s.PeerListen
+		Eventually(f.t, s.Instance+" listens", func() bool {
+			conn, err := net.Dial("tcp", i.Admin)
+			if err == nil {
+				conn.Close()
+			}
+			return err == nil
+		})
+	case f.Descriptors > 0:
+		i.Process = StartLimited(f.t, f.Descriptors, s.Instance, "hibiscusyard", args...)
+		i.await("logs its addresses", i.readAddresses)
+	default:
+		i.Process = Start(f.t, s.Instance, "hibiscusyard", args...)
+		i.await("logs its addresses", i.readAddresses)
 	}
-	i.await("logs its addresses", i.readAddresses)
 	i.Client = &admin.Client{Base: "http://" + i.Admin, Token: AdminToken}
 	return i
 }
 
+// freeAddress returns a loopback address that nothing listens at.
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
 // startLine is the log line that an instance writes once it listens.
 type startLine struct {
 	Message string `json:"message"`
--- a/test/processtest/process.go
+++ b/test/processtest/process.go
@@ -84,10 +84,27 @@
 	return start(t, name, exec.Command("/bin/sh", append([]string{"-c", script, Binary(t, program)}, args...)...))
 }
 
+// StartUnread is Start with a log that nobody reads.
+func StartUnread(t testing.TB, name, program string, args ...string) *Process {
+	t.Helper()
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { read.Close() })
+	defer write.Close() // the process has its own
+	cmd := exec.Command(Binary(t, program), args...)
+	cmd.Stderr = write
+	return start(t, name, cmd)
+}
+
 func start(t testing.TB, name string, cmd *exec.Cmd) *Process {
 	t.Helper()
 	p := &Process{Name: name, t: t, cmd: cmd, done: make(chan struct{})}
-	p.cmd.Stdout, p.cmd.Stderr = &p.stdout, &p.stderr
+	p.cmd.Stdout = &p.stdout
+	if p.cmd.Stderr == nil {
+		p.cmd.Stderr = &p.stderr
+	}
 	if err := startProcess(p.cmd); err != nil {
 		t.Fatalf("start %s: %v", name, err)
 	}
