Drop the trailer of a body once it has been read

Cause: net/http adds these fields to its own request, where they live until the answer is complete, in no account. The handler of the users' platform passed on a copy of the request, through which they can't be released.

Change: the request goes through the chain uncopied, with the context beside it, and its trailer is dropped with the read of the body. It was never passed on.

Why it works: the fields are garbage as soon as they have been parsed; their bytes are within the server's buffer of 4 KiB.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -69,7 +69,7 @@
 	ctx, cancel := context.WithCancelCause(hr.Context())
 	defer cancel(nil)
 	defer context.AfterFunc(h.ended, func() { cancel(errEnded) })()
-	h.server.ServeHTTP(w, hr.WithContext(ctx))
+	h.server.Serve(ctx, w, hr)
 }
 
 // Open implements request.Surface.
--- a/plumbing/request/body.go
+++ b/plumbing/request/body.go
@@ -55,6 +55,7 @@
 		return r.bodyRefusal(err, limit, timeout)
 	}
 	r.memory.complete(r)
+	r.HTTP.Trailer = nil // it is not passed on
 	r.Body, r.bodyRead = data, true
 	return nil
 }
--- a/plumbing/request/server.go
+++ b/plumbing/request/server.go
@@ -40,8 +40,13 @@
 	memoryLines LineLimiter
 }
 
-// ServeHTTP serves one request with an upstream's response or a refusal.
-func (s *Server[R]) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+// ServeHTTP implements http.Handler.
+func (s *Server[R]) ServeHTTP(w http.ResponseWriter, hr *http.Request) { s.Serve(hr.Context(), w, hr) }
+
+// Serve serves one request with an upstream's response or a refusal. The request must be
+// the server's own and no copy: what the server adds to it while the body is read can be
+// released only there.
+func (s *Server[R]) Serve(ctx context.Context, w http.ResponseWriter, hr *http.Request) {
 	arrived := bootclock.Now()
 	r, err := s.Surface.Open(w, hr)
 	base := r.Base()
@@ -50,7 +55,7 @@
 	base.memory = s.Memory
 	defer s.Memory.release(base)
 	if err == nil {
-		err = s.run(hr.Context(), r)
+		err = s.run(ctx, r)
 	}
 	s.finish(base, err)
 }
--- a/test/flood/heads_test.go
+++ b/test/flood/heads_test.go
@@ -22,6 +22,8 @@
 	headCrowd = 480
 	// headBytes is the length of such a head, within the limit of the desired state.
 	headBytes = 15 << 10
+	// trailerBytes is the length of fields behind a body, within the server's buffer.
+	trailerBytes = 4000
 	// pipelined is the number of requests that a client sends behind one another.
 	pipelined = 20
 )
@@ -43,6 +45,8 @@
 		{"options of the connection", readNothing(connectionOptions(headBytes))},
 		{"requests behind one another", readNothing(names)},
 		{"fields behind a body of another request", stopInSecondHead(names)},
+		{"trailers for a model that is not loaded", trailersForModel(fields(trailerBytes, true))},
+		{"trailers behind one another", trailersForLookup(fields(trailerBytes, true))},
 		{"long targets, body short of its end", stopBehindTarget(headBytes)},
 	} {
 		t.Run(form.name, func(t *testing.T) {
@@ -140,6 +144,31 @@
 	}
 }
 
+// chunked is the end of a head and a chunked body before its trailer.
+const chunked = "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n"
+
+// trailersForModel returns a client that asks for a model which is not loaded, with fields
+// behind the body.
+func trailersForModel(fields string) client {
+	return func(i *instance, n int, conn net.Conn) {
+		i.send(conn, head("POST", "/drafts/1", fmt.Sprint("c", n))+userplatform.HeaderModel+": letters\r\n"+
+			userplatform.HeaderTokens+": 100,20\r\n"+chunked+fields+"\r\n")
+	}
+}
+
+// trailersForLookup returns a client that sends requests with fields behind their bodies
+// behind one another, and reads no answer.
+func trailersForLookup(fields string) client {
+	return func(i *instance, n int, conn net.Conn) {
+		conn.(*net.TCPConn).SetReadBuffer(4 << 10) //nolint:errcheck // the system keeps more of the answers then.
+		for round := range pipelined {
+			if !i.send(conn, head("POST", "/signup/1", fmt.Sprint("c", n, "-", round))+chunked+fields+"\r\n") {
+				return
+			}
+		}
+	}
+}
+
 // readNothing returns a client that sends requests behind one another and reads no answer.
 func readNothing(fields string) client {
 	return func(i *instance, n int, conn net.Conn) {
